--- /dev/null
+++ b/Libraries/Coordination/NodeEvents.h
@@ -0,0 +1,220 @@
+#pragma once
+
+#include "Coordination/RoutingSnapshot.h"
+#include "Protocol/StoreClient.h"
+#include "State/EndpointRecord.h"
+#include "State/Instant.h"
+#include "control.pb.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+/// Inputs and outputs of the node's decision logic. It has no I/O and no
+/// clock: an event and a time go in, commands come out.
+namespace teaselhold::coordination {
+
+// Events.
+
+struct Started
+{};
+
+/// Sent about every 100 ms.
+struct Tick
+{};
+
+struct MessageReceived
+{
+  wire::Envelope envelope;
+};
+
+using StoreResult = std::variant<protocol::StoreError,
+                                 protocol::StoreEntry,
+                                 protocol::SwapResult,
+                                 /* lease */ protocol::LeaseId,
+                                 /* lease is alive */ bool>;
+
+struct StoreAnswered
+{
+  std::uint64_t call;
+  StoreResult result;
+};
+
+/// The state of the upstream beside this node, as its prober sees it.
+struct UpstreamChanged
+{
+  state::EndpointState state;
+};
+
+/// The upstream crashed while it ran a request with this fingerprint.
+struct CrashObserved
+{
+  std::uint64_t fingerprint;
+};
+
+struct ApplyRequested
+{
+  std::uint64_t id;
+  std::string text;
+  state::Generation baseGeneration;
+  std::string applyId;
+  state::Instant deadline;
+};
+
+using Event = std::variant<Started,
+                           Tick,
+                           MessageReceived,
+                           StoreAnswered,
+                           UpstreamChanged,
+                           CrashObserved,
+                           ApplyRequested>;
+
+// Commands.
+
+struct SendMessage
+{
+  /// IP:port of the receiver's control address.
+  std::string address;
+  wire::Envelope envelope;
+};
+
+struct StoreGet
+{
+  std::string key;
+};
+
+struct StoreSwap
+{
+  std::string key;
+  std::uint64_t expectedRevision;
+  std::string value;
+  protocol::LeaseId lease;
+};
+
+struct StoreGrant
+{
+  std::chrono::milliseconds timeToLive;
+};
+
+struct StoreKeepAlive
+{
+  protocol::LeaseId lease;
+};
+
+struct StoreWatch
+{
+  std::string key;
+  std::uint64_t knownRevision;
+  std::chrono::milliseconds wait;
+};
+
+/// A call of the store; its StoreAnswered event carries the same number.
+struct CallStore
+{
+  std::uint64_t call;
+  std::variant<StoreGet, StoreSwap, StoreGrant, StoreKeepAlive, StoreWatch>
+    request;
+};
+
+struct PublishSnapshot
+{
+  RoutingSnapshotPointer snapshot;
+};
+
+enum class ApplyOutcome : std::uint8_t
+{
+  Accepted,
+  Unchanged,
+  Refused,
+  Conflict,
+  Unknown,
+  NotApplied,
+};
+
+inline constexpr std::array<state::EnumName<ApplyOutcome>, 6>
+  kApplyOutcomeNames{ {
+    { ApplyOutcome::Accepted, "accepted" },
+    { ApplyOutcome::Unchanged, "unchanged" },
+    { ApplyOutcome::Refused, "refused" },
+    { ApplyOutcome::Conflict, "conflict" },
+    { ApplyOutcome::Unknown, "unknown" },
+    { ApplyOutcome::NotApplied, "not applied" },
+  } };
+
+struct FinishApply
+{
+  std::uint64_t id;
+  ApplyOutcome outcome;
+  state::Generation generation;
+  std::string message;
+  /// With Conflict: the text that won.
+  std::string currentText;
+};
+
+enum class LogLevel : std::uint8_t
+{
+  Debug,
+  Info,
+  Warning,
+};
+
+struct WriteLog
+{
+  LogLevel level;
+  /// The part that writes, such as "membership".
+  std::string_view part;
+  std::string message;
+};
+
+using Command =
+  std::variant<SendMessage, CallStore, PublishSnapshot, FinishApply, WriteLog>;
+using Commands = std::vector<Command>;
+
+/// Who and where this node is, from its settings.
+struct NodeIdentity
+{
+  std::string name;
+  std::uint64_t incarnation = 0;
+  std::string service;
+  std::string dataCentre;
+  std::string region;
+  std::string dataAddress;
+  std::string controlAddress;
+  std::uint32_t slots = 0;
+};
+
+struct NodeOptions
+{
+  NodeIdentity identity;
+  /// Control addresses of any other nodes.
+  std::vector<std::string> seeds;
+  /// Seeds the jitter; fixed in tests.
+  std::uint64_t randomSeed = 0;
+};
+
+/// What operators see of one node in `teaselctl status`.
+struct NodeStatus
+{
+  std::string node;
+  std::string service;
+  std::string dataCentre;
+  state::EndpointState state;
+  std::string role;
+  state::Generation activeGeneration = 0;
+  state::Generation refusedGeneration = 0;
+  std::string refusedReason;
+};
+
+struct FleetStatus
+{
+  bool storeReachable = false;
+  state::Generation storeGeneration = 0;
+  state::Generation highestGeneration = 0;
+  std::vector<NodeStatus> nodes;
+  std::vector<std::string> alarms;
+};
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Protocol/ConfigurationText.cpp
@@ -0,0 +1,473 @@
+#include "Protocol/ConfigurationText.h"
+
+#include "Protocol/IniDocument.h"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace teaselhold::protocol {
+
+namespace {
+
+constexpr std::size_t kMaxServices = 2000;
+constexpr std::size_t kMaxRoutes = 10000;
+constexpr std::size_t kMaxNameLength = 63;
+constexpr std::chrono::milliseconds kMaxTimeout = std::chrono::minutes(10);
+
+bool
+IsName(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNameLength &&
+         std::ranges::all_of(aText, [](char aCharacter) {
+           return (aCharacter >= 'a' && aCharacter <= 'z') ||
+                  (aCharacter >= '0' && aCharacter <= '9') || aCharacter == '-';
+         });
+}
+
+std::vector<std::string>
+SplitList(std::string_view aText)
+{
+  std::vector<std::string> parts;
+  while (!aText.empty()) {
+    const auto comma = aText.find(',');
+    auto part = aText.substr(0, comma);
+    const auto first = part.find_first_not_of(" \t");
+    const auto last = part.find_last_not_of(" \t");
+    if (first != std::string_view::npos) {
+      parts.emplace_back(part.substr(first, last - first + 1));
+    }
+    aText = comma == std::string_view::npos ? std::string_view{}
+                                            : aText.substr(comma + 1);
+  }
+  return parts;
+}
+
+/// Levenshtein distance, for suggestions.
+std::size_t
+EditDistance(std::string_view aLeft, std::string_view aRight)
+{
+  std::vector<std::size_t> row(aRight.size() + 1);
+  for (std::size_t j = 0; j < row.size(); ++j) {
+    row[j] = j;
+  }
+  for (std::size_t i = 0; i < aLeft.size(); ++i) {
+    auto diagonal = row[0];
+    row[0] = i + 1;
+    for (std::size_t j = 0; j < aRight.size(); ++j) {
+      const auto replaced = diagonal + (aLeft[i] == aRight[j] ? 0 : 1);
+      diagonal = row[j + 1];
+      row[j + 1] = std::min({ replaced, row[j] + 1, diagonal + 1 });
+    }
+  }
+  return row.back();
+}
+
+/// Compiles one document, collecting errors.
+class Compiler
+{
+public:
+  tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>> Compile(
+    const IniDocument& aDocument,
+    std::string_view aText,
+    state::Generation aGeneration)
+  {
+    for (const auto& section : aDocument.Sections()) {
+      ReadSection(section);
+    }
+    CheckLimits();
+    CheckReferences();
+    CheckCycles();
+    if (!errors_.empty()) {
+      std::ranges::stable_sort(errors_, {}, &ProtocolError::line);
+      return tl::make_unexpected(std::move(errors_));
+    }
+    return Build(aText, aGeneration);
+  }
+
+private:
+  void Fail(ProtocolErrorCode aCode, std::size_t aLine, std::string aMessage)
+  {
+    errors_.push_back({ aCode, aLine, std::move(aMessage) });
+  }
+
+  void ReadSection(const IniSection& aSection)
+  {
+    const auto space = aSection.name.find(' ');
+    const auto kind = aSection.name.substr(0, space);
+    const auto name =
+      space == std::string::npos ? "" : aSection.name.substr(space + 1);
+    if (aSection.name == "mesh") {
+      ReadMesh(aSection);
+      return;
+    }
+    if (kind != "service" && kind != "route" && kind != "tenant") {
+      Fail(ProtocolErrorCode::UnknownName,
+           aSection.line,
+           "unknown section [" + aSection.name +
+             "]; expected [service NAME], [route NAME], [tenant NAME] or "
+             "[mesh]");
+      return;
+    }
+    if (!IsName(name)) {
+      Fail(ProtocolErrorCode::InvalidValue,
+           aSection.line,
+           "bad " + kind + " name \"" + name +
+             "\"; expected 1 to 63 of a-z, 0-9 and \"-\"");
+      return;
+    }
+    if (kind == "service") {
+      ReadService(aSection, name);
+    } else if (kind == "route") {
+      ReadRoute(aSection, name);
+    } else {
+      ReadTenant(aSection, name);
+    }
+  }
+
+  void CheckKeys(const IniSection& aSection,
+                 std::initializer_list<std::string_view> aAllowed)
+  {
+    for (const auto& entry : aSection.entries) {
+      if (std::ranges::find(aAllowed, entry.key) != aAllowed.end()) {
+        continue;
+      }
+      std::string expected;
+      for (const auto& key : aAllowed) {
+        expected.append(expected.empty() ? "" : ", ").append(key);
+      }
+      Fail(ProtocolErrorCode::UnknownName,
+           entry.line,
+           "unknown key \"" + entry.key + "\" in [" + aSection.name +
+             "]; expected " + expected);
+    }
+  }
+
+  void ReadMesh(const IniSection& aSection)
+  {
+    CheckKeys(aSection, { "cycles" });
+    if (const auto* entry = aSection.Find("cycles")) {
+      if (entry->value != "refused" && entry->value != "allowed") {
+        BadValue(*entry, "\"refused\" or \"allowed\"");
+      }
+      cyclesAllowed_ = entry->value == "allowed";
+    }
+  }
+
+  void ReadService(const IniSection& aSection, const std::string& aName)
+  {
+    CheckKeys(aSection, { "depends", "entry" });
+    state::ServiceSpec service;
+    service.name = aName;
+    if (const auto* entry = aSection.Find("depends")) {
+      service.dependencies = SplitList(entry->value);
+      dependencyLines_[aName] = entry->line;
+    }
+    if (const auto* entry = aSection.Find("entry")) {
+      service.isEntry = ReadFlag(*entry);
+    }
+    serviceNames_.insert(aName);
+    services_.push_back(std::move(service));
+  }
+
+  void ReadRoute(const IniSection& aSection, const std::string& aName)
+  {
+    CheckKeys(aSection,
+              { "match", "service", "class", "idempotent", "timeout" });
+    state::RouteSpec route;
+    route.name = aName;
+    if (const auto* entry = Require(aSection, "match")) {
+      ReadMatch(*entry, route);
+    }
+    if (const auto* entry = Require(aSection, "service")) {
+      route.service = entry->value;
+      routeLines_[aName] = entry->line;
+    }
+    if (const auto* entry = Require(aSection, "class")) {
+      const auto value =
+        state::FindEnumValue(state::kRequestClassNames, entry->value);
+      if (!value) {
+        BadValue(*entry, "order, check, lookup, upload or batch");
+      }
+      route.requestClass = value.value_or(state::RequestClass::Lookup);
+    }
+    if (const auto* entry = Require(aSection, "idempotent")) {
+      route.isIdempotent = ReadFlag(*entry);
+    }
+    if (const auto* entry = aSection.Find("timeout")) {
+      route.timeout = ReadTimeout(*entry);
+    }
+    routes_.push_back(std::move(route));
+  }
+
+  void ReadTenant(const IniSection& aSection, const std::string& aName)
+  {
+    CheckKeys(aSection, { "max_in_flight" });
+    state::TenantSpec tenant;
+    tenant.name = aName;
+    if (const auto* entry = Require(aSection, "max_in_flight")) {
+      const auto value = ReadNumber(entry->value);
+      if (!value || *value == 0 || *value > 100000) {
+        BadValue(*entry, "a whole number from 1 to 100000");
+      }
+      tenant.maxInFlight = value.value_or(1);
+    }
+    tenants_.push_back(std::move(tenant));
+  }
+
+  const IniEntry* Require(const IniSection& aSection, std::string_view aKey)
+  {
+    const auto* entry = aSection.Find(aKey);
+    if (entry == nullptr) {
+      Fail(ProtocolErrorCode::InvalidValue,
+           aSection.line,
+           "[" + aSection.name + "] needs the key \"" + std::string(aKey) +
+             "\"");
+    }
+    return entry;
+  }
+
+  void BadValue(const IniEntry& aEntry, const std::string& aExpected)
+  {
+    Fail(ProtocolErrorCode::InvalidValue,
+         aEntry.line,
+         "bad value \"" + aEntry.value + "\" for \"" + aEntry.key +
+           "\"; expected " + aExpected);
+  }
+
+  bool ReadFlag(const IniEntry& aEntry)
+  {
+    if (aEntry.value != "yes" && aEntry.value != "no") {
+      BadValue(aEntry, "\"yes\" or \"no\"");
+    }
+    return aEntry.value == "yes";
+  }
+
+  static std::optional<std::uint32_t> ReadNumber(std::string_view aText)
+  {
+    std::uint32_t value = 0;
+    const auto* end = aText.data() + aText.size();
+    const auto result = std::from_chars(aText.data(), end, value);
+    if (result.ec != std::errc() || result.ptr != end) {
+      return std::nullopt;
+    }
+    return value;
+  }
+
+  std::chrono::milliseconds ReadTimeout(const IniEntry& aEntry)
+  {
+    std::string_view text = aEntry.value;
+    std::uint32_t factor = 0;
+    if (text.ends_with("ms")) {
+      factor = 1;
+      text.remove_suffix(2);
+    } else if (text.ends_with("s")) {
+      factor = 1000;
+      text.remove_suffix(1);
+    }
+    const auto number = ReadNumber(text);
+    const auto limit = static_cast<std::uint64_t>(kMaxTimeout.count());
+    if (factor == 0 || !number || *number == 0 ||
+        std::uint64_t{ *number } * factor > limit) {
+      BadValue(aEntry, "a time from 1ms to 600s, such as \"800ms\" or \"2s\"");
+      return std::chrono::milliseconds(1000);
+    }
+    return std::chrono::milliseconds(std::uint64_t{ *number } * factor);
+  }
+
+  void ReadMatch(const IniEntry& aEntry, state::RouteSpec& aRoute)
+  {
+    static const std::set<std::string> kMethods{ "GET",    "HEAD",  "POST",
+                                                 "PUT",    "PATCH", "DELETE",
+                                                 "OPTIONS" };
+    const auto space = aEntry.value.find(' ');
+    aRoute.method = aEntry.value.substr(0, space);
+    aRoute.pathPrefix =
+      space == std::string::npos ? "" : aEntry.value.substr(space + 1);
+    const bool validPath =
+      aRoute.pathPrefix.starts_with('/') &&
+      aRoute.pathPrefix.find_first_of(" ?#") == std::string::npos;
+    if (!kMethods.contains(aRoute.method) || !validPath) {
+      BadValue(aEntry, "\"METHOD /path\", such as \"GET /passes\"");
+      return;
+    }
+    const auto [other, added] =
+      matches_.emplace(aEntry.value, std::make_pair(aRoute.name, aEntry.line));
+    if (!added) {
+      Fail(ProtocolErrorCode::InvalidValue,
+           aEntry.line,
+           "route \"" + aRoute.name + "\" matches the same requests as \"" +
+             other->second.first + "\" in line " +
+             std::to_string(other->second.second));
+    }
+  }
+
+  void CheckLimits()
+  {
+    if (services_.size() > kMaxServices) {
+      Fail(ProtocolErrorCode::TooLarge,
+           0,
+           std::to_string(services_.size()) + " services; at most " +
+             std::to_string(kMaxServices) + " are allowed");
+    }
+    if (routes_.size() > kMaxRoutes) {
+      Fail(ProtocolErrorCode::TooLarge,
+           0,
+           std::to_string(routes_.size()) + " routes; at most " +
+             std::to_string(kMaxRoutes) + " are allowed");
+    }
+  }
+
+  void CheckReferences()
+  {
+    for (const auto& service : services_) {
+      for (const auto& dependency : service.dependencies) {
+        CheckService(dependency,
+                     dependencyLines_[service.name],
+                     "service \"" + service.name + "\" depends on \"");
+      }
+    }
+    for (const auto& route : routes_) {
+      if (routeLines_.contains(route.name)) {
+        CheckService(route.service,
+                     routeLines_[route.name],
+                     "route \"" + route.name + "\" names service \"");
+      }
+    }
+  }
+
+  void CheckService(const std::string& aName,
+                    std::size_t aLine,
+                    const std::string& aPrefix)
+  {
+    if (serviceNames_.contains(aName)) {
+      return;
+    }
+    Fail(ProtocolErrorCode::UnknownName,
+         aLine,
+         aPrefix + aName + "\", which does not exist" + Suggest(aName));
+  }
+
+  std::string Suggest(const std::string& aName) const
+  {
+    constexpr std::size_t kMaxDistance = 2;
+    std::size_t best = kMaxDistance + 1;
+    std::string suggestion;
+    for (const auto& name : serviceNames_) {
+      const auto distance = EditDistance(aName, name);
+      if (distance < best) {
+        best = distance;
+        suggestion = name;
+      }
+    }
+    return suggestion.empty() ? "" : "; did you mean \"" + suggestion + "\"?";
+  }
+
+  void CheckCycles()
+  {
+    // The limit also bounds the recursion depth of the search.
+    if (cyclesAllowed_ || services_.size() > kMaxServices) {
+      return;
+    }
+    std::map<std::string, const state::ServiceSpec*> byName;
+    for (const auto& service : services_) {
+      byName[service.name] = &service;
+    }
+    std::set<std::string> finished;
+    for (const auto& service : services_) {
+      std::vector<std::string> path;
+      VisitForCycle(service.name, byName, finished, path);
+    }
+  }
+
+  void VisitForCycle(
+    const std::string& aName,
+    const std::map<std::string, const state::ServiceSpec*>& aByName,
+    std::set<std::string>& aFinished,
+    std::vector<std::string>& aPath)
+  {
+    const auto found = aByName.find(aName);
+    if (found == aByName.end() || aFinished.contains(aName)) {
+      return;
+    }
+    const auto start = std::ranges::find(aPath, aName);
+    if (start != aPath.end()) {
+      std::string cycle;
+      for (auto step = start; step != aPath.end(); ++step) {
+        cycle += *step + " -> ";
+      }
+      Fail(ProtocolErrorCode::InvalidValue,
+           dependencyLines_[aPath.back()],
+           "dependency cycle " + cycle + aName +
+             "; remove it or set \"cycles = allowed\" in [mesh]");
+      return;
+    }
+    aPath.push_back(aName);
+    for (const auto& dependency : found->second->dependencies) {
+      VisitForCycle(dependency, aByName, aFinished, aPath);
+    }
+    aPath.pop_back();
+    aFinished.insert(aName);
+  }
+
+  tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>> Build(
+    std::string_view aText,
+    state::Generation aGeneration)
+  {
+    state::ConfigurationBuilder builder;
+    builder.SetGeneration(aGeneration).SetText(std::string(aText));
+    for (auto& service : services_) {
+      builder.AddService(std::move(service));
+    }
+    for (auto& route : routes_) {
+      builder.AddRoute(std::move(route));
+    }
+    for (auto& tenant : tenants_) {
+      builder.AddTenant(std::move(tenant));
+    }
+    return builder.Build().map_error([](const state::StateError& aError) {
+      return std::vector<ProtocolError>{
+        { ProtocolErrorCode::InvalidValue, 0, aError.message }
+      };
+    });
+  }
+
+  std::vector<ProtocolError> errors_;
+  std::vector<state::ServiceSpec> services_;
+  std::vector<state::RouteSpec> routes_;
+  std::vector<state::TenantSpec> tenants_;
+  std::set<std::string> serviceNames_;
+  std::map<std::string, std::size_t> dependencyLines_;
+  std::map<std::string, std::size_t> routeLines_;
+  std::map<std::string, std::pair<std::string, std::size_t>> matches_;
+  bool cyclesAllowed_ = false;
+};
+
+} // namespace
+
+tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
+CompileConfiguration(std::string_view aText, state::Generation aGeneration)
+{
+  return IniDocument::Parse(aText).and_then([&](const IniDocument& aDocument) {
+    return Compiler().Compile(aDocument, aText, aGeneration);
+  });
+}
+
+std::string
+FormatErrors(std::string_view aFileName,
+             const std::vector<ProtocolError>& aErrors)
+{
+  std::string text;
+  for (const auto& error : aErrors) {
+    text.append(aFileName);
+    if (error.line != 0) {
+      text.append(":").append(std::to_string(error.line));
+    }
+    text.append(": ").append(error.message).append("\n");
+  }
+  return text;
+}
+
+} // namespace teaselhold::protocol
--- /dev/null
+++ b/Libraries/Protocol/Headers.h
@@ -0,0 +1,27 @@
+#pragma once
+
+/// Names of the HTTP headers that nodes read and write.
+namespace teaselhold::protocol::headers {
+
+/// answered, not-run or unknown.
+inline constexpr const char* kOutcome = "Teaselhold-Outcome";
+/// Why a request was not run or its outcome is unknown.
+inline constexpr const char* kReason = "Teaselhold-Reason";
+/// The configuration generation that routed the request.
+inline constexpr const char* kGeneration = "Teaselhold-Generation";
+inline constexpr const char* kTenant = "Teaselhold-Tenant";
+/// Remaining time in milliseconds.
+inline constexpr const char* kDeadline = "Teaselhold-Deadline-Ms";
+inline constexpr const char* kRetriesLeft = "Teaselhold-Retries-Left";
+inline constexpr const char* kDepth = "Teaselhold-Depth";
+/// Identity of a request between nodes; the answer echoes it.
+inline constexpr const char* kRequestId = "Teaselhold-Request-Id";
+/// Between nodes only: the target service, its class and its tenant's limit.
+inline constexpr const char* kService = "Teaselhold-Service";
+inline constexpr const char* kClass = "Teaselhold-Class";
+inline constexpr const char* kIdempotent = "Teaselhold-Idempotent";
+inline constexpr const char* kIdempotencyKey = "Idempotency-Key";
+/// The incarnation that must run a keyed request; others refuse it.
+inline constexpr const char* kExecutor = "Teaselhold-Executor";
+
+} // namespace teaselhold::protocol::headers
--- /dev/null
+++ b/Libraries/State/EndpointRecord.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "State/EnumNames.h"
+
+#include <cstdint>
+#include <string>
+
+namespace teaselhold::state {
+
+enum class EndpointState : std::uint8_t
+{
+  Starting,
+  Ready,
+  Draining,
+  Gone,
+  Down,
+};
+
+inline constexpr std::array<EnumName<EndpointState>, 5> kEndpointStateNames{ {
+  { EndpointState::Starting, "starting" },
+  { EndpointState::Ready, "ready" },
+  { EndpointState::Draining, "draining" },
+  { EndpointState::Gone, "gone" },
+  { EndpointState::Down, "down" },
+} };
+
+/// What is known of one upstream and the node beside it. The node is the only
+/// author, except that an observer may add Down at an unchanged
+/// (incarnation, sequence).
+struct EndpointRecord
+{
+  std::string node;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  std::string service;
+  std::string dataCentre;
+  std::string region;
+  /// IP:port for HTTP between nodes.
+  std::string dataAddress;
+  /// IP:port for control messages.
+  std::string controlAddress;
+  EndpointState state = EndpointState::Starting;
+  /// Requests that the upstream runs at the same time.
+  std::uint32_t slots = 0;
+  /// The relay that the node is attached to; empty for a relay.
+  std::string relay;
+  bool isRelay = false;
+
+  bool operator==(const EndpointRecord&) const = default;
+};
+
+} // namespace teaselhold::state
--- /dev/null
+++ b/Libraries/Transport/TransportError.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "State/EnumNames.h"
+
+#include <cstdint>
+#include <string>
+
+namespace teaselhold::transport {
+
+enum class TransportErrorCode : std::uint8_t
+{
+  InvalidAddress,
+  BindFailed,
+  /// No connection was made; nothing was sent.
+  ConnectFailed,
+  /// The connection ended after the request may have been sent.
+  ConnectionLost,
+  Timeout,
+  /// The answer ended before its announced length.
+  PartialAnswer,
+};
+
+inline constexpr std::array<state::EnumName<TransportErrorCode>, 6>
+  kTransportErrorNames{ {
+    { TransportErrorCode::InvalidAddress, "invalid address" },
+    { TransportErrorCode::BindFailed, "bind failed" },
+    { TransportErrorCode::ConnectFailed, "connect failed" },
+    { TransportErrorCode::ConnectionLost, "connection lost" },
+    { TransportErrorCode::Timeout, "timeout" },
+    { TransportErrorCode::PartialAnswer, "partial answer" },
+  } };
+
+/// An error of the transport layer.
+struct TransportError
+{
+  TransportErrorCode code;
+  std::string message;
+};
+
+} // namespace teaselhold::transport
