--- /dev/null
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -0,0 +1,208 @@
+#include "Services/teaselholdd/ControlPlane.h"
+
+#include "Transport/GrpcStoreClient.h"
+
+#include <spdlog/spdlog.h>
+
+namespace teaselhold::daemon {
+
+namespace {
+
+using namespace coordination;
+
+constexpr std::chrono::milliseconds kTickInterval{ 100 };
+constexpr std::chrono::seconds kApplyGrace{ 2 };
+
+NodeOptions
+MakeOptions(const Settings& aSettings, std::uint64_t aIncarnation)
+{
+  NodeOptions options;
+  options.identity = { aSettings.nodeName,       aIncarnation,
+                       aSettings.service,        aSettings.dataCentre,
+                       aSettings.region,         aSettings.dataAddress,
+                       aSettings.controlAddress, aSettings.upstreamSlots };
+  options.seeds = aSettings.seeds;
+  options.randomSeed =
+    aIncarnation ^ std::hash<std::string>()(aSettings.nodeName);
+  return options;
+}
+
+} // namespace
+
+/// Carries out the commands of the decision logic.
+struct ControlPlane::Executor
+{
+  ControlPlane& plane;
+
+  void operator()(const SendMessage& aCommand) const
+  {
+    plane.channel_->Send(aCommand.address, aCommand.envelope);
+  }
+  void operator()(const CallStore& aCommand) const
+  {
+    plane.store_->Submit(aCommand);
+  }
+  void operator()(const PublishSnapshot& aCommand) const
+  {
+    plane.snapshot_.store(aCommand.snapshot);
+    plane.snapshotSink_(aCommand.snapshot);
+  }
+  void operator()(const FinishApply& aCommand) const
+  {
+    const std::lock_guard lock(plane.appliesMutex_);
+    const auto waiting = plane.applies_.find(aCommand.id);
+    if (waiting != plane.applies_.end()) {
+      waiting->second.set_value(aCommand);
+      plane.applies_.erase(waiting);
+    }
+  }
+  void operator()(const WriteLog& aCommand) const
+  {
+    static constexpr std::array kLevels{ spdlog::level::debug,
+                                         spdlog::level::info,
+                                         spdlog::level::warn };
+    spdlog::log(kLevels[static_cast<std::size_t>(aCommand.level)],
+                "[{}] {}",
+                aCommand.part,
+                aCommand.message);
+  }
+};
+
+ControlPlane::ControlPlane(const Settings& aSettings,
+                           const Clock& aClock,
+                           std::uint64_t aIncarnation,
+                           SnapshotSink aSnapshotSink)
+  : clock_(aClock)
+  , controlAddress_(aSettings.controlAddress)
+  , storeAddress_(aSettings.storeAddress)
+  , snapshotSink_(std::move(aSnapshotSink))
+  , core_(std::in_place_type<DirectCore>, MakeOptions(aSettings, aIncarnation))
+{
+}
+
+ControlPlane::~ControlPlane()
+{
+  Stop();
+}
+
+tl::expected<void, transport::TransportError>
+ControlPlane::Start()
+{
+  auto channel = transport::ControlChannel::Open(
+    controlAddress_, [this](wire::Envelope aEnvelope) {
+      Post(MessageReceived{ std::move(aEnvelope) });
+    });
+  if (!channel) {
+    return tl::make_unexpected(channel.error());
+  }
+  channel_ = std::move(*channel);
+  store_ = std::make_unique<StoreWorker>(
+    std::make_unique<transport::GrpcStoreClient>(storeAddress_),
+    [this](StoreAnswered aAnswer) { Post(std::move(aAnswer)); });
+  Post(Started{});
+  thread_ = std::thread([this] { Run(); });
+  ticker_ = std::thread([this] {
+    while (!stopping_) {
+      std::this_thread::sleep_for(kTickInterval);
+      Post(Tick{});
+    }
+  });
+  return {};
+}
+
+void
+ControlPlane::Stop()
+{
+  stopping_ = true;
+  if (ticker_.joinable()) {
+    ticker_.join();
+  }
+  ring_.Close();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+  if (store_ != nullptr) {
+    store_->Stop();
+  }
+  if (channel_ != nullptr) {
+    channel_->Close();
+  }
+}
+
+bool
+ControlPlane::Post(Event aEvent)
+{
+  return ring_.Push(std::move(aEvent));
+}
+
+FinishApply
+ControlPlane::Apply(ApplyRequested aRequest)
+{
+  std::future<FinishApply> future;
+  {
+    const std::lock_guard lock(appliesMutex_);
+    aRequest.id = nextApply_++;
+    future = applies_[aRequest.id].get_future();
+  }
+  const auto id = aRequest.id;
+  const auto wait = aRequest.deadline - clock_.Now() + kApplyGrace;
+  const bool posted = Post(std::move(aRequest));
+  if (posted && future.wait_for(wait) == std::future_status::ready) {
+    return future.get();
+  }
+  const std::lock_guard lock(appliesMutex_);
+  applies_.erase(id);
+  if (!posted) {
+    return { id, ApplyOutcome::NotApplied, 0, "the node is overloaded", "" };
+  }
+  return { id, ApplyOutcome::Unknown, 0, "no answer before the deadline", "" };
+}
+
+FleetStatus
+ControlPlane::Status()
+{
+  auto promise = std::make_shared<std::promise<FleetStatus>>();
+  auto future = promise->get_future();
+  if (!ring_.Push(promise) ||
+      future.wait_for(std::chrono::seconds(2)) != std::future_status::ready) {
+    return {};
+  }
+  return future.get();
+}
+
+RoutingSnapshotPointer
+ControlPlane::Snapshot() const
+{
+  return snapshot_.load();
+}
+
+transport::ControlCounters
+ControlPlane::Counters() const
+{
+  return channel_->Counters();
+}
+
+void
+ControlPlane::Run()
+{
+  while (auto item = ring_.Pop()) {
+    if (const auto* event = std::get_if<Event>(&*item)) {
+      Handle(*event);
+      continue;
+    }
+    std::get<StatusPromise>(*item)->set_value(
+      std::visit([](const auto& aCore) { return aCore.Status(); }, core_));
+  }
+}
+
+void
+ControlPlane::Handle(const Event& aEvent)
+{
+  const auto commands = std::visit(
+    [&](auto& aCore) { return aCore.Handle(aEvent, clock_.Now()); }, core_);
+  for (const auto& command : commands) {
+    std::visit(Executor{ *this }, command);
+  }
+}
+
+} // namespace teaselhold::daemon
--- /dev/null
+++ b/Services/teaselholdd/ControlPlane.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "Coordination/DirectCore.h"
+#include "Services/teaselholdd/Clock.h"
+#include "Services/teaselholdd/Settings.h"
+#include "Services/teaselholdd/StoreWorker.h"
+#include "Transport/BoundedRing.h"
+#include "Transport/ControlChannel.h"
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <thread>
+#include <variant>
+
+namespace teaselhold::daemon {
+
+/// Runs the decision logic of the node on one thread: events come in over a
+/// bounded ring, commands are carried out.
+class ControlPlane
+{
+public:
+  using SnapshotSink =
+    std::function<void(coordination::RoutingSnapshotPointer)>;
+
+  ControlPlane(const Settings& aSettings,
+               const Clock& aClock,
+               std::uint64_t aIncarnation,
+               SnapshotSink aSnapshotSink);
+  ~ControlPlane();
+
+  tl::expected<void, transport::TransportError> Start();
+  void Stop();
+
+  /// Queues an event. Safe on any thread.
+  /// @return false if the ring is full; the event is dropped.
+  bool Post(coordination::Event aEvent);
+
+  /// Runs one apply and waits for its end.
+  coordination::FinishApply Apply(coordination::ApplyRequested aRequest);
+
+  /// Takes the status on the control thread.
+  coordination::FleetStatus Status();
+
+  coordination::RoutingSnapshotPointer Snapshot() const;
+
+  transport::ControlCounters Counters() const;
+
+private:
+  using Core = std::variant<coordination::DirectCore>;
+  using StatusPromise =
+    std::shared_ptr<std::promise<coordination::FleetStatus>>;
+  using Item = std::variant<coordination::Event, StatusPromise>;
+
+  struct Executor;
+
+  void Run();
+  void Handle(const coordination::Event& aEvent);
+
+  const Clock& clock_;
+  std::string controlAddress_;
+  std::string storeAddress_;
+  SnapshotSink snapshotSink_;
+  Core core_;
+  transport::BoundedRing<Item> ring_{ 4096 };
+  std::unique_ptr<transport::ControlChannel> channel_;
+  std::unique_ptr<StoreWorker> store_;
+  std::atomic<coordination::RoutingSnapshotPointer> snapshot_;
+  std::mutex appliesMutex_;
+  std::map<std::uint64_t, std::promise<coordination::FinishApply>> applies_;
+  std::uint64_t nextApply_ = 1;
+  std::atomic<bool> stopping_ = false;
+  std::thread thread_;
+  std::thread ticker_;
+};
+
+} // namespace teaselhold::daemon
--- /dev/null
+++ b/Services/teaselholdd/Settings.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Protocol/ProtocolError.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace teaselhold::daemon {
+
+enum class DistributionMode : std::uint8_t
+{
+  Relay,
+  /// The measurement baseline: every node watches the store.
+  Direct,
+};
+
+/// The daemon's settings, read from an INI file.
+struct Settings
+{
+  std::string nodeName;
+  std::string service;
+  std::string dataCentre;
+  std::string region;
+  /// Where callers connect, IP:port.
+  std::string callerAddress;
+  /// Where other nodes send requests, IP:port.
+  std::string dataAddress;
+  /// Control messages, UDP and TCP on the same port.
+  std::string controlAddress;
+  /// Where teaselctl connects; loopback unless set otherwise.
+  std::string adminAddress;
+  /// Where metrics are served over HTTP; empty serves none.
+  std::string metricsAddress;
+  std::vector<std::string> seeds;
+  std::string storeAddress;
+  std::string upstreamAddress;
+  std::string upstreamHealthPath = "/health";
+  std::uint32_t upstreamSlots = 12;
+  std::chrono::milliseconds upstreamProbeInterval{ 500 };
+  /// How long a stopping node waits for requests in flight.
+  std::chrono::milliseconds drainTimeout{ 30000 };
+  DistributionMode distribution = DistributionMode::Relay;
+  std::string logLevel = "info";
+};
+
+/// Reads and checks settings. Returns every error at once.
+tl::expected<Settings, std::vector<protocol::ProtocolError>>
+ParseSettings(std::string_view aText);
+
+} // namespace teaselhold::daemon
--- /dev/null
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -0,0 +1,108 @@
+#include "Services/teaselholdd/StoreWorker.h"
+
+namespace teaselhold::daemon {
+
+namespace {
+
+using namespace coordination;
+
+constexpr std::chrono::milliseconds kCallTimeout{ 1500 };
+
+template<typename Value>
+StoreResult
+ToResult(tl::expected<Value, protocol::StoreError> aValue)
+{
+  if (!aValue) {
+    return std::move(aValue.error());
+  }
+  return StoreResult(std::in_place_type<Value>, std::move(*aValue));
+}
+
+/// Maps each kind of call to the client's function.
+struct CallVisitor
+{
+  protocol::StoreClient& client;
+
+  StoreResult operator()(const StoreGet& aCall) const
+  {
+    return ToResult(client.Get(aCall.key, kCallTimeout));
+  }
+  StoreResult operator()(const StoreSwap& aCall) const
+  {
+    return ToResult(client.CompareAndSwap(aCall.key,
+                                          aCall.expectedRevision,
+                                          aCall.value,
+                                          aCall.lease,
+                                          kCallTimeout));
+  }
+  StoreResult operator()(const StoreGrant& aCall) const
+  {
+    return ToResult(client.GrantLease(aCall.timeToLive, kCallTimeout));
+  }
+  StoreResult operator()(const StoreKeepAlive& aCall) const
+  {
+    return ToResult(client.KeepAlive(aCall.lease, kCallTimeout));
+  }
+  StoreResult operator()(const StoreWatch& aCall) const
+  {
+    return ToResult(client.Watch(aCall.key, aCall.knownRevision, aCall.wait));
+  }
+};
+
+} // namespace
+
+StoreWorker::StoreWorker(std::unique_ptr<protocol::StoreClient> aClient,
+                         Answer aAnswer)
+  : client_(std::move(aClient))
+  , answer_(std::move(aAnswer))
+  , callThread_([this] { Run(calls_); })
+  , watchThread_([this] { Run(watches_); })
+{
+}
+
+StoreWorker::~StoreWorker()
+{
+  Stop();
+}
+
+void
+StoreWorker::Submit(CallStore aCall)
+{
+  const auto number = aCall.call;
+  auto& ring =
+    std::holds_alternative<StoreWatch>(aCall.request) ? watches_ : calls_;
+  if (!ring.Push(std::move(aCall))) {
+    answer_({ number,
+              protocol::StoreError{ protocol::StoreErrorCode::Unavailable,
+                                    "too many store calls are waiting" } });
+  }
+}
+
+void
+StoreWorker::Stop()
+{
+  calls_.Close();
+  watches_.Close();
+  if (callThread_.joinable()) {
+    callThread_.join();
+  }
+  if (watchThread_.joinable()) {
+    watchThread_.join();
+  }
+}
+
+void
+StoreWorker::Run(Ring& aRing)
+{
+  while (auto call = aRing.Pop()) {
+    answer_({ call->call, Execute(*call) });
+  }
+}
+
+StoreResult
+StoreWorker::Execute(const CallStore& aCall)
+{
+  return std::visit(CallVisitor{ *client_ }, aCall.request);
+}
+
+} // namespace teaselhold::daemon
--- /dev/null
+++ b/Services/teaselholdd/main.cpp
@@ -0,0 +1,123 @@
+#include "Protocol/ConfigurationText.h"
+#include "Services/teaselholdd/AdminServer.h"
+#include "Services/teaselholdd/DataPlane.h"
+
+#include <csignal>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <pthread.h>
+#include <spdlog/spdlog.h>
+#include <sstream>
+
+DEFINE_string(config, "", "the settings file (INI)");
+DEFINE_bool(check_config, false, "check the settings and exit");
+
+namespace {
+
+using namespace teaselhold;
+
+constexpr int kExitDone = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+std::optional<daemon::Settings>
+LoadSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    std::cerr << aPath << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  const auto settings = daemon::ParseSettings(text.str());
+  if (!settings) {
+    std::cerr << protocol::FormatErrors(aPath, settings.error());
+    return std::nullopt;
+  }
+  return *settings;
+}
+
+/// The wall clock in milliseconds; a later process has a higher incarnation.
+std::uint64_t
+MakeIncarnation()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+int
+Run(const daemon::Settings& aSettings, const sigset_t& aSignals)
+{
+  const daemon::Clock clock;
+  const auto incarnation = MakeIncarnation();
+  std::unique_ptr<daemon::ControlPlane> controlPlane;
+  daemon::DataPlane dataPlane(
+    aSettings, clock, incarnation, [&](state::EndpointState aState) {
+      controlPlane->Post(coordination::UpstreamChanged{ aState });
+    });
+  controlPlane = std::make_unique<daemon::ControlPlane>(
+    aSettings,
+    clock,
+    incarnation,
+    [&](coordination::RoutingSnapshotPointer aSnapshot) {
+      dataPlane.SetSnapshot(std::move(aSnapshot));
+    });
+  for (const auto& started : { controlPlane->Start(), dataPlane.Start() }) {
+    if (!started) {
+      spdlog::error("[node] Start failed. reason=\"{}\"",
+                    started.error().message);
+      return kExitFailed;
+    }
+  }
+  auto admin =
+    daemon::AdminServer::Listen(aSettings.adminAddress, *controlPlane, clock);
+  if (!admin) {
+    spdlog::error("[node] Start failed. reason=\"{}\"", admin.error().message);
+    return kExitFailed;
+  }
+  spdlog::info("[node] Started. name={} service={} incarnation={}",
+               aSettings.nodeName,
+               aSettings.service,
+               incarnation);
+  int signal = 0;
+  sigwait(&aSignals, &signal);
+  spdlog::info("[node] Draining. signal={}", signal);
+  dataPlane.DrainAndStop();
+  admin->reset();
+  controlPlane->Stop();
+  spdlog::info("[node] Stopped.");
+  return kExitDone;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::SetUsageMessage("teaselholdd --config FILE [--check-config]");
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  if (FLAGS_config.empty()) {
+    std::cerr << "teaselholdd: --config FILE is required\n";
+    return kExitUsage;
+  }
+  const auto settings = LoadSettings(FLAGS_config);
+  if (!settings) {
+    return kExitFailed;
+  }
+  if (FLAGS_check_config) {
+    std::cout << FLAGS_config << ": valid\n";
+    return kExitDone;
+  }
+  spdlog::set_level(spdlog::level::from_str(settings->logLevel));
+  // Blocked before any thread starts, so that sigwait receives the signals.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return Run(*settings, signals);
+}
--- /dev/null
+++ b/Tests/Protocol/ConfigurationTextTest.cpp
@@ -0,0 +1,88 @@
+#include "Protocol/ConfigurationText.h"
+#include "Protocol/IniDocument.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+
+using namespace teaselhold::protocol;
+
+namespace {
+
+std::string
+ErrorsOf(std::string_view aText)
+{
+  const auto compiled = CompileConfiguration(aText, 1);
+  return compiled ? "" : FormatErrors("mesh.ini", compiled.error());
+}
+
+std::string
+ReadExample()
+{
+  std::ifstream file(TEASELHOLD_BASE_FOLDER "/budapest.mesh.ini");
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+} // namespace
+
+TEST_CASE("the example text compiles and routes by the longest prefix")
+{
+  const auto compiled = CompileConfiguration(ReadExample(), 7);
+  REQUIRE(compiled);
+  const auto& configuration = **compiled;
+  CHECK(configuration.GetGeneration() == 7);
+  CHECK(configuration.FindRoute("GET", "/passes/7?x=1")->name == "check-pass");
+  CHECK(configuration.FindRoute("GET", "/passesx") == nullptr);
+  CHECK(configuration.FindRoute("DELETE", "/passes") == nullptr);
+}
+
+TEST_CASE("an undeclared dependency is refused with its line and a suggestion")
+{
+  CHECK(ErrorsOf("[service lounges]\n[service visits]\ndepends = lounge\n") ==
+        "mesh.ini:3: service \"visits\" depends on \"lounge\", which does not "
+        "exist; did you mean \"lounges\"?\n");
+}
+
+TEST_CASE("all errors of a text are reported at once")
+{
+  const auto errors =
+    ErrorsOf("[service a]\nentry = maybe\ncolour = red\n[route r]\n"
+             "match = FETCH /x\nservice = b\nclass = first\nidempotent = no\n"
+             "timeout = 5\n");
+  CHECK(errors.find("mesh.ini:2: bad value \"maybe\"") != std::string::npos);
+  CHECK(errors.find("mesh.ini:3: unknown key \"colour\"") != std::string::npos);
+  CHECK(errors.find("mesh.ini:5: bad value") != std::string::npos);
+  CHECK(errors.find("mesh.ini:6: route \"r\" names") != std::string::npos);
+  CHECK(errors.find("mesh.ini:7: bad value \"first\"") != std::string::npos);
+  CHECK(errors.find("mesh.ini:9: bad value \"5\"") != std::string::npos);
+}
+
+TEST_CASE("a dependency cycle is refused unless the mesh allows cycles")
+{
+  const std::string cycle =
+    "[service a]\ndepends = b\n[service b]\ndepends = a\n";
+  CHECK(ErrorsOf(cycle).find("cycle a -> b -> a") != std::string::npos);
+  CHECK(ErrorsOf(cycle + "[mesh]\ncycles = allowed\n").empty());
+}
+
+TEST_CASE("a service that is defined twice is refused with its line")
+{
+  CHECK(ErrorsOf("[service a]\n[service a]\n") ==
+        "mesh.ini:2: section [service a] is defined twice\n");
+}
+
+TEST_CASE("noise of 2 MB is refused by its size, smaller noise line by line")
+{
+  const auto large = ErrorsOf(std::string(2 * 1024 * 1024, '\x01'));
+  CHECK(large.find("the text has 2097152 bytes") != std::string::npos);
+  std::string noise;
+  for (int i = 0; i < 20000; ++i) {
+    noise += static_cast<char>(i * 7919 % 251);
+    noise += i % 17 == 0 ? "\n" : "";
+  }
+  const auto compiled = CompileConfiguration(noise, 1);
+  REQUIRE_FALSE(compiled);
+  CHECK(compiled.error().size() <= IniDocument::kMaxErrors);
+}
