--- /dev/null
+++ b/Libraries/Coordination/PeerDirectory.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace teaselhold::coordination {
+
+/// A node as the receiver of control messages.
+struct Peer
+{
+  std::string node;
+  std::uint64_t incarnation = 0;
+  std::string controlAddress;
+  std::string dataCentre;
+  std::string region;
+};
+
+/// What the membership currently knows; passed to the parts that send.
+struct PeerDirectory
+{
+  bool isRelay = false;
+  /// The relay that this leaf is attached to.
+  std::optional<Peer> relay;
+  /// Live relays, without this node.
+  std::vector<Peer> relays;
+  /// Leaves attached to this relay.
+  std::vector<Peer> leaves;
+};
+
+} // namespace teaselhold::coordination
