--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -195,6 +195,12 @@
     finish.outcome =
       swap->swapped ? ApplyOutcome::Accepted : ApplyOutcome::Conflict;
     finish.currentText = swap->swapped ? "" : stored.text();
+    if (swap->swapped) {
+      aCommands.push_back(WriteLog{ LogLevel::Info,
+                                    "apply",
+                                    "Accepted. generation=" +
+                                      std::to_string(stored.generation()) });
+    }
     OnConfiguration(swap->current, aCommands);
   } else if (const auto* error = std::get_if<protocol::StoreError>(&aResult)) {
     finish.outcome = error->code == protocol::StoreErrorCode::Unknown
--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -123,11 +123,15 @@
     def start_store(self):
         self.spawn("store", "store_stand_in", f"--address={self.store_address}")
 
-    def add_node(self, service, data_centre, region):
-        """Starts a node; the first three nodes are the seeds of all."""
+    def make_node(self, service, data_centre, region):
         index = len(self.nodes) + 1
         node = Node(self, f"{service}-{index}", service, data_centre, region)
         self.nodes.append(node)
+        return node
+
+    def add_node(self, service, data_centre, region):
+        """Starts a node; the first three nodes are the seeds of all."""
+        node = self.make_node(service, data_centre, region)
         node.start_upstream()
         if self.distribution == "relay":
             seeds = [other.control for other in self.nodes[:3]]
--- a/Tests/StandIns/StoreStandIn/StoreState.cpp
+++ b/Tests/StandIns/StoreStandIn/StoreState.cpp
@@ -8,6 +8,9 @@
 
 constexpr std::size_t kMaxValueBytes = 1024 * 1024;
 constexpr std::chrono::milliseconds kLeaseCheckInterval{ 100 };
+/// An estimate of the HTTP/2 frames, headers and TCP segments of one unary call
+/// without its value.
+constexpr std::size_t kBytesPerCall = 250;
 
 } // namespace
 
@@ -23,6 +26,7 @@
                       std::deque<Clock::time_point>& aRecent,
                       std::uint32_t aLimit)
 {
+  CountBytes(kBytesPerCall);
   const auto delay = delay_;
   if (delay.count() > 0) {
     aLock.unlock();
@@ -69,6 +73,12 @@
   return CallVerdict::AnswerLost;
 }
 
+void
+StoreState::CountBytes(std::size_t aValueBytes)
+{
+  counters_.set_bytes(counters_.bytes() + aValueBytes);
+}
+
 void
 StoreState::Fill(const std::string& aKey, wire::StoreValue& aValue)
 {
@@ -79,7 +89,7 @@
   aValue.set_exists(true);
   aValue.set_value(found->second.value);
   aValue.set_revision(found->second.revision);
-  counters_.set_bytes(counters_.bytes() + found->second.value.size());
+  CountBytes(found->second.value.size());
 }
 
 CallVerdict
@@ -105,6 +115,7 @@
   if (aRequest.value().size() > kMaxValueBytes) {
     return CallVerdict::TooLarge;
   }
+  CountBytes(aRequest.value().size());
   const auto& key = aRequest.key();
   const auto found = entries_.find(key);
   const auto revision = found == entries_.end() ? 0 : found->second.revision;
--- a/Tests/StandIns/StoreStandIn/StoreState.h
+++ b/Tests/StandIns/StoreStandIn/StoreState.h
@@ -68,6 +68,7 @@
   CallVerdict EndWrite();
   void ExpireLeases();
   void EraseLease(std::uint64_t aLease);
+  void CountBytes(std::size_t aValueBytes);
   void Fill(const std::string& aKey, wire::StoreValue& aValue);
 
   std::mutex mutex_;
