--- a/Libraries/State/EndpointTable.cpp
+++ b/Libraries/State/EndpointTable.cpp
@@ -16,6 +16,12 @@
 std::uint64_t
 RecordDigest(const EndpointRecord& aRecord)
 {
+  // Records that nothing routes to do not count, so that tables stay equal
+  // when each side erases them at its own time.
+  if (aRecord.state == EndpointState::Gone ||
+      aRecord.state == EndpointState::Down) {
+    return 0;
+  }
   std::uint64_t digest = HashText(aRecord.node, aRecord.incarnation);
   digest = HashText(aRecord.service, digest ^ aRecord.sequence);
   const auto state = static_cast<std::uint8_t>(aRecord.state);
