Coordination: Add versions, store readers and acceptance

Nodes need to agree on which configuration is in force without a call of the store for each node. ConfigurationDistribution holds, pulls and activates versions, FloorSearch finds the lowest generation that a restarted node may serve, ReaderDuty makes two relays of each region watch the store, and Acceptance writes operators' texts by compare-and-swap.

--- /dev/null
+++ b/Libraries/Coordination/Acceptance.cpp
@@ -0,0 +1,388 @@
+#include "Coordination/Acceptance.h"
+
+#include "Protocol/ConfigurationText.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr std::size_t kMaxSessions = 16;
+constexpr int kMaxRecentApplies = 16;
+/// Writes of one apply. More than one is needed only if an answer was lost or
+/// the value was written back at the same generation in between.
+constexpr std::size_t kMaxWrites = 8;
+/// The store's client answers every call; this only bounds the memory.
+constexpr state::Duration kLateAnswerLimit = std::chrono::seconds(60);
+
+constexpr const char* kUnknownMessage =
+  "the store did not answer in time, so the change may still take effect; "
+  "compare with \"teaselctl get\" or apply again with the same apply id";
+
+} // namespace
+
+Acceptance::Acceptance(std::uint64_t aRandomSeed,
+                       CallNumbers& aNumbers,
+                       ConfigurationDistribution& aDistribution)
+  : random_(aRandomSeed)
+  , numbers_(aNumbers)
+  , distribution_(aDistribution)
+{
+}
+
+std::size_t
+Acceptance::InProgress() const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count(sessions_, false, &Session::isFinished));
+}
+
+void
+Acceptance::OnApply(const ApplyRequested& aRequest,
+                    const PeerDirectory& aPeers,
+                    state::Instant aNow,
+                    Commands& aCommands)
+{
+  Session session;
+  session.request = aRequest;
+  const auto held = distribution_.Held().generation();
+  const auto compiled = protocol::CompileConfiguration(aRequest.text, held + 1);
+  if (!compiled) {
+    Finish(session,
+           ApplyOutcome::Refused,
+           held,
+           protocol::FormatErrors("text", compiled.error()),
+           aCommands);
+    return;
+  }
+  if (InProgress() >= kMaxSessions) {
+    Finish(session,
+           ApplyOutcome::NotApplied,
+           held,
+           "this node has too many changes in progress",
+           aCommands);
+    return;
+  }
+  session.nextAttempt = aNow;
+  sessions_.push_back(std::move(session));
+  Tick(aPeers, aNow, aCommands);
+}
+
+void
+Acceptance::Tick(const PeerDirectory& /*aPeers*/,
+                 state::Instant aNow,
+                 Commands& aCommands)
+{
+  for (auto& session : sessions_) {
+    if (session.isFinished) {
+      continue;
+    }
+    if (aNow >= session.request.deadline) {
+      FinishAtDeadline(session, aCommands);
+    } else if (session.stage == Stage::Waiting && aNow >= session.nextAttempt) {
+      if (distribution_.IsSettled()) {
+        Read(session, aCommands);
+      } else {
+        // Its generation might be one that the fleet has used already.
+        session.lastError = "this node does not know the version in force yet";
+      }
+    }
+  }
+  Remove(aNow);
+}
+
+void
+Acceptance::Remove(state::Instant aNow)
+{
+  std::erase_if(sessions_, [&](const Session& aSession) {
+    return aSession.isFinished &&
+           (aSession.call == 0 ||
+            aNow - aSession.request.deadline > kLateAnswerLimit);
+  });
+}
+
+bool
+Acceptance::OnStoreAnswer(const StoreAnswered& aAnswer,
+                          const PeerDirectory& aPeers,
+                          state::Instant aNow,
+                          Commands& aCommands)
+{
+  const auto session =
+    std::ranges::find(sessions_, aAnswer.call, &Session::call);
+  if (aAnswer.call == 0 || session == sessions_.end()) {
+    return false;
+  }
+  const auto stage = std::exchange(session->stage, Stage::Waiting);
+  session->call = 0;
+  if (stage == Stage::Reading) {
+    OnReadAnswer(*session, aAnswer.result, aPeers, aNow, aCommands);
+  } else {
+    OnWriteAnswer(*session, aAnswer.result, aPeers, aNow, aCommands);
+  }
+  Remove(aNow);
+  return true;
+}
+
+void
+Acceptance::Read(Session& aSession, Commands& aCommands)
+{
+  aSession.stage = Stage::Reading;
+  aSession.call = numbers_.Next();
+  aCommands.push_back(
+    CallStore{ aSession.call, StoreGet{ protocol::kConfigurationKey } });
+}
+
+void
+Acceptance::OnReadAnswer(Session& aSession,
+                         const StoreResult& aResult,
+                         const PeerDirectory& aPeers,
+                         state::Instant aNow,
+                         Commands& aCommands)
+{
+  if (const auto* entry = std::get_if<protocol::StoreEntry>(&aResult)) {
+    OnEntry(aSession, *entry, aPeers, aNow, aCommands);
+  } else if (const auto* error = std::get_if<protocol::StoreError>(&aResult)) {
+    Retry(aSession, error->message, aNow);
+  } else {
+    Retry(aSession, "the store's answer has the wrong kind", aNow);
+  }
+}
+
+void
+Acceptance::OnWriteAnswer(Session& aSession,
+                          const StoreResult& aResult,
+                          const PeerDirectory& aPeers,
+                          state::Instant aNow,
+                          Commands& aCommands)
+{
+  if (const auto* swap = std::get_if<protocol::SwapResult>(&aResult)) {
+    if (!swap->swapped) {
+      OnEntry(aSession, swap->current, aPeers, aNow, aCommands);
+      return;
+    }
+    // Fans out from here; no watch is needed.
+    distribution_.OnStored(aSession.written, aPeers, aNow, aCommands);
+    Finish(aSession,
+           ApplyOutcome::Accepted,
+           aSession.written.generation(),
+           "",
+           aCommands);
+    return;
+  }
+  const auto* error = std::get_if<protocol::StoreError>(&aResult);
+  const bool isCertain =
+    error != nullptr && error->code != protocol::StoreErrorCode::Unknown;
+  if (!isCertain) {
+    aSession.isInDoubt = true;
+    aSession.doubtfulRevision = aSession.expectedRevision;
+  } else if (error->code == protocol::StoreErrorCode::TooLarge) {
+    Finish(aSession,
+           ApplyOutcome::Refused,
+           distribution_.Held().generation(),
+           "the text is too large for the store",
+           aCommands);
+    return;
+  }
+  Retry(
+    aSession, error != nullptr ? error->message : "the answer is lost", aNow);
+}
+
+void
+Acceptance::OnEntry(Session& aSession,
+                    const protocol::StoreEntry& aEntry,
+                    const PeerDirectory& aPeers,
+                    state::Instant aNow,
+                    Commands& aCommands)
+{
+  Current current;
+  current.revision = aEntry.revision;
+  if (aEntry.revision != 0 && !current.value.ParseFromString(aEntry.value)) {
+    distribution_.RaiseAlarm("The store's configuration cannot be read.",
+                             aCommands);
+    Finish(aSession,
+           aSession.isInDoubt ? ApplyOutcome::Unknown
+                              : ApplyOutcome::NotApplied,
+           distribution_.Held().generation(),
+           "the store's configuration cannot be read",
+           aCommands);
+    return;
+  }
+  if (current.value.generation() != 0) {
+    distribution_.OnStored(current.value, aPeers, aNow, aCommands);
+  }
+  const auto& held = distribution_.Held();
+  const bool heldIsNewer = held.generation() > current.value.generation();
+  current.isForked = held.generation() == current.value.generation() &&
+                     held.digest() != current.value.digest();
+  current.inForce = heldIsNewer ? held : current.value;
+  if (aSession.isInDoubt && aEntry.revision != aSession.doubtfulRevision) {
+    // The doubtful write took effect before this entry or never will, because
+    // revisions do not return.
+    aSession.isInDoubt = false;
+  }
+  if (!aSession.isFinished) {
+    Decide(aSession, current, aCommands);
+  }
+}
+
+bool
+Acceptance::IsOwn(const Session& aSession,
+                  const wire::StoredConfiguration& aValue)
+{
+  const auto& id = aSession.request.applyId;
+  const auto& recent = aValue.recent_applies();
+  if (!id.empty() && (aValue.apply_id() == id ||
+                      std::ranges::find(recent, id) != recent.end())) {
+    return true;
+  }
+  return aSession.writes > 0 &&
+         aValue.generation() == aSession.written.generation() &&
+         aValue.digest() == aSession.written.digest();
+}
+
+void
+Acceptance::Decide(Session& aSession,
+                   const Current& aCurrent,
+                   Commands& aCommands)
+{
+  const auto& inForce = aCurrent.inForce;
+  if (IsOwn(aSession, aCurrent.value) || IsOwn(aSession, inForce)) {
+    const bool isNewest = inForce.apply_id() == aSession.request.applyId;
+    const auto generation = aSession.writes > 0 && !isNewest
+                              ? aSession.written.generation()
+                              : inForce.generation();
+    Finish(aSession,
+           ApplyOutcome::Accepted,
+           generation,
+           "the change was accepted earlier",
+           aCommands);
+    return;
+  }
+  const auto& text = aSession.request.text;
+  if (inForce.generation() != 0 && inForce.text() == text) {
+    Finish(aSession,
+           ApplyOutcome::Unchanged,
+           inForce.generation(),
+           "the text is in force already",
+           aCommands);
+    return;
+  }
+  if (!aSession.base) {
+    aSession.base = aSession.request.baseGeneration != 0
+                      ? aSession.request.baseGeneration
+                      : inForce.generation();
+  }
+  const auto generation = std::to_string(inForce.generation());
+  if (*aSession.base != inForce.generation()) {
+    FinishConflict(aSession,
+                   inForce,
+                   "the change is based on generation " +
+                     std::to_string(*aSession.base) + ", but generation " +
+                     generation + " was accepted",
+                   aCommands);
+  } else if (aCurrent.isForked && aSession.request.baseGeneration != 0) {
+    FinishConflict(aSession,
+                   inForce,
+                   "generation " + generation +
+                     " exists with two texts; apply with base generation 0 to "
+                     "replace both",
+                   aCommands);
+  } else if (aSession.writes == kMaxWrites) {
+    Finish(aSession,
+           aSession.isInDoubt ? ApplyOutcome::Unknown
+                              : ApplyOutcome::NotApplied,
+           inForce.generation(),
+           "the store's value changed too often",
+           aCommands);
+  } else {
+    Write(aSession, aCurrent, aCommands);
+  }
+}
+
+void
+Acceptance::Write(Session& aSession,
+                  const Current& aCurrent,
+                  Commands& aCommands)
+{
+  wire::StoredConfiguration value;
+  value.set_generation(aCurrent.inForce.generation() + 1);
+  value.set_digest(state::DigestOfText(aSession.request.text));
+  value.set_text(aSession.request.text);
+  value.set_apply_id(aSession.request.applyId);
+  value.add_recent_applies(aSession.request.applyId);
+  for (const auto& id : aCurrent.value.recent_applies()) {
+    if (value.recent_applies_size() < kMaxRecentApplies) {
+      value.add_recent_applies(id);
+    }
+  }
+  aSession.expectedRevision = aCurrent.revision;
+  aSession.written = std::move(value);
+  ++aSession.writes;
+  aSession.stage = Stage::Writing;
+  aSession.call = numbers_.Next();
+  aCommands.push_back(
+    CallStore{ aSession.call,
+               StoreSwap{ protocol::kConfigurationKey,
+                          aSession.expectedRevision,
+                          aSession.written.SerializeAsString(),
+                          0 } });
+}
+
+void
+Acceptance::Retry(Session& aSession, std::string aError, state::Instant aNow)
+{
+  aSession.lastError = std::move(aError);
+  aSession.nextAttempt = aNow + aSession.backoff.Next(random_);
+}
+
+void
+Acceptance::FinishConflict(Session& aSession,
+                           const wire::StoredConfiguration& aWinner,
+                           std::string aMessage,
+                           Commands& aCommands)
+{
+  if (aSession.isInDoubt) {
+    Finish(aSession,
+           ApplyOutcome::Unknown,
+           aWinner.generation(),
+           kUnknownMessage,
+           aCommands);
+    return;
+  }
+  aSession.isFinished = true;
+  aCommands.push_back(FinishApply{ aSession.request.id,
+                                   ApplyOutcome::Conflict,
+                                   aWinner.generation(),
+                                   std::move(aMessage),
+                                   aWinner.text() });
+}
+
+void
+Acceptance::FinishAtDeadline(Session& aSession, Commands& aCommands)
+{
+  const bool isOpen = aSession.stage == Stage::Writing || aSession.isInDoubt;
+  Finish(aSession,
+         isOpen ? ApplyOutcome::Unknown : ApplyOutcome::NotApplied,
+         aSession.base.value_or(0),
+         isOpen ? kUnknownMessage
+                : "the store was not reached before the deadline: " +
+                    aSession.lastError,
+         aCommands);
+}
+
+void
+Acceptance::Finish(Session& aSession,
+                   ApplyOutcome aOutcome,
+                   state::Generation aGeneration,
+                   std::string aMessage,
+                   Commands& aCommands)
+{
+  if (std::exchange(aSession.isFinished, true)) {
+    return;
+  }
+  aCommands.push_back(FinishApply{
+    aSession.request.id, aOutcome, aGeneration, std::move(aMessage), "" });
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/ConfigurationDistributionMessages.cpp
@@ -0,0 +1,363 @@
+#include "Coordination/ConfigurationDistribution.h"
+
+#include <algorithm>
+
+/// The messages of ConfigurationDistribution: questions for floors, pulls,
+/// data and notices.
+namespace teaselhold::coordination {
+
+namespace {
+
+/// Relays outside the relay set that each holder tells of a new version.
+constexpr std::size_t kFanOut = 4;
+constexpr std::size_t kMaxWaitingLeaves = 64;
+constexpr state::Duration kFirstQuestionInterval =
+  std::chrono::milliseconds(500);
+constexpr state::Duration kLongestQuestionInterval = std::chrono::seconds(2);
+
+} // namespace
+
+void
+ConfigurationDistribution::AdvanceFloor(const PeerDirectory& aPeers,
+                                        state::Instant aNow,
+                                        Commands& aCommands)
+{
+  const bool isNeeded = !gate_.IsFloorKnown() || !searchingLeaves_.empty();
+  if (search_.IsRunning() && !isNeeded) {
+    search_.Stop();
+  }
+  if (!search_.IsRunning()) {
+    if (gate_.IsFloorKnown() && waitingLeaves_.empty()) {
+      return;
+    }
+    searchingLeaves_ = std::exchange(waitingLeaves_, {});
+    // 0 asks nothing.
+    search_.Start(random_() | 1, aNow);
+  }
+  const auto set = FindRelaySet(identity_.dataCentre, aPeers);
+  for (const auto& peer : search_.TakeReceivers(set, aPeers, aNow)) {
+    SendQuestion(peer, search_.Question(), aCommands);
+  }
+  const auto floor = search_.Result(
+    { gate_.IsSettled(), wasSettledLeaf_, gate_.Held() }, set, aPeers);
+  if (!floor) {
+    return;
+  }
+  search_.Stop();
+  if (!gate_.IsFloorKnown()) {
+    gate_.RaiseFloor(*floor);
+    wasSettledLeaf_ = false;
+    aCommands.push_back(WriteLog{ LogLevel::Info,
+                                  "config",
+                                  "Floor learned from relays. generation=" +
+                                    std::to_string(*floor) });
+  }
+  AnswerLeaves(*floor, aPeers, aCommands);
+}
+
+void
+ConfigurationDistribution::AnswerLeaves(state::Generation aFloor,
+                                        const PeerDirectory& aPeers,
+                                        Commands& aCommands)
+{
+  const auto set = FindRelaySet(identity_.dataCentre, aPeers);
+  for (const auto& [node, waiting] : searchingLeaves_) {
+    wire::Envelope envelope;
+    auto& notice = *envelope.mutable_head_notice();
+    *notice.mutable_head() = Head();
+    notice.set_answer(waiting.question);
+    notice.set_relay_count(static_cast<std::uint32_t>(set.Size()));
+    notice.set_floor_generation(aFloor);
+    Send(waiting.leaf, std::move(envelope), aCommands);
+  }
+  searchingLeaves_.clear();
+}
+
+void
+ConfigurationDistribution::AskRelay(const PeerDirectory& aPeers,
+                                    state::Instant aNow,
+                                    Commands& aCommands)
+{
+  if (gate_.IsFloorKnown() || !aPeers.relay) {
+    return;
+  }
+  const bool isNew = leafQuestion_ == 0 || askedRelay_ != aPeers.relay->node;
+  if (!isNew && aNow < nextLeafQuestion_) {
+    return;
+  }
+  if (isNew) {
+    leafQuestion_ = random_() | 1;
+    askedRelay_ = aPeers.relay->node;
+    leafQuestionInterval_ = kFirstQuestionInterval;
+  } else {
+    leafQuestionInterval_ =
+      std::min(leafQuestionInterval_ * 2, kLongestQuestionInterval);
+  }
+  nextLeafQuestion_ = aNow + leafQuestionInterval_;
+  SendQuestion(*aPeers.relay, leafQuestion_, aCommands);
+}
+
+void
+ConfigurationDistribution::OnQuestion(const Peer& aSender,
+                                      const wire::HeadNotice& aNotice,
+                                      const PeerDirectory& aPeers,
+                                      Commands& aCommands)
+{
+  if (!isRelay_) {
+    return;
+  }
+  if (!aNotice.from_leaf()) {
+    wire::Envelope envelope;
+    auto& answer = *envelope.mutable_head_notice();
+    *answer.mutable_head() = Head();
+    answer.set_answer(aNotice.question());
+    const auto set = FindRelaySet(identity_.dataCentre, aPeers);
+    answer.set_relay_count(static_cast<std::uint32_t>(set.Size()));
+    Send(aSender, std::move(envelope), aCommands);
+    return;
+  }
+  const auto searching = searchingLeaves_.find(aSender.node);
+  const bool isKnown = searching != searchingLeaves_.end() &&
+                       searching->second.question == aNotice.question();
+  if (!isKnown && waitingLeaves_.size() < kMaxWaitingLeaves) {
+    waitingLeaves_[aSender.node] = { aSender, aNotice.question() };
+  }
+}
+
+void
+ConfigurationDistribution::OnAnswer(const Peer& aSender,
+                                    const wire::HeadNotice& aNotice)
+{
+  if (isRelay_) {
+    search_.OnAnswer(aSender.node, aNotice);
+  } else if (leafQuestion_ != 0 && aNotice.answer() == leafQuestion_) {
+    gate_.RaiseFloor(aNotice.floor_generation());
+    leafQuestion_ = 0;
+  }
+}
+
+void
+ConfigurationDistribution::OnPull(const Peer& aSender,
+                                  const wire::ConfigurationPull& aPull,
+                                  Commands& aCommands)
+{
+  const auto* version =
+    aPull.from_leaf() ? history_.FindUpTo(approved_) : history_.Newest();
+  if (version == nullptr ||
+      version->stored.generation() <= aPull.known_generation()) {
+    return;
+  }
+  SendData(
+    aSender, *version, history_.Find(aPull.known_generation()), aCommands);
+  const auto head = heads_.find(aSender.node);
+  if (aPull.from_leaf() && head != heads_.end()) {
+    head->second.held = version->stored.generation();
+  }
+}
+
+void
+ConfigurationDistribution::OnData(const Peer& aSender,
+                                  const wire::ConfigurationData& aData,
+                                  const PeerDirectory& aPeers,
+                                  state::Instant aNow,
+                                  Commands& aCommands)
+{
+  if (!isRelay_ && aPeers.relay && aPeers.relay->node == aSender.node) {
+    approved_ = std::max(approved_, aData.approved_generation());
+  }
+  if (gate_.Judge(aData.generation(), aData.digest()) !=
+      state::VersionOffer::Newer) {
+    NoteConflict(aData.generation(), aData.digest(), aSender.node, aCommands);
+    return;
+  }
+  auto text = ReadText(aData);
+  if (!text) {
+    ++counters_.deltasRejected;
+    aCommands.push_back(WriteLog{
+      LogLevel::Debug,
+      "config",
+      "Data rejected. generation=" + std::to_string(aData.generation()) +
+        " source=" + aSender.node + " reason=" + text.error().message });
+    SendPull(puller_.Reject(aData.generation(), aSender, aNow), aCommands);
+    return;
+  }
+  ++(aData.base_generation() == 0 ? counters_.fullTextsTaken
+                                  : counters_.deltasTaken);
+  wire::StoredConfiguration stored;
+  stored.set_generation(aData.generation());
+  stored.set_digest(aData.digest());
+  stored.set_text(std::move(*text));
+  heldFromStore_ = false;
+  Hold(std::move(stored), aCommands);
+}
+
+tl::expected<std::string, CoordinationError>
+ConfigurationDistribution::ReadText(const wire::ConfigurationData& aData) const
+{
+  tl::expected<std::string, CoordinationError> text = aData.full_text();
+  if (aData.base_generation() != 0) {
+    const auto* base = history_.Find(aData.base_generation());
+    if (base == nullptr) {
+      return tl::make_unexpected(CoordinationError{
+        CoordinationErrorCode::UnknownBase,
+        "generation " + std::to_string(aData.base_generation()) +
+          " is not held" });
+    }
+    text = ApplyDelta(base->stored.text(), aData.sections());
+  }
+  if (text && state::DigestOfText(*text) != aData.digest()) {
+    return tl::make_unexpected(CoordinationError{
+      CoordinationErrorCode::DigestMismatch, "the text has another digest" });
+  }
+  return text;
+}
+
+void
+ConfigurationDistribution::NotifyRelays(const PeerDirectory& aPeers,
+                                        Commands& aCommands)
+{
+  if (gate_.Held() <= notifiedRelays_) {
+    return;
+  }
+  notifiedRelays_ = gate_.Held();
+  std::vector<Peer> receivers;
+  std::vector<Peer> others;
+  if (isRelay_) {
+    // Each member of the set counts the holders of a version.
+    const auto set = FindRelaySet(identity_.dataCentre, aPeers);
+    for (const auto& peer : aPeers.relays) {
+      const bool isMember =
+        std::ranges::find(set.others, peer.node, &Peer::node) !=
+        set.others.end();
+      (isMember ? receivers : others).push_back(peer);
+    }
+  } else if (heldFromStore_) {
+    // A leaf that accepted a change hands it to the relays.
+    others = aPeers.relays;
+    if (aPeers.relay) {
+      receivers.push_back(*aPeers.relay);
+      std::erase_if(others, [&](const Peer& aPeer) {
+        return aPeer.node == aPeers.relay->node;
+      });
+    }
+  }
+  std::ranges::sample(others, std::back_inserter(receivers), kFanOut, random_);
+  for (const auto& peer : receivers) {
+    const auto head = heads_.find(peer.node);
+    // A peer that has it in force needs no more holders.
+    if (head == heads_.end() || head->second.active < gate_.Held()) {
+      SendNotice(peer, aCommands);
+    }
+  }
+}
+
+void
+ConfigurationDistribution::NotifyLeaves(const PeerDirectory& aPeers,
+                                        Commands& aCommands)
+{
+  const auto* version = history_.FindUpTo(approved_);
+  if (!isRelay_ || version == nullptr ||
+      version->stored.generation() <= notifiedLeaves_) {
+    return;
+  }
+  notifiedLeaves_ = version->stored.generation();
+  for (const auto& leaf : aPeers.leaves) {
+    const auto head = heads_.find(leaf.node);
+    const auto held = head == heads_.end() ? 0 : head->second.held;
+    const auto* base = history_.Find(held);
+    if (base == nullptr || held >= notifiedLeaves_) {
+      // The leaf pulls, since it knows best what it holds.
+      SendNotice(leaf, aCommands);
+      continue;
+    }
+    SendData(leaf, *version, base, aCommands);
+    head->second.held = notifiedLeaves_;
+  }
+}
+
+const std::optional<ConfigurationSections>&
+ConfigurationDistribution::DeltaBetween(const Version& aBase,
+                                        const Version& aTarget)
+{
+  const auto base = aBase.stored.generation();
+  const auto target = aTarget.stored.generation();
+  if (delta_.base != base || delta_.target != target) {
+    delta_ = { base,
+               target,
+               MakeDelta(aBase.stored.text(), aTarget.stored.text()) };
+  }
+  return delta_.sections;
+}
+
+void
+ConfigurationDistribution::SendData(const Peer& aReceiver,
+                                    const Version& aVersion,
+                                    const Version* aBase,
+                                    Commands& aCommands)
+{
+  ++counters_.dataSent;
+  wire::Envelope envelope;
+  auto& data = *envelope.mutable_configuration_data();
+  data.set_generation(aVersion.stored.generation());
+  data.set_digest(aVersion.stored.digest());
+  data.set_approved_generation(approved_);
+  if (aBase != nullptr && DeltaBetween(*aBase, aVersion)) {
+    data.set_base_generation(aBase->stored.generation());
+    *data.mutable_sections() = *DeltaBetween(*aBase, aVersion);
+  } else {
+    data.set_full_text(aVersion.stored.text());
+  }
+  Send(aReceiver, std::move(envelope), aCommands);
+}
+
+void
+ConfigurationDistribution::SendNotice(const Peer& aReceiver,
+                                      Commands& aCommands)
+{
+  ++counters_.noticesSent;
+  wire::Envelope envelope;
+  *envelope.mutable_head_notice()->mutable_head() = Head();
+  Send(aReceiver, std::move(envelope), aCommands);
+}
+
+void
+ConfigurationDistribution::SendQuestion(const Peer& aReceiver,
+                                        std::uint64_t aQuestion,
+                                        Commands& aCommands)
+{
+  wire::Envelope envelope;
+  auto& notice = *envelope.mutable_head_notice();
+  *notice.mutable_head() = Head();
+  notice.set_question(aQuestion);
+  notice.set_from_leaf(!isRelay_);
+  Send(aReceiver, std::move(envelope), aCommands);
+}
+
+void
+ConfigurationDistribution::SendPull(const std::optional<PullRequest>& aRequest,
+                                    Commands& aCommands)
+{
+  if (!aRequest) {
+    return;
+  }
+  ++counters_.pullsSent;
+  wire::Envelope envelope;
+  auto& pull = *envelope.mutable_configuration_pull();
+  pull.set_known_generation(aRequest->wantsFullText ? 0 : gate_.Held());
+  pull.set_from_leaf(!isRelay_);
+  Send(aRequest->source, std::move(envelope), aCommands);
+}
+
+void
+ConfigurationDistribution::Send(const Peer& aReceiver,
+                                wire::Envelope aEnvelope,
+                                Commands& aCommands)
+{
+  aEnvelope.set_from_node(identity_.name);
+  aEnvelope.set_from_incarnation(identity_.incarnation);
+  aEnvelope.set_from_address(identity_.controlAddress);
+  aCommands.push_back(
+    SendMessage{ aReceiver.controlAddress, std::move(aEnvelope) });
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/ConfigurationPuller.cpp
@@ -0,0 +1,91 @@
+#include "Coordination/ConfigurationPuller.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+/// A text of 1 MB takes one gRPC call, which is slower than a datagram.
+constexpr state::Duration kAnswerTimeout = std::chrono::milliseconds(400);
+/// After the last attempt the next head of a peer opens a new pull.
+constexpr std::size_t kMaxAttempts = 6;
+constexpr std::size_t kMaxSources = 6;
+
+} // namespace
+
+std::optional<PullRequest>
+ConfigurationPuller::Want(state::Generation aGeneration,
+                          const Peer& aSource,
+                          state::Instant aNow)
+{
+  if (IsOpen() && aGeneration <= wanted_) {
+    const bool isKnown =
+      std::ranges::find(sources_, aSource.node, &Peer::node) != sources_.end();
+    if (aGeneration == wanted_ && !isKnown && sources_.size() < kMaxSources) {
+      sources_.push_back(aSource);
+    }
+    return std::nullopt;
+  }
+  wanted_ = aGeneration;
+  sources_ = { aSource };
+  next_ = 0;
+  attempts_ = 0;
+  wantsFullText_ = false;
+  return Send(aNow);
+}
+
+std::optional<PullRequest>
+ConfigurationPuller::Reject(state::Generation aGeneration,
+                            const Peer& aSource,
+                            state::Instant aNow)
+{
+  if (!IsOpen() || aGeneration > wanted_) {
+    wanted_ = aGeneration;
+    sources_ = { aSource };
+    attempts_ = 0;
+  } else if (wantsFullText_ && aNow < timeout_) {
+    // The request for the whole text is on its way; a doubled answer must not
+    // double it.
+    return std::nullopt;
+  }
+  const auto source = std::ranges::find(sources_, aSource.node, &Peer::node);
+  next_ = source == sources_.end()
+            ? 0
+            : static_cast<std::size_t>(source - sources_.begin());
+  wantsFullText_ = true;
+  return Send(aNow);
+}
+
+std::optional<PullRequest>
+ConfigurationPuller::Retry(state::Instant aNow)
+{
+  if (!IsOpen() || aNow < timeout_) {
+    return std::nullopt;
+  }
+  return Send(aNow);
+}
+
+void
+ConfigurationPuller::OnHeld(state::Generation aHeld)
+{
+  if (aHeld >= wanted_) {
+    sources_.clear();
+  }
+}
+
+std::optional<PullRequest>
+ConfigurationPuller::Send(state::Instant aNow)
+{
+  if (attempts_ == kMaxAttempts) {
+    sources_.clear();
+    return std::nullopt;
+  }
+  ++attempts_;
+  timeout_ = aNow + kAnswerTimeout;
+  const auto& source = sources_[next_ % sources_.size()];
+  ++next_;
+  return PullRequest{ source, wantsFullText_ };
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/ReaderDuty.cpp
@@ -0,0 +1,500 @@
+#include "Coordination/ReaderDuty.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr std::chrono::milliseconds kLeaseTime{ 4500 };
+constexpr state::Duration kRenewInterval = std::chrono::milliseconds(1500);
+constexpr state::Duration kRenewRetryDelay = std::chrono::milliseconds(500);
+constexpr state::Duration kBeaconLimit = std::chrono::seconds(3);
+constexpr state::Duration kContentionJitter = std::chrono::seconds(1);
+/// A lease with less time left is not worth a claim.
+constexpr state::Duration kLeaseReserve = std::chrono::seconds(1);
+constexpr std::chrono::milliseconds kWatchWait{ 30000 };
+/// The store's client answers every call; these only guard against a lost
+/// answer.
+constexpr state::Duration kWatchLimit = std::chrono::seconds(40);
+constexpr state::Duration kCallLimit = std::chrono::seconds(5);
+constexpr state::Duration kFirstDelay = std::chrono::milliseconds(100);
+/// Keeps the bound of 7 s after an outage, together with the claim.
+constexpr state::Duration kLongestDelay = std::chrono::seconds(4);
+/// Peers settle a restarted relay within a round trip. After a mass restart
+/// about 270 relays read within this window, well under 2,000 reads/s.
+constexpr state::Duration kFloorReadDelay = std::chrono::milliseconds(300);
+constexpr state::Duration kFloorReadJitter = std::chrono::milliseconds(1700);
+constexpr state::Duration kLongestFloorDelay = std::chrono::seconds(8);
+
+state::Duration
+Jitter(state::Duration aLimit, std::mt19937_64& aRandom)
+{
+  return state::Duration(std::uniform_int_distribution<state::Duration::rep>(
+    0, aLimit.count())(aRandom));
+}
+
+} // namespace
+
+ReaderDuty::ReaderDuty(NodeIdentity aIdentity,
+                       std::uint64_t aRandomSeed,
+                       CallNumbers& aNumbers,
+                       ConfigurationDistribution& aDistribution)
+  : identity_(std::move(aIdentity))
+  , random_(aRandomSeed)
+  , numbers_(aNumbers)
+  , distribution_(aDistribution)
+  , contentionBackoff_(kFirstDelay, kLongestDelay)
+  , watchBackoff_(kFirstDelay, kLongestDelay)
+  , writeBackBackoff_(kFirstDelay, kLongestDelay)
+  , floorBackoff_(kFirstDelay, kLongestFloorDelay)
+{
+}
+
+std::string
+ReaderDuty::KeyOf(const std::string& aRegion, std::uint32_t aSlot)
+{
+  return "teaselhold/reader/" + aRegion + "/" + std::to_string(aSlot);
+}
+
+std::string
+ReaderDuty::ClaimValue() const
+{
+  return identity_.name + " " + std::to_string(identity_.incarnation) + " " +
+         std::to_string(lease_);
+}
+
+template<typename Request>
+ReaderDuty::OpenCall
+ReaderDuty::Call(Request aRequest, state::Instant aNow, Commands& aCommands)
+{
+  const OpenCall call{ numbers_.Next(), aNow };
+  aCommands.push_back(CallStore{ call.number, std::move(aRequest) });
+  return call;
+}
+
+std::vector<Peer>
+ReaderDuty::Candidates(const PeerDirectory& aPeers) const
+{
+  // The order by hash is the same on all relays and unrelated to where they
+  // run.
+  std::vector<Peer> candidates;
+  std::ranges::copy_if(
+    aPeers.relays, std::back_inserter(candidates), [&](const Peer& aPeer) {
+      return aPeer.region == identity_.region;
+    });
+  std::ranges::sort(candidates, {}, [](const Peer& aPeer) {
+    return std::make_pair(state::DigestOfText(aPeer.node), aPeer.node);
+  });
+  if (candidates.size() > kCandidates) {
+    candidates.resize(kCandidates);
+  }
+  return candidates;
+}
+
+bool
+ReaderDuty::IsCandidate(const PeerDirectory& aPeers) const
+{
+  const auto others = Candidates(aPeers);
+  if (others.size() < kCandidates) {
+    return true;
+  }
+  const auto& last = others.back().node;
+  return std::make_pair(state::DigestOfText(identity_.name), identity_.name) <
+         std::make_pair(state::DigestOfText(last), last);
+}
+
+void
+ReaderDuty::Tick(const PeerDirectory& aPeers,
+                 state::Instant aNow,
+                 Commands& aCommands)
+{
+  if (aPeers.isRelay != isRelay_) {
+    isRelay_ = aPeers.isRelay;
+    // A new relay first listens for the present readers.
+    lastBeacons_.fill(aNow);
+    nextContention_.reset();
+    nextFloorRead_.reset();
+    if (stage_ != Stage::Idle) {
+      Lose("this node is no relay any more", aNow, aCommands);
+    }
+  }
+  if (!isRelay_) {
+    return;
+  }
+  LoseIfLapsed(aNow, aCommands);
+  ReadFloor(aNow, aCommands);
+  if (stage_ == Stage::Holding) {
+    Renew(aNow, aCommands);
+    Watch(aNow, aCommands);
+    WriteBack(aNow, aCommands);
+  } else {
+    Contend(aPeers, aNow, aCommands);
+  }
+}
+
+void
+ReaderDuty::OnMessage(const wire::Envelope& aEnvelope, state::Instant aNow)
+{
+  const auto& notice = aEnvelope.head_notice();
+  if (!aEnvelope.has_head_notice() || notice.reader().empty() ||
+      notice.region() != identity_.region || notice.slot() >= kSlots) {
+    return;
+  }
+  lastBeacons_[notice.slot()] = aNow;
+}
+
+bool
+ReaderDuty::IsSlotFree(std::uint32_t aSlot, state::Instant aNow) const
+{
+  return aNow - lastBeacons_[aSlot] > kBeaconLimit;
+}
+
+void
+ReaderDuty::Contend(const PeerDirectory& aPeers,
+                    state::Instant aNow,
+                    Commands& aCommands)
+{
+  if (stage_ != Stage::Idle) {
+    if (aNow - slotCall_.sent > kCallLimit) {
+      BecomeIdle(contentionBackoff_.Next(random_), aNow);
+    }
+    return;
+  }
+  std::vector<std::uint32_t> free;
+  for (std::uint32_t slot = 0; slot < kSlots; ++slot) {
+    if (IsSlotFree(slot, aNow)) {
+      free.push_back(slot);
+    }
+  }
+  if (free.empty() || !IsCandidate(aPeers)) {
+    nextContention_.reset();
+    return;
+  }
+  if (!nextContention_) {
+    nextContention_ = aNow + Jitter(kContentionJitter, random_);
+  }
+  if (aNow < *nextContention_) {
+    return;
+  }
+  const bool leaseLasts = lease_ != 0 && aNow + kLeaseReserve < leaseEnd_;
+  if (leaseLasts && IsSlotFree(slot_, aNow)) {
+    // The answer to the last claim was lost; the slot may be this node's.
+    Claim(aNow, aCommands);
+    return;
+  }
+  slot_ = free[random_() % free.size()];
+  stage_ = Stage::Granting;
+  slotCall_ = Call(StoreGrant{ kLeaseTime }, aNow, aCommands);
+}
+
+void
+ReaderDuty::Claim(state::Instant aNow, Commands& aCommands)
+{
+  stage_ = Stage::Claiming;
+  slotCall_ =
+    Call(StoreSwap{ KeyOf(identity_.region, slot_), 0, ClaimValue(), lease_ },
+         aNow,
+         aCommands);
+}
+
+void
+ReaderDuty::BecomeIdle(state::Duration aDelay, state::Instant aNow)
+{
+  stage_ = Stage::Idle;
+  slotCall_ = {};
+  nextContention_ = aNow + aDelay;
+}
+
+void
+ReaderDuty::OnGrantAnswer(const StoreResult& aResult,
+                          state::Instant aNow,
+                          Commands& aCommands)
+{
+  const auto* lease = std::get_if<protocol::LeaseId>(&aResult);
+  if (lease == nullptr) {
+    BecomeIdle(contentionBackoff_.Next(random_), aNow);
+    return;
+  }
+  lease_ = *lease;
+  leaseEnd_ = slotCall_.sent + kLeaseTime;
+  Claim(aNow, aCommands);
+}
+
+void
+ReaderDuty::OnClaimAnswer(const StoreResult& aResult,
+                          const PeerDirectory& aPeers,
+                          state::Instant aNow,
+                          Commands& aCommands)
+{
+  const auto* swap = std::get_if<protocol::SwapResult>(&aResult);
+  if (swap == nullptr) {
+    BecomeIdle(contentionBackoff_.Next(random_), aNow);
+    return;
+  }
+  contentionBackoff_.Reset();
+  if (!swap->swapped && swap->current.value != ClaimValue()) {
+    // The holder's beacons have not arrived yet, or its lease has not lapsed.
+    lastBeacons_[slot_] = aNow;
+    lease_ = 0;
+    BecomeIdle(Jitter(kContentionJitter, random_), aNow);
+    return;
+  }
+  stage_ = Stage::Holding;
+  slotCall_ = {};
+  nextRenewal_ = aNow + kRenewInterval;
+  nextWatch_ = aNow;
+  watchBackoff_.Reset();
+  aCommands.push_back(WriteLog{ LogLevel::Info,
+                                "reader",
+                                "Slot taken. slot=" + std::to_string(slot_) +
+                                  " region=" + identity_.region });
+  SendBeacon(aPeers, aCommands);
+  Tick(aPeers, aNow, aCommands);
+}
+
+void
+ReaderDuty::Renew(state::Instant aNow, Commands& aCommands)
+{
+  const bool isOpen =
+    slotCall_.number != 0 && aNow - slotCall_.sent <= kCallLimit;
+  if (!isOpen && aNow >= nextRenewal_) {
+    nextRenewal_ = aNow + kRenewInterval;
+    slotCall_ = Call(StoreKeepAlive{ lease_ }, aNow, aCommands);
+  }
+}
+
+void
+ReaderDuty::OnRenewalAnswer(const StoreResult& aResult,
+                            const PeerDirectory& aPeers,
+                            state::Instant aNow,
+                            Commands& aCommands)
+{
+  const auto sent = std::exchange(slotCall_, {}).sent;
+  const auto* isAlive = std::get_if<bool>(&aResult);
+  if (isAlive == nullptr) {
+    nextRenewal_ = aNow + kRenewRetryDelay;
+  } else if (!*isAlive) {
+    Lose("the lease lapsed", aNow, aCommands);
+  } else {
+    leaseEnd_ = sent + kLeaseTime;
+    SendBeacon(aPeers, aCommands);
+  }
+}
+
+void
+ReaderDuty::Lose(const char* aReason, state::Instant aNow, Commands& aCommands)
+{
+  if (stage_ == Stage::Holding) {
+    aCommands.push_back(WriteLog{ LogLevel::Info,
+                                  "reader",
+                                  "Slot lost. slot=" + std::to_string(slot_) +
+                                    " reason=" + aReason });
+  }
+  lease_ = 0;
+  BecomeIdle(Jitter(kContentionJitter, random_), aNow);
+}
+
+void
+ReaderDuty::LoseIfLapsed(state::Instant aNow, Commands& aCommands)
+{
+  if (stage_ == Stage::Holding && aNow >= leaseEnd_) {
+    Lose("no renewal within the lease", aNow, aCommands);
+  }
+}
+
+void
+ReaderDuty::SendBeacon(const PeerDirectory& aPeers, Commands& aCommands)
+{
+  wire::Envelope envelope;
+  envelope.set_from_node(identity_.name);
+  envelope.set_from_incarnation(identity_.incarnation);
+  envelope.set_from_address(identity_.controlAddress);
+  auto& notice = *envelope.mutable_head_notice();
+  *notice.mutable_head() = distribution_.Head();
+  notice.set_reader(identity_.name);
+  notice.set_region(identity_.region);
+  notice.set_slot(slot_);
+  notice.set_beacon(++beacon_);
+  for (const auto& peer : Candidates(aPeers)) {
+    aCommands.push_back(SendMessage{ peer.controlAddress, envelope });
+  }
+}
+
+bool
+ReaderDuty::OnStoreAnswer(const StoreAnswered& aAnswer,
+                          const PeerDirectory& aPeers,
+                          state::Instant aNow,
+                          Commands& aCommands)
+{
+  const auto isFor = [&](const OpenCall& aCall) {
+    return aCall.number != 0 && aCall.number == aAnswer.call;
+  };
+  const bool isSlotCall = isFor(slotCall_);
+  if (!isSlotCall && !isFor(watchCall_) && !isFor(writeBackCall_) &&
+      !isFor(floorCall_)) {
+    return false;
+  }
+  storeReachable_ =
+    !std::holds_alternative<protocol::StoreError>(aAnswer.result);
+  if (isSlotCall && stage_ == Stage::Granting) {
+    OnGrantAnswer(aAnswer.result, aNow, aCommands);
+  } else if (isSlotCall && stage_ == Stage::Claiming) {
+    OnClaimAnswer(aAnswer.result, aPeers, aNow, aCommands);
+  } else if (isSlotCall) {
+    OnRenewalAnswer(aAnswer.result, aPeers, aNow, aCommands);
+  } else if (isFor(watchCall_)) {
+    OnWatchAnswer(aAnswer.result, aPeers, aNow, aCommands);
+  } else if (isFor(writeBackCall_)) {
+    OnWriteBackAnswer(aAnswer.result, aPeers, aNow, aCommands);
+  } else {
+    OnFloorAnswer(aAnswer.result, aPeers, aNow, aCommands);
+  }
+  LoseIfLapsed(aNow, aCommands);
+  return true;
+}
+
+void
+ReaderDuty::Watch(state::Instant aNow, Commands& aCommands)
+{
+  const bool isOpen =
+    watchCall_.number != 0 && aNow - watchCall_.sent <= kWatchLimit;
+  if (!isOpen && aNow >= nextWatch_) {
+    watchCall_ = Call(
+      StoreWatch{ protocol::kConfigurationKey, knownRevision_, kWatchWait },
+      aNow,
+      aCommands);
+  }
+}
+
+void
+ReaderDuty::OnWatchAnswer(const StoreResult& aResult,
+                          const PeerDirectory& aPeers,
+                          state::Instant aNow,
+                          Commands& aCommands)
+{
+  watchCall_ = {};
+  const auto* entry = std::get_if<protocol::StoreEntry>(&aResult);
+  if (entry == nullptr) {
+    nextWatch_ = aNow + watchBackoff_.Next(random_);
+    return;
+  }
+  watchBackoff_.Reset();
+  nextWatch_ = aNow;
+  OnEntry(*entry, aPeers, aNow, aCommands);
+  // The next watch is on its way before the next tick.
+  if (stage_ == Stage::Holding && aNow < leaseEnd_) {
+    Watch(aNow, aCommands);
+  }
+}
+
+void
+ReaderDuty::OnEntry(const protocol::StoreEntry& aEntry,
+                    const PeerDirectory& aPeers,
+                    state::Instant aNow,
+                    Commands& aCommands)
+{
+  knownRevision_ = aEntry.revision;
+  staleRevision_.reset();
+  wire::StoredConfiguration stored;
+  if (aEntry.revision != 0 && !stored.ParseFromString(aEntry.value)) {
+    distribution_.RaiseAlarm("The store's configuration cannot be read.",
+                             aCommands);
+    return;
+  }
+  storeGeneration_ = stored.generation();
+  distribution_.OnStored(stored, aPeers, aNow, aCommands);
+  if (stored.generation() < distribution_.Held().generation()) {
+    staleRevision_ = aEntry.revision;
+    nextWriteBack_ = aNow;
+    if (stage_ == Stage::Holding) {
+      WriteBack(aNow, aCommands);
+    }
+  }
+}
+
+void
+ReaderDuty::WriteBack(state::Instant aNow, Commands& aCommands)
+{
+  const auto& held = distribution_.Held();
+  const bool isOpen =
+    writeBackCall_.number != 0 && aNow - writeBackCall_.sent <= kCallLimit;
+  if (!staleRevision_ || isOpen || aNow < nextWriteBack_ ||
+      distribution_.Approved() < held.generation()) {
+    return;
+  }
+  writtenBack_ = held;
+  writeBackCall_ = Call(StoreSwap{ protocol::kConfigurationKey,
+                                   *staleRevision_,
+                                   writtenBack_.SerializeAsString(),
+                                   0 },
+                        aNow,
+                        aCommands);
+}
+
+void
+ReaderDuty::OnWriteBackAnswer(const StoreResult& aResult,
+                              const PeerDirectory& aPeers,
+                              state::Instant aNow,
+                              Commands& aCommands)
+{
+  writeBackCall_ = {};
+  const auto* swap = std::get_if<protocol::SwapResult>(&aResult);
+  if (swap == nullptr) {
+    nextWriteBack_ = aNow + writeBackBackoff_.Next(random_);
+    return;
+  }
+  writeBackBackoff_.Reset();
+  if (!swap->swapped) {
+    // The value has changed since it was read; it is judged anew.
+    OnEntry(swap->current, aPeers, aNow, aCommands);
+    return;
+  }
+  const auto older = std::to_string(storeGeneration_);
+  const auto generation = std::to_string(writtenBack_.generation());
+  distribution_.RaiseAlarm("The store went back to generation " + older +
+                             "; generation " + generation +
+                             " was written back.",
+                           aCommands);
+  staleRevision_.reset();
+  knownRevision_ = swap->current.revision;
+  storeGeneration_ = writtenBack_.generation();
+}
+
+void
+ReaderDuty::ReadFloor(state::Instant aNow, Commands& aCommands)
+{
+  if (distribution_.IsSettled()) {
+    nextFloorRead_.reset();
+    return;
+  }
+  if (!nextFloorRead_) {
+    nextFloorRead_ = aNow + kFloorReadDelay + Jitter(kFloorReadJitter, random_);
+  }
+  const bool isOpen =
+    floorCall_.number != 0 && aNow - floorCall_.sent <= kCallLimit;
+  if (!isOpen && aNow >= *nextFloorRead_) {
+    floorCall_ = Call(StoreGet{ protocol::kConfigurationKey }, aNow, aCommands);
+  }
+}
+
+void
+ReaderDuty::OnFloorAnswer(const StoreResult& aResult,
+                          const PeerDirectory& aPeers,
+                          state::Instant aNow,
+                          Commands& aCommands)
+{
+  floorCall_ = {};
+  nextFloorRead_ = aNow + floorBackoff_.Next(random_);
+  const auto* entry = std::get_if<protocol::StoreEntry>(&aResult);
+  wire::StoredConfiguration stored;
+  if (entry == nullptr ||
+      (entry->revision != 0 && !stored.ParseFromString(entry->value))) {
+    return;
+  }
+  floorBackoff_.Reset();
+  storeGeneration_ = std::max(storeGeneration_, stored.generation());
+  distribution_.OnStored(stored, aPeers, aNow, aCommands);
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/ReaderDuty.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "Coordination/Backoff.h"
+#include "Coordination/CallNumbers.h"
+#include "Coordination/ConfigurationDistribution.h"
+#include "Coordination/NodeEvents.h"
+
+#include <array>
+#include <optional>
+#include <random>
+
+namespace teaselhold::coordination {
+
+/// Makes a few relays of each region watch the store. A relay holds one of the
+/// region's two slots by a lease; only the relays that would take a slot over
+/// hear of its holder, so that neither store calls nor messages grow with the
+/// fleet. Also reads the store once for a restarted relay that its peers
+/// cannot tell its floor.
+class ReaderDuty
+{
+public:
+  static constexpr std::size_t kSlots = 2;
+  /// Relays of a region that contend for its slots.
+  static constexpr std::size_t kCandidates = 8;
+
+  /// aNumbers and aDistribution must outlive this object.
+  ReaderDuty(NodeIdentity aIdentity,
+             std::uint64_t aRandomSeed,
+             CallNumbers& aNumbers,
+             ConfigurationDistribution& aDistribution);
+
+  void Tick(const PeerDirectory& aPeers,
+            state::Instant aNow,
+            Commands& aCommands);
+
+  /// Takes the reader's beacon in a HeadNotice; ignores other messages.
+  void OnMessage(const wire::Envelope& aEnvelope, state::Instant aNow);
+
+  /// @return false if the answer belongs to another part.
+  bool OnStoreAnswer(const StoreAnswered& aAnswer,
+                     const PeerDirectory& aPeers,
+                     state::Instant aNow,
+                     Commands& aCommands);
+
+  bool IsReader() const { return stage_ == Stage::Holding; }
+  /// The slot that this reader holds.
+  std::uint32_t Slot() const { return slot_; }
+  /// The last answer of the store was not an error.
+  bool IsStoreReachable() const { return storeReachable_; }
+  /// The generation that the store had when this node last read it.
+  state::Generation StoreGeneration() const { return storeGeneration_; }
+
+  /// The store's key of a slot.
+  static std::string KeyOf(const std::string& aRegion, std::uint32_t aSlot);
+
+private:
+  enum class Stage : std::uint8_t
+  {
+    Idle,
+    Granting,
+    Claiming,
+    Holding,
+  };
+
+  /// An open store call; number 0 means none.
+  struct OpenCall
+  {
+    std::uint64_t number = 0;
+    state::Instant sent{ 0 };
+  };
+
+  std::vector<Peer> Candidates(const PeerDirectory& aPeers) const;
+  bool IsCandidate(const PeerDirectory& aPeers) const;
+  template<typename Request>
+  OpenCall Call(Request aRequest, state::Instant aNow, Commands& aCommands);
+
+  // Slots.
+  void Contend(const PeerDirectory& aPeers,
+               state::Instant aNow,
+               Commands& aCommands);
+  bool IsSlotFree(std::uint32_t aSlot, state::Instant aNow) const;
+  void Claim(state::Instant aNow, Commands& aCommands);
+  void OnGrantAnswer(const StoreResult& aResult,
+                     state::Instant aNow,
+                     Commands& aCommands);
+  void OnClaimAnswer(const StoreResult& aResult,
+                     const PeerDirectory& aPeers,
+                     state::Instant aNow,
+                     Commands& aCommands);
+  void OnRenewalAnswer(const StoreResult& aResult,
+                       const PeerDirectory& aPeers,
+                       state::Instant aNow,
+                       Commands& aCommands);
+  void Renew(state::Instant aNow, Commands& aCommands);
+  void BecomeIdle(state::Duration aDelay, state::Instant aNow);
+  void Lose(const char* aReason, state::Instant aNow, Commands& aCommands);
+  void LoseIfLapsed(state::Instant aNow, Commands& aCommands);
+  void SendBeacon(const PeerDirectory& aPeers, Commands& aCommands);
+  std::string ClaimValue() const;
+
+  // The configuration's key.
+  void Watch(state::Instant aNow, Commands& aCommands);
+  void OnWatchAnswer(const StoreResult& aResult,
+                     const PeerDirectory& aPeers,
+                     state::Instant aNow,
+                     Commands& aCommands);
+  void OnEntry(const protocol::StoreEntry& aEntry,
+               const PeerDirectory& aPeers,
+               state::Instant aNow,
+               Commands& aCommands);
+  void WriteBack(state::Instant aNow, Commands& aCommands);
+  void OnWriteBackAnswer(const StoreResult& aResult,
+                         const PeerDirectory& aPeers,
+                         state::Instant aNow,
+                         Commands& aCommands);
+  void ReadFloor(state::Instant aNow, Commands& aCommands);
+  void OnFloorAnswer(const StoreResult& aResult,
+                     const PeerDirectory& aPeers,
+                     state::Instant aNow,
+                     Commands& aCommands);
+
+  NodeIdentity identity_;
+  std::mt19937_64 random_;
+  CallNumbers& numbers_;
+  ConfigurationDistribution& distribution_;
+
+  Stage stage_ = Stage::Idle;
+  bool isRelay_ = false;
+  std::uint32_t slot_ = 0;
+  protocol::LeaseId lease_ = 0;
+  /// The lease may have lapsed after this instant: the time to live, counted
+  /// from before the last call that renewed it.
+  state::Instant leaseEnd_{ 0 };
+  OpenCall slotCall_;
+  state::Instant nextRenewal_{ 0 };
+  std::optional<state::Instant> nextContention_;
+  std::array<state::Instant, kSlots> lastBeacons_{};
+  std::uint64_t beacon_ = 0;
+  Backoff contentionBackoff_;
+
+  OpenCall watchCall_;
+  state::Instant nextWatch_{ 0 };
+  std::uint64_t knownRevision_ = 0;
+  Backoff watchBackoff_;
+
+  /// The store has an older value than the fleet, at this revision.
+  std::optional<std::uint64_t> staleRevision_;
+  OpenCall writeBackCall_;
+  wire::StoredConfiguration writtenBack_;
+  state::Instant nextWriteBack_{ 0 };
+  Backoff writeBackBackoff_;
+
+  OpenCall floorCall_;
+  std::optional<state::Instant> nextFloorRead_;
+  Backoff floorBackoff_;
+
+  bool storeReachable_ = false;
+  state::Generation storeGeneration_ = 0;
+};
+
+} // namespace teaselhold::coordination
