--- /dev/null
+++ b/Libraries/Coordination/Attachment.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "Coordination/ControlMessages.h"
+#include "Coordination/EndpointDistribution.h"
+#include "Coordination/NodeEvents.h"
+#include "Coordination/PeerDirectory.h"
+#include "Coordination/RandomSource.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace teaselhold::coordination {
+
+/// The leaf's side: finds a relay, attaches to it, sends heartbeats and leaves
+/// it when it is silent.
+class Attachment
+{
+public:
+  Attachment(const NodeOptions& aOptions,
+             EndpointDistribution& aEndpoints,
+             RandomSource& aRandom);
+
+  /// Looks for a relay; the endpoint table is kept meanwhile.
+  void Join(state::Instant aNow);
+
+  /// This node became a relay.
+  void Stop();
+
+  void Tick(const Step& aStep);
+
+  void OnAttachAnswer(const wire::Envelope& aEnvelope, const Step& aStep);
+  void OnHeartbeatAnswer(const wire::Envelope& aEnvelope, const Step& aStep);
+
+  /// Learns of a relay.
+  void AddRelay(const wire::RelayAddress& aRelay);
+
+  /// This node's loop was late: its relay gets its full time again.
+  void OnLate(state::Instant aNow);
+
+  /// The reach changed; the relay must learn of it.
+  void OnReachChanged()
+  {
+    isReachDue_ = true;
+    isReachSent_ = false;
+  }
+
+  void SetRefusal(state::Generation aGeneration, const std::string& aReason);
+
+  /// No relay has room, or the relay asks for more relays.
+  bool WantsRelayRole() const { return wantsRelayRole_; }
+
+  const std::optional<Peer>& Relay() const { return relay_; }
+
+  /// Relays that this node heard of.
+  std::vector<wire::RelayAddress> KnownRelays() const;
+
+  /// Addresses to contact first: known relays and seeds.
+  std::vector<std::string> Contacts() const;
+
+private:
+  struct Candidate
+  {
+    wire::RelayAddress relay;
+    bool isSeed = false;
+    bool isTried = false;
+  };
+
+  void TryNext(const Step& aStep);
+  Candidate* Pick();
+  void EndRound(state::Instant aNow);
+  void SendAttach(const std::string& aAddress, const Step& aStep);
+  void SendHeartbeat(const Step& aStep);
+  void Accept(const wire::Envelope& aEnvelope, const Step& aStep);
+
+  const NodeOptions& options_;
+  EndpointDistribution& endpoints_;
+  RandomSource& random_;
+  /// By control address.
+  std::map<std::string, Candidate> candidates_;
+  bool isJoining_ = false;
+  bool wantsRelayRole_ = false;
+  std::string attemptAddress_;
+  state::Instant attemptDeadline_{ 0 };
+  state::Instant nextAttempt_{ 0 };
+  unsigned failedRounds_ = 0;
+  bool isBusySeen_ = false;
+  state::Duration backOff_{ 0 };
+
+  std::optional<Peer> relay_;
+  state::Instant lastAnswer_{ 0 };
+  state::Instant nextHeartbeat_{ 0 };
+  state::Instant nextPull_{ 0 };
+  std::uint64_t heartbeatNumber_ = 0;
+  std::uint64_t knownSequence_ = 0;
+  std::uint64_t sentSequence_ = 0;
+  std::uint64_t reachNumber_ = 0;
+  bool isReachDue_ = false;
+  bool isReachSent_ = false;
+  state::Generation refusedGeneration_ = 0;
+  std::string refusedReason_;
+  bool isRefusalDue_ = false;
+};
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/EndpointCodec.cpp
+++ b/Libraries/Coordination/EndpointCodec.cpp
@@ -21,6 +21,39 @@
   return endpoint;
 }
 
+wire::Endpoint
+ToCompactWire(const state::EndpointRecord& aRecord)
+{
+  wire::Endpoint endpoint;
+  endpoint.set_node(aRecord.node);
+  endpoint.set_incarnation(aRecord.incarnation);
+  endpoint.set_sequence(aRecord.sequence);
+  endpoint.set_state(static_cast<wire::EndpointState>(aRecord.state));
+  endpoint.set_relay(aRecord.relay);
+  endpoint.set_is_relay(aRecord.isRelay);
+  return endpoint;
+}
+
+bool
+IsCompact(const wire::Endpoint& aEndpoint)
+{
+  return aEndpoint.service().empty();
+}
+
+state::EndpointRecord
+FromCompactWire(const wire::Endpoint& aEndpoint,
+                const state::EndpointRecord& aKnown)
+{
+  auto record = FromWire(aEndpoint);
+  record.service = aKnown.service;
+  record.dataCentre = aKnown.dataCentre;
+  record.region = aKnown.region;
+  record.dataAddress = aKnown.dataAddress;
+  record.controlAddress = aKnown.controlAddress;
+  record.slots = aKnown.slots;
+  return record;
+}
+
 state::EndpointRecord
 FromWire(const wire::Endpoint& aEndpoint)
 {
--- /dev/null
+++ b/Libraries/Coordination/EndpointDistribution.cpp
@@ -0,0 +1,570 @@
+#include "Coordination/EndpointDistribution.h"
+
+#include "Coordination/EndpointCodec.h"
+#include "Coordination/TableComparison.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr std::size_t kFanOut = 4;
+/// One round of fan-out 4 misses about 2% of the relays; a second round leaves
+/// 0.03% to the comparison of tables.
+constexpr unsigned kUrgentRounds = 2;
+constexpr std::size_t kMaxRecordsPerDelta = 100;
+constexpr state::Duration kExchangeInterval = std::chrono::seconds(2);
+constexpr state::Duration kFirstExchangeInterval =
+  std::chrono::milliseconds(300);
+/// A new relay without any other relay relies on its own table after this.
+constexpr state::Duration kLoneRelayTime = std::chrono::seconds(2);
+constexpr unsigned kComparisonsToComplete = 3;
+constexpr state::Duration kScanInterval = std::chrono::seconds(1);
+/// A record younger than this may have overtaken the relay's data.
+constexpr state::Duration kOvertakeTime = std::chrono::seconds(5);
+/// Bytes for each second (design 5.9).
+constexpr double kRelayRepairRate = 64.0 * 1024;
+/// 24 returning leaves with about 50 KB in reach each are served in 5 s.
+constexpr double kLeafRepairRate = 256.0 * 1024;
+
+bool
+IsUrgent(const state::EndpointRecord& aRecord)
+{
+  return aRecord.state == state::EndpointState::Draining ||
+         LostRelayRule::IsDead(aRecord);
+}
+
+} // namespace
+
+EndpointDistribution::EndpointDistribution(const NodeIdentity& aIdentity,
+                                           std::uint64_t aSeed)
+  : random_(aSeed)
+  , relayRepair_(kRelayRepairRate, kRelayRepairRate)
+  , leafRepair_(kLeafRepairRate, kLeafRepairRate)
+{
+  self_.node = aIdentity.name;
+  self_.incarnation = aIdentity.incarnation;
+  self_.sequence = 1;
+  self_.service = aIdentity.service;
+  self_.dataCentre = aIdentity.dataCentre;
+  self_.region = aIdentity.region;
+  self_.dataAddress = aIdentity.dataAddress;
+  self_.controlAddress = aIdentity.controlAddress;
+  self_.slots = aIdentity.slots;
+  reach_.insert(self_.service);
+  table_.Merge(self_);
+}
+
+void
+EndpointDistribution::SetState(state::EndpointState aState, state::Instant aNow)
+{
+  if (self_.state != aState) {
+    self_.state = aState;
+    Announce(aNow);
+  }
+}
+
+void
+EndpointDistribution::SetRole(bool aIsRelay,
+                              const std::string& aRelay,
+                              state::Instant aNow)
+{
+  if (self_.isRelay == aIsRelay && self_.relay == aRelay) {
+    return;
+  }
+  if (self_.isRelay != aIsRelay) {
+    relaySince_ = aNow;
+    nextExchange_ = aNow;
+    comparisons_ = 0;
+    isComplete_ = false;
+    feed_.Clear();
+    pending_.clear();
+    lost_.clear();
+  }
+  self_.isRelay = aIsRelay;
+  self_.relay = aRelay;
+  Announce(aNow);
+  KeepReachOnly();
+}
+
+void
+EndpointDistribution::KeepReachOnly()
+{
+  if (self_.isRelay) {
+    return;
+  }
+  for (const auto* record : table_.All()) {
+    if (!reach_.contains(record->service)) {
+      changedAt_.erase(record->node);
+      table_.Erase(std::string(record->node));
+    }
+  }
+}
+
+void
+EndpointDistribution::Announce(state::Instant aNow)
+{
+  ++self_.sequence;
+  Take(self_, Source::Push, aNow);
+}
+
+void
+EndpointDistribution::TakeAnnouncement(const wire::Endpoint& aEndpoint,
+                                       state::Instant aNow)
+{
+  TakeWire(aEndpoint, Source::Push, aNow);
+}
+
+void
+EndpointDistribution::LearnIncarnation(std::uint64_t aIncarnation,
+                                       state::Instant aNow)
+{
+  if (aIncarnation >= self_.incarnation) {
+    self_.incarnation = aIncarnation + 1;
+    Announce(aNow);
+  }
+}
+
+void
+EndpointDistribution::MarkDown(const std::string& aNode, state::Instant aNow)
+{
+  if (const auto* record = table_.Find(aNode);
+      record != nullptr && !LostRelayRule::IsDead(*record)) {
+    auto down = *record;
+    down.state = state::EndpointState::Down;
+    Take(down, Source::Push, aNow);
+  }
+}
+
+void
+EndpointDistribution::OnOwnRecord(const state::EndpointRecord& aRecord,
+                                  state::Instant aNow)
+{
+  const auto theirs = std::tie(aRecord.incarnation, aRecord.sequence);
+  const auto own = std::tie(self_.incarnation, self_.sequence);
+  if (theirs > own) {
+    // Another process announced itself under this name.
+    LearnIncarnation(aRecord.incarnation, aNow);
+  } else if (theirs == own && aRecord.state == state::EndpointState::Down) {
+    Announce(aNow);
+  }
+}
+
+bool
+EndpointDistribution::Take(const state::EndpointRecord& aRecord,
+                           Source aSource,
+                           state::Instant aNow)
+{
+  const auto* known = table_.Find(aRecord.node);
+  if (known == nullptr && aSource == Source::Repair &&
+      LostRelayRule::IsDead(aRecord)) {
+    // Erased here already; taking it back would keep it for ever.
+    return false;
+  }
+  const bool isCompact =
+    known != nullptr && known->incarnation == aRecord.incarnation;
+  const bool isTopology = known == nullptr || aRecord.isRelay ||
+                          known->isRelay || known->relay != aRecord.relay;
+  if (!table_.Merge(aRecord)) {
+    return false;
+  }
+  changedAt_[aRecord.node] = aNow;
+  topologyVersion_ += isTopology ? 1 : 0;
+  reachableChanged_ = reachableChanged_ || reach_.contains(aRecord.service);
+  QueuePush(aRecord, isCompact, aSource);
+  return true;
+}
+
+bool
+EndpointDistribution::TakeWire(const wire::Endpoint& aEndpoint,
+                               Source aSource,
+                               state::Instant aNow)
+{
+  auto record = FromWire(aEndpoint);
+  if (record.node == self_.node) {
+    OnOwnRecord(record, aNow);
+    return false;
+  }
+  if (IsCompact(aEndpoint)) {
+    const auto* known = table_.Find(record.node);
+    if (known == nullptr || known->incarnation != record.incarnation) {
+      // The next comparison of digests brings the whole record.
+      return false;
+    }
+    record = FromCompactWire(aEndpoint, *known);
+  }
+  if (!self_.isRelay && !reach_.contains(record.service)) {
+    return false;
+  }
+  return Take(record, aSource, aNow);
+}
+
+void
+EndpointDistribution::QueuePush(const state::EndpointRecord& aRecord,
+                                bool aIsCompact,
+                                Source aSource)
+{
+  if (!self_.isRelay) {
+    return;
+  }
+  const bool isUrgent = IsUrgent(aRecord);
+  feed_.Offer(aRecord, aIsCompact, isUrgent);
+  if (aSource == Source::Repair) {
+    return;
+  }
+  const auto waiting = pending_.find(aRecord.node);
+  const bool isCompact =
+    aIsCompact && (waiting == pending_.end() || waiting->second.isCompact);
+  pending_[aRecord.node] = { isUrgent ? kUrgentRounds : 1,
+                             isUrgent,
+                             isCompact };
+}
+
+bool
+EndpointDistribution::SetReach(std::set<std::string> aServices)
+{
+  aServices.insert(self_.service);
+  if (aServices == reach_) {
+    return false;
+  }
+  reach_ = std::move(aServices);
+  reachableChanged_ = true;
+  KeepReachOnly();
+  return true;
+}
+
+void
+EndpointDistribution::OnMessage(const wire::Envelope& aEnvelope,
+                                const Step& aStep)
+{
+  if (aEnvelope.has_endpoint_delta()) {
+    OnDelta(aEnvelope, aStep);
+  } else if (aEnvelope.has_endpoint_pull()) {
+    OnPull(aEnvelope, aStep);
+  } else if (aEnvelope.has_endpoint_data()) {
+    OnData(aEnvelope, aStep);
+  } else if (aEnvelope.has_relay_exchange()) {
+    OnExchange(aEnvelope, aStep);
+  }
+}
+
+void
+EndpointDistribution::OnDelta(const wire::Envelope& aEnvelope,
+                              const Step& aStep)
+{
+  const auto& delta = aEnvelope.endpoint_delta();
+  const auto ownSequence = self_.sequence;
+  for (const auto& endpoint : delta.endpoints()) {
+    TakeWire(endpoint, Source::Push, aStep.now);
+  }
+  if (!self_.isRelay && delta.has_lost() &&
+      aEnvelope.from_node() == self_.relay) {
+    SetLost({ delta.lost().nodes().begin(), delta.lost().nodes().end() });
+  }
+  if (self_.isRelay && self_.sequence != ownSequence) {
+    // Refutes at the source: the sender may be the only link to a region that
+    // holds this relay for down.
+    *AddMessage(aStep.commands, aEnvelope.from_address())
+       .mutable_endpoint_delta()
+       ->add_endpoints() = ToWire(self_);
+  }
+}
+
+void
+EndpointDistribution::Pull(const std::string& aAddress,
+                           Commands& aCommands) const
+{
+  auto& pull = *AddMessage(aCommands, aAddress).mutable_endpoint_pull();
+  for (const auto& service : reach_) {
+    auto& known = *pull.add_known();
+    known.set_service(service);
+    known.set_digest(table_.Digest(service));
+  }
+}
+
+void
+EndpointDistribution::Compare(const std::string& aAddress,
+                              const Step& aStep) const
+{
+  auto& exchange =
+    *AddMessage(aStep.commands, aAddress).mutable_relay_exchange();
+  *exchange.mutable_head() = aStep.head;
+  exchange.set_table_digest(table_.TableDigest());
+}
+
+void
+EndpointDistribution::OnPull(const wire::Envelope& aEnvelope, const Step& aStep)
+{
+  const bool isFromLeaf = feed_.Contains(aEnvelope.from_node());
+  if (!self_.isRelay ||
+      (isFromLeaf && aEnvelope.endpoint_pull().buckets_size() > 0)) {
+    return;
+  }
+  auto& budget = isFromLeaf ? leafRepair_ : relayRepair_;
+  wire::EndpointData data;
+  if (isFromLeaf) {
+    FillLostRelays(lost_, *data.mutable_lost());
+  }
+  for (const auto& service :
+       DifferingServices(table_, aEnvelope.endpoint_pull())) {
+    wire::EndpointData part;
+    AddServiceData(table_, service, part);
+    if (!budget.Take(static_cast<double>(part.ByteSizeLong()), aStep.now)) {
+      // The rest follows at the next comparison.
+      break;
+    }
+    data.MergeFrom(part);
+  }
+  *AddMessage(aStep.commands, aEnvelope.from_address())
+     .mutable_endpoint_data() = std::move(data);
+}
+
+void
+EndpointDistribution::OnData(const wire::Envelope& aEnvelope, const Step& aStep)
+{
+  const auto& data = aEnvelope.endpoint_data();
+  if (!self_.isRelay && aEnvelope.from_node() != self_.relay) {
+    return;
+  }
+  for (const auto& endpoint : data.endpoints()) {
+    TakeWire(endpoint, Source::Repair, aStep.now);
+  }
+  if (self_.isRelay) {
+    CountComparison(aStep);
+    ReturnNewer(aEnvelope, aStep.commands);
+    return;
+  }
+  EraseAbsent(data, aStep.now);
+  if (data.has_lost()) {
+    SetLost({ data.lost().nodes().begin(), data.lost().nodes().end() });
+  }
+}
+
+void
+EndpointDistribution::ReturnNewer(const wire::Envelope& aEnvelope,
+                                  Commands& aCommands) const
+{
+  const auto& data = aEnvelope.endpoint_data();
+  std::set<std::string> same;
+  for (const auto& endpoint : data.endpoints()) {
+    const auto* record = table_.Find(endpoint.node());
+    if (record != nullptr && *record == FromWire(endpoint)) {
+      same.insert(endpoint.node());
+    }
+  }
+  wire::EndpointDelta newer;
+  for (const auto& digest : data.digests()) {
+    if (table_.Digest(digest.service()) == digest.digest()) {
+      continue;
+    }
+    for (const auto* record : table_.OfService(digest.service())) {
+      if (!same.contains(record->node)) {
+        *newer.add_endpoints() = ToWire(*record);
+      }
+    }
+  }
+  if (newer.endpoints_size() > 0) {
+    *AddMessage(aCommands, aEnvelope.from_address()).mutable_endpoint_delta() =
+      std::move(newer);
+  }
+}
+
+void
+EndpointDistribution::EraseAbsent(const wire::EndpointData& aData,
+                                  state::Instant aNow)
+{
+  std::set<std::string> present;
+  for (const auto& endpoint : aData.endpoints()) {
+    present.insert(endpoint.node());
+  }
+  for (const auto& digest : aData.digests()) {
+    for (const auto* record : table_.OfService(digest.service())) {
+      const auto node = record->node;
+      if (node == self_.node || present.contains(node) ||
+          aNow - changedAt_[node] < kOvertakeTime) {
+        continue;
+      }
+      table_.Erase(node);
+      changedAt_.erase(node);
+      reachableChanged_ = true;
+    }
+  }
+}
+
+void
+EndpointDistribution::OnExchange(const wire::Envelope& aEnvelope,
+                                 const Step& aStep)
+{
+  const auto& exchange = aEnvelope.relay_exchange();
+  if (!self_.isRelay) {
+    return;
+  }
+  const bool isEqual = exchange.table_digest() == table_.TableDigest();
+  if (!exchange.is_answer()) {
+    auto& answer = *AddMessage(aStep.commands, aEnvelope.from_address())
+                      .mutable_relay_exchange();
+    *answer.mutable_head() = aStep.head;
+    answer.set_is_answer(true);
+    answer.set_table_digest(table_.TableDigest());
+    if (!isEqual) {
+      for (const auto digest : BucketDigests(table_)) {
+        answer.add_buckets(digest);
+      }
+    }
+    return;
+  }
+  if (isEqual) {
+    comparisons_ = kComparisonsToComplete;
+    CountComparison(aStep);
+  } else if (exchange.buckets_size() == static_cast<int>(kTableBuckets)) {
+    *AddMessage(aStep.commands, aEnvelope.from_address())
+       .mutable_endpoint_pull() = MakeBucketPull(table_, exchange);
+  }
+}
+
+void
+EndpointDistribution::CountComparison(const Step& aStep)
+{
+  ++comparisons_;
+  if (!isComplete_ && comparisons_ >= kComparisonsToComplete) {
+    isComplete_ = true;
+    AddLog(aStep.commands,
+           LogLevel::Info,
+           "endpoints",
+           "Table complete. records=" + std::to_string(table_.Size()));
+  }
+}
+
+void
+EndpointDistribution::Tick(const PeerDirectory& aPeers, const Step& aStep)
+{
+  if (aStep.now >= nextScan_) {
+    nextScan_ = aStep.now + kScanInterval;
+    ScanTable(aStep.now);
+  }
+  if (!self_.isRelay) {
+    return;
+  }
+  if (aStep.now >= nextExchange_ && !aPeers.relays.empty()) {
+    const auto interval =
+      isComplete_ ? kExchangeInterval : kFirstExchangeInterval;
+    nextExchange_ = aStep.now + random_.Between(interval * 3 / 4, interval);
+    Compare(aPeers.relays[random_.Below(aPeers.relays.size())].controlAddress,
+            aStep);
+  }
+  if (!isComplete_ && aPeers.relays.empty() &&
+      aStep.now - relaySince_ >= kLoneRelayTime) {
+    isComplete_ = true;
+  }
+  FlushRelays(aPeers, false, aStep.commands);
+  feed_.Flush(false, table_, lost_, aStep.commands);
+}
+
+void
+EndpointDistribution::FlushUrgent(const PeerDirectory& aPeers,
+                                  Commands& aCommands)
+{
+  FlushRelays(aPeers, true, aCommands);
+  feed_.Flush(true, table_, lost_, aCommands);
+}
+
+void
+EndpointDistribution::FlushRelays(const PeerDirectory& aPeers,
+                                  bool aOnlyUrgent,
+                                  Commands& aCommands)
+{
+  std::vector<wire::EndpointDelta> deltas;
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    auto& [node, push] = *entry;
+    if (aOnlyUrgent && (!push.isUrgent || push.rounds < kUrgentRounds)) {
+      ++entry;
+      continue;
+    }
+    if (const auto* record = table_.Find(node)) {
+      if (deltas.empty() || deltas.back().endpoints_size() >=
+                              static_cast<int>(kMaxRecordsPerDelta)) {
+        deltas.emplace_back();
+      }
+      *deltas.back().add_endpoints() =
+        push.isCompact ? ToCompactWire(*record) : ToWire(*record);
+    }
+    entry = --push.rounds == 0 ? pending_.erase(entry) : std::next(entry);
+  }
+  if (deltas.empty()) {
+    return;
+  }
+  for (const auto& relay : random_.Sample(aPeers.relays, kFanOut)) {
+    for (const auto& delta : deltas) {
+      *AddMessage(aCommands, relay.controlAddress).mutable_endpoint_delta() =
+        delta;
+    }
+  }
+}
+
+void
+EndpointDistribution::ScanTable(state::Instant aNow)
+{
+  if (self_.isRelay) {
+    const auto findings = lostRule_.Scan(
+      table_,
+      self_.node,
+      [this](const std::string& aNode) { return feed_.Contains(aNode); },
+      aNow);
+    SetLost(findings.lost);
+    for (const auto* nodes : { &findings.expired, &findings.orphans }) {
+      for (const auto& node : *nodes) {
+        MarkDown(node, aNow);
+      }
+    }
+  }
+  for (const auto* record : table_.All()) {
+    if (record->node != self_.node && LostRelayRule::IsDead(*record) &&
+        aNow - changedAt_[record->node] >= LostRelayRule::kRetention) {
+      changedAt_.erase(record->node);
+      table_.Erase(std::string(record->node));
+      reachableChanged_ = true;
+    }
+  }
+}
+
+void
+EndpointDistribution::SetLost(std::set<std::string> aLost)
+{
+  if (aLost != lost_) {
+    lost_ = std::move(aLost);
+    reachableChanged_ = true;
+    feed_.OfferLost();
+  }
+}
+
+bool
+EndpointDistribution::TakeReachableChanged()
+{
+  return std::exchange(reachableChanged_, false);
+}
+
+std::shared_ptr<const state::EndpointTable>
+EndpointDistribution::Reachable() const
+{
+  auto reachable = std::make_shared<state::EndpointTable>();
+  for (const auto& service : reach_) {
+    for (const auto* record : table_.OfService(service)) {
+      auto effective = *record;
+      effective.state = EffectiveState(*record);
+      reachable->Merge(effective);
+    }
+  }
+  return reachable;
+}
+
+state::EndpointState
+EndpointDistribution::EffectiveState(const state::EndpointRecord& aRecord) const
+{
+  const bool isLost = !aRecord.isRelay && lost_.contains(aRecord.relay) &&
+                      !LostRelayRule::IsDead(aRecord) &&
+                      aRecord.node != self_.node;
+  return isLost ? state::EndpointState::Down : aRecord.state;
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/LeafFeed.cpp
@@ -0,0 +1,103 @@
+#include "Coordination/LeafFeed.h"
+
+#include "Coordination/ControlMessages.h"
+#include "Coordination/EndpointCodec.h"
+
+namespace teaselhold::coordination {
+
+std::uint64_t
+ReachDigestOf(const state::EndpointTable& aTable,
+              const std::set<std::string>& aReach,
+              const std::set<std::string>& aLost)
+{
+  std::uint64_t digest = 0;
+  for (const auto& service : aReach) {
+    digest ^= aTable.Digest(service);
+  }
+  for (const auto& relay : aLost) {
+    digest ^= state::DigestOfText(relay);
+  }
+  return digest;
+}
+
+void
+FillLostRelays(const std::set<std::string>& aLost, wire::LostRelays& aList)
+{
+  for (const auto& relay : aLost) {
+    aList.add_nodes(relay);
+  }
+}
+
+void
+LeafFeed::Set(const Peer& aLeaf, std::set<std::string> aReach)
+{
+  auto& leaf = leaves_[aLeaf.node];
+  leaf.address = aLeaf.controlAddress;
+  leaf.reach = std::move(aReach);
+}
+
+void
+LeafFeed::Offer(const state::EndpointRecord& aRecord,
+                bool aIsCompact,
+                bool aIsUrgent)
+{
+  for (auto& [node, leaf] : leaves_) {
+    // A leaf learns of its own record only if others say that it is down.
+    const bool isOwn =
+      node == aRecord.node && aRecord.state != state::EndpointState::Down;
+    if (isOwn || !leaf.reach.contains(aRecord.service)) {
+      continue;
+    }
+    const auto entry = leaf.pending.try_emplace(aRecord.node, aIsCompact).first;
+    entry->second = entry->second && aIsCompact;
+    leaf.isUrgent = leaf.isUrgent || aIsUrgent;
+  }
+}
+
+void
+LeafFeed::OfferLost()
+{
+  for (auto& [node, leaf] : leaves_) {
+    leaf.isLostListDue = true;
+  }
+}
+
+std::uint64_t
+LeafFeed::Digest(const std::string& aNode,
+                 const state::EndpointTable& aTable,
+                 const std::set<std::string>& aLost) const
+{
+  const auto leaf = leaves_.find(aNode);
+  return leaf == leaves_.end()
+           ? 0
+           : ReachDigestOf(aTable, leaf->second.reach, aLost);
+}
+
+void
+LeafFeed::Flush(bool aOnlyUrgent,
+                const state::EndpointTable& aTable,
+                const std::set<std::string>& aLost,
+                Commands& aCommands)
+{
+  for (auto& [node, leaf] : leaves_) {
+    const bool isEmpty = leaf.pending.empty() && !leaf.isLostListDue;
+    if (isEmpty || (aOnlyUrgent && !leaf.isUrgent)) {
+      continue;
+    }
+    auto& delta = *AddMessage(aCommands, leaf.address).mutable_endpoint_delta();
+    for (const auto& [changed, isCompact] : leaf.pending) {
+      if (const auto* record = aTable.Find(changed)) {
+        *delta.add_endpoints() =
+          isCompact ? ToCompactWire(*record) : ToWire(*record);
+      }
+    }
+    if (leaf.isLostListDue) {
+      FillLostRelays(aLost, *delta.mutable_lost());
+    }
+    leaf.pending.clear();
+    leaf.isUrgent = false;
+    leaf.isLostListDue = false;
+  }
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/LeafFeed.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Coordination/NodeEvents.h"
+#include "Coordination/PeerDirectory.h"
+#include "State/EndpointTable.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace teaselhold::coordination {
+
+/// Sends each leaf of a relay the changes of the services in its reach, once.
+class LeafFeed
+{
+public:
+  /// Adds a leaf or replaces its reach.
+  void Set(const Peer& aLeaf, std::set<std::string> aReach);
+  void Remove(const std::string& aNode) { leaves_.erase(aNode); }
+  void Clear() { leaves_.clear(); }
+  bool Contains(const std::string& aNode) const
+  {
+    return leaves_.contains(aNode);
+  }
+
+  /// Queues a changed record for the leaves that can reach it.
+  /// @param aIsCompact the leaves know this incarnation.
+  void Offer(const state::EndpointRecord& aRecord,
+             bool aIsCompact,
+             bool aIsUrgent);
+
+  /// Queues the list of lost relays for all leaves.
+  void OfferLost();
+
+  /// The digest that a leaf with an up-to-date copy has; 0 if it is unknown.
+  std::uint64_t Digest(const std::string& aNode,
+                       const state::EndpointTable& aTable,
+                       const std::set<std::string>& aLost) const;
+
+  void Flush(bool aOnlyUrgent,
+             const state::EndpointTable& aTable,
+             const std::set<std::string>& aLost,
+             Commands& aCommands);
+
+private:
+  struct Leaf
+  {
+    std::string address;
+    std::set<std::string> reach;
+    /// Records to send, and whether the short form will do.
+    std::map<std::string, bool> pending;
+    bool isUrgent = false;
+    bool isLostListDue = false;
+  };
+
+  std::map<std::string, Leaf> leaves_;
+};
+
+/// The digest of a copy of the services in reach, lost relays included.
+std::uint64_t
+ReachDigestOf(const state::EndpointTable& aTable,
+              const std::set<std::string>& aReach,
+              const std::set<std::string>& aLost);
+
+void
+FillLostRelays(const std::set<std::string>& aLost, wire::LostRelays& aList);
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/LostRelayRule.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "State/EndpointTable.h"
+#include "State/Instant.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace teaselhold::coordination {
+
+/// Decides from the table alone which relays are lost, so that every relay
+/// treats the leaves of a dead relay as down without a message for each.
+///
+/// The records themselves stay as announced: when a region returns after a
+/// partition, they count again as soon as their relay does, and the nodes need
+/// not refute anything.
+class LostRelayRule
+{
+public:
+  /// What a scan of the table found.
+  struct Findings
+  {
+    /// Relays that leaves still name although they have been down, gone or
+    /// without the role for 8 s.
+    std::set<std::string> lost;
+    /// Nodes whose relay was lost for so long that they are marked down.
+    std::vector<std::string> expired;
+    /// Nodes that name this relay but have not attached to it for 8 s.
+    std::vector<std::string> orphans;
+  };
+
+  /// @param aLeaves tells if a node is attached to this relay.
+  template<typename IsLeaf>
+  Findings Scan(const state::EndpointTable& aTable,
+                const std::string& aSelf,
+                const IsLeaf& aIsLeaf,
+                state::Instant aNow)
+  {
+    Findings findings;
+    std::map<std::string, state::Instant> badSince;
+    for (const auto* record : aTable.All()) {
+      if (record->isRelay || record->relay.empty() || IsDead(*record)) {
+        continue;
+      }
+      if (record->relay == aSelf) {
+        if (!aIsLeaf(record->node) &&
+            aNow - Since("orphan " + record->node, aNow, badSince) >=
+              kTakeOverTime) {
+          findings.orphans.push_back(record->node);
+        }
+        continue;
+      }
+      const auto* relay = aTable.Find(record->relay);
+      if (relay != nullptr && relay->isRelay && !IsDead(*relay)) {
+        continue;
+      }
+      const auto duration = aNow - Since(record->relay, aNow, badSince);
+      if (duration >= kTakeOverTime) {
+        findings.lost.insert(record->relay);
+      }
+      if (duration >= kRetention) {
+        findings.expired.push_back(record->node);
+      }
+    }
+    badSince_ = std::move(badSince);
+    return findings;
+  }
+
+  /// How long records of lost nodes are kept (design 5.9).
+  static constexpr state::Duration kRetention = std::chrono::hours(2);
+
+  static bool IsDead(const state::EndpointRecord& aRecord)
+  {
+    return aRecord.state == state::EndpointState::Gone ||
+           aRecord.state == state::EndpointState::Down;
+  }
+
+private:
+  /// Leaves find a new relay within this time (design 5.8).
+  static constexpr state::Duration kTakeOverTime = std::chrono::seconds(8);
+
+  state::Instant Since(const std::string& aName,
+                       state::Instant aNow,
+                       std::map<std::string, state::Instant>& aNext) const
+  {
+    const auto known = badSince_.find(aName);
+    const auto since = known == badSince_.end() ? aNow : known->second;
+    return aNext.try_emplace(aName, since).first->second;
+  }
+
+  std::map<std::string, state::Instant> badSince_;
+};
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/Membership.cpp
@@ -0,0 +1,483 @@
+#include "Coordination/Membership.h"
+
+#include "Coordination/EndpointCodec.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr std::size_t kMaxRelaysInList = 8;
+constexpr state::Duration kRelayProbeInterval = std::chrono::seconds(1);
+constexpr state::Duration kLostProbeInterval = std::chrono::seconds(5);
+/// Relays that do not know each other meet through the seeds.
+constexpr state::Duration kIntroductionInterval = std::chrono::seconds(10);
+constexpr state::Duration kRoleCheckInterval = std::chrono::seconds(5);
+/// Prevents the role from moving back and forth.
+constexpr state::Duration kMinRelayTime = std::chrono::seconds(30);
+constexpr std::size_t kFewLeaves = 6;
+constexpr std::size_t kSpareLeaves = 12;
+constexpr unsigned kRelayProbeCycles = 2;
+constexpr unsigned kLeafProbeCycles = 1;
+constexpr state::Duration kTellInterval = std::chrono::seconds(1);
+
+Peer
+ToPeer(const state::EndpointRecord& aRecord)
+{
+  return { aRecord.node,
+           aRecord.incarnation,
+           aRecord.controlAddress,
+           aRecord.dataCentre,
+           aRecord.region };
+}
+
+} // namespace
+
+Membership::Membership(const NodeOptions& aOptions,
+                       EndpointDistribution& aEndpoints)
+  : options_(aOptions)
+  , endpoints_(aEndpoints)
+  , random_(aOptions.randomSeed)
+  , attachment_(aOptions, aEndpoints, random_)
+  , leaves_(aEndpoints)
+{
+}
+
+void
+Membership::Start(const Step& aStep)
+{
+  attachment_.Join(aStep.now);
+  attachment_.Tick(aStep);
+}
+
+void
+Membership::Tick(const Step& aStep)
+{
+  attachment_.Tick(aStep);
+  if (!IsRelay() && attachment_.WantsRelayRole() &&
+      !LostRelayRule::IsDead(endpoints_.Self())) {
+    TakeRole(aStep);
+  }
+  UpdatePeers(true);
+  if (IsRelay()) {
+    leaves_.DropMoved();
+    ProbeRelays(aStep);
+    ProbeLeaves(aStep);
+    ConsiderRoles(aStep);
+  }
+  MarkSilent(aStep);
+  UpdatePeers(false);
+}
+
+void
+Membership::TakeRole(const Step& aStep)
+{
+  const auto contacts = attachment_.Contacts();
+  attachment_.Stop();
+  endpoints_.SetRole(true, "", aStep.now);
+  relaySince_ = aStep.now;
+  nextIntroduction_ = aStep.now + kIntroductionInterval;
+  nextRoleCheck_ = aStep.now + kRoleCheckInterval;
+  AddLog(aStep.commands, LogLevel::Info, "membership", "Relay role taken.");
+  for (const auto& address : contacts) {
+    Introduce(address, aStep);
+  }
+}
+
+void
+Membership::GiveUpRole(const Step& aStep)
+{
+  const auto place = MakePlace(options_.identity.dataCentre);
+  for (const auto& relay : place.relays) {
+    attachment_.AddRelay(relay);
+  }
+  leaves_.HandOver(place.relays, aStep.commands);
+  prober_.Clear();
+  promoted_.clear();
+  // The new record spreads only once another relay accepts this node, so that
+  // nobody takes its upstream for lost in between.
+  endpoints_.SetRole(false, "", aStep.now);
+  AddLog(aStep.commands, LogLevel::Info, "membership", "Relay role given up.");
+  attachment_.Join(aStep.now);
+}
+
+void
+Membership::Introduce(const std::string& aAddress, const Step& aStep) const
+{
+  *AddMessage(aStep.commands, aAddress)
+     .mutable_endpoint_delta()
+     ->add_endpoints() = ToWire(endpoints_.Self());
+  endpoints_.Compare(aAddress, aStep);
+}
+
+LeafRegistry::Place
+Membership::MakePlace(const std::string& aDataCentre)
+{
+  LeafRegistry::Place place;
+  std::vector<const Peer*> near;
+  std::vector<const Peer*> far;
+  for (const auto& relay : peers_.relays) {
+    (relay.dataCentre == aDataCentre ? near : far).push_back(&relay);
+  }
+  place.relaysHere =
+    1 + static_cast<std::size_t>(
+          std::ranges::count_if(peers_.relays, [this](const Peer& aRelay) {
+            return aRelay.dataCentre == options_.identity.dataCentre;
+          }));
+  const auto hasRoom = [this](const Peer* aRelay) {
+    return leafCounts_[aRelay->node] < LeafRegistry::kMaxLeaves;
+  };
+  std::vector<const Peer*> open;
+  std::ranges::copy_if(near, std::back_inserter(open), hasRoom);
+  const auto& pool = !open.empty() ? open : !near.empty() ? near : far;
+  for (const auto* relay : random_.Sample(pool, kMaxRelaysInList)) {
+    wire::RelayAddress address;
+    address.set_node(relay->node);
+    address.set_control_address(relay->controlAddress);
+    address.set_data_centre(relay->dataCentre);
+    address.set_leaves(static_cast<std::uint32_t>(leafCounts_[relay->node]));
+    place.relays.push_back(std::move(address));
+  }
+  return place;
+}
+
+void
+Membership::OnMessage(const wire::Envelope& aEnvelope, const Step& aStep)
+{
+  switch (aEnvelope.body_case()) {
+    case wire::Envelope::kAttach: {
+      auto place = MakePlace(aEnvelope.attach().endpoint().data_centre());
+      if (!IsRelay()) {
+        place.relays = attachment_.KnownRelays();
+        place.relays.resize(std::min(place.relays.size(), kMaxRelaysInList));
+      }
+      leaves_.OnAttach(aEnvelope, place, aStep);
+      break;
+    }
+    case wire::Envelope::kAttachAnswer:
+      attachment_.OnAttachAnswer(aEnvelope, aStep);
+      break;
+    case wire::Envelope::kHeartbeat:
+      leaves_.OnHeartbeat(
+        aEnvelope, MakePlace(options_.identity.dataCentre), promoted_, aStep);
+      break;
+    case wire::Envelope::kHeartbeatAnswer:
+      attachment_.OnHeartbeatAnswer(aEnvelope, aStep);
+      break;
+    case wire::Envelope::kProbe:
+      prober_.OnProbe(aEnvelope, endpoints_.Self(), aStep);
+      break;
+    case wire::Envelope::kProbeRequest:
+      prober_.OnProbeRequest(aEnvelope, aStep);
+      break;
+    case wire::Envelope::kProbeAnswer:
+      prober_.OnProbeAnswer(aEnvelope, aStep);
+      break;
+    case wire::Envelope::kRelayExchange:
+      OnRelayList(aEnvelope, aStep);
+      break;
+    case wire::Envelope::kEndpointDelta:
+      OnNewRelay(aEnvelope);
+      break;
+    default:
+      break;
+  }
+  UpdatePeers(false);
+}
+
+void
+Membership::OnRelayList(const wire::Envelope& aEnvelope, const Step& aStep)
+{
+  const auto& exchange = aEnvelope.relay_exchange();
+  if (!IsRelay() && !exchange.is_answer()) {
+    auto& answer = *AddMessage(aStep.commands, aEnvelope.from_address())
+                      .mutable_relay_exchange();
+    answer.set_is_answer(true);
+    *answer.mutable_head() = aStep.head;
+    auto relays = attachment_.KnownRelays();
+    relays.resize(std::min(relays.size(), kMaxRelaysInList));
+    for (auto& relay : relays) {
+      *answer.add_relays() = std::move(relay);
+    }
+    return;
+  }
+  for (const auto& relay : exchange.relays()) {
+    const auto* known = endpoints_.Table().Find(relay.node());
+    if (IsRelay() && relay.node() != options_.identity.name &&
+        (known == nullptr || !known->isRelay)) {
+      Introduce(relay.control_address(), aStep);
+    }
+  }
+}
+
+void
+Membership::OnNewRelay(const wire::Envelope& aEnvelope)
+{
+  for (const auto& endpoint : aEnvelope.endpoint_delta().endpoints()) {
+    if (!IsRelay() && endpoint.is_relay() && !IsCompact(endpoint) &&
+        endpoint.node() == aEnvelope.from_node()) {
+      wire::RelayAddress relay;
+      relay.set_node(endpoint.node());
+      relay.set_control_address(endpoint.control_address());
+      relay.set_data_centre(endpoint.data_centre());
+      attachment_.AddRelay(relay);
+    }
+  }
+}
+
+void
+Membership::OnHeard(const wire::Envelope& aEnvelope, const Step& aStep)
+{
+  prober_.Heard(aEnvelope.from_node(), aEnvelope.from_incarnation());
+  if (IsRelay()) {
+    TellIfHeldForDown(aEnvelope, aStep);
+  }
+}
+
+void
+Membership::TellIfHeldForDown(const wire::Envelope& aEnvelope,
+                              const Step& aStep)
+{
+  const auto* record = endpoints_.Table().Find(aEnvelope.from_node());
+  if (record == nullptr || record->state != state::EndpointState::Down ||
+      record->incarnation != aEnvelope.from_incarnation()) {
+    return;
+  }
+  auto& told = toldAt_[record->node];
+  if (told != state::Instant(0) && aStep.now - told < kTellInterval) {
+    return;
+  }
+  told = aStep.now;
+  *AddMessage(aStep.commands, aEnvelope.from_address())
+     .mutable_endpoint_delta()
+     ->add_endpoints() = ToWire(*record);
+}
+
+void
+Membership::OnLate(const Step& aStep)
+{
+  check_.OnLate(aStep.now);
+  prober_.Clear();
+  leaves_.OnLate(aStep.now);
+  attachment_.OnLate(aStep.now);
+}
+
+void
+Membership::OnLeaving(const Step& aStep)
+{
+  if (IsRelay()) {
+    leaves_.HandOver(MakePlace(options_.identity.dataCentre).relays,
+                     aStep.commands);
+  }
+}
+
+void
+Membership::ProbeRelays(const Step& aStep)
+{
+  if (aStep.now >= nextRelayProbe_) {
+    nextRelayProbe_ = aStep.now + kRelayProbeInterval;
+    if (probeOrder_.empty()) {
+      for (const auto& relay : peers_.relays) {
+        probeOrder_.push_back(relay.node);
+      }
+      probeOrder_ = random_.Sample(std::move(probeOrder_), probeOrder_.size());
+    }
+    while (!probeOrder_.empty()) {
+      const auto* record = endpoints_.Table().Find(probeOrder_.back());
+      probeOrder_.pop_back();
+      if (record != nullptr && record->isRelay &&
+          !LostRelayRule::IsDead(*record)) {
+        prober_.Start(ToPeer(*record), kRelayProbeCycles, aStep);
+        break;
+      }
+    }
+  }
+  if (aStep.now >= nextLostProbe_) {
+    nextLostProbe_ = aStep.now + kLostProbeInterval;
+    std::vector<std::string> lost;
+    for (const auto* record : endpoints_.Table().All()) {
+      if (record->isRelay && record->state == state::EndpointState::Down) {
+        lost.push_back(record->controlAddress);
+      }
+    }
+    if (!lost.empty()) {
+      endpoints_.Compare(lost[random_.Below(lost.size())], aStep);
+    }
+  }
+  if (aStep.now >= nextIntroduction_ && !options_.seeds.empty()) {
+    nextIntroduction_ = aStep.now + kIntroductionInterval;
+    const auto& seed = options_.seeds[random_.Below(options_.seeds.size())];
+    const bool isKnown =
+      std::ranges::any_of(peers_.relays, [&](const Peer& aRelay) {
+        return aRelay.controlAddress == seed;
+      });
+    if (!isKnown && seed != options_.identity.controlAddress) {
+      Introduce(seed, aStep);
+    }
+  }
+}
+
+void
+Membership::ProbeLeaves(const Step& aStep)
+{
+  std::set<std::string> probed;
+  for (const auto& leaf : leaves_.Silent(aStep.now)) {
+    if (probedLeaves_.contains(leaf.node) && !prober_.IsWatching(leaf.node)) {
+      // It answered the probe but sends no heartbeats here.
+      leaves_.AskToAttach(leaf, aStep.commands);
+      leaves_.Heard(leaf.node, leaf.incarnation, aStep.now);
+      continue;
+    }
+    prober_.Start(leaf, kLeafProbeCycles, aStep);
+    probed.insert(leaf.node);
+  }
+  probedLeaves_ = std::move(probed);
+}
+
+void
+Membership::MarkSilent(const Step& aStep)
+{
+  auto helpers = peers_.relays;
+  if (helpers.empty()) {
+    helpers = peers_.leaves;
+  }
+  for (const auto& silent : prober_.Tick(helpers, random_, aStep)) {
+    const auto& node = silent.node.node;
+    const bool isLeaf = leaves_.Leaves().contains(node);
+    const auto population =
+      isLeaf ? leaves_.Leaves().size() : peers_.relays.size();
+    if (!check_.MayMark(silent.isConfirmed, population, aStep.now)) {
+      continue;
+    }
+    check_.Marked(aStep.now);
+    prober_.Stop(node);
+    const auto* record = endpoints_.Table().Find(node);
+    if (record != nullptr && record->incarnation == silent.node.incarnation) {
+      AddLog(aStep.commands,
+             LogLevel::Warning,
+             "membership",
+             "Marked down. node=" + node);
+      endpoints_.MarkDown(node, aStep.now);
+    }
+    if (isLeaf) {
+      leaves_.Remove(node);
+    }
+  }
+}
+
+void
+Membership::ConsiderRoles(const Step& aStep)
+{
+  if (aStep.now < nextRoleCheck_) {
+    return;
+  }
+  nextRoleCheck_ =
+    aStep.now + random_.Between(kRoleCheckInterval, kRoleCheckInterval * 2);
+  promoted_.clear();
+  if (MakePlace(options_.identity.dataCentre).relaysHere <
+        LeafRegistry::kMinRelays &&
+      !leaves_.Leaves().empty()) {
+    promoted_ = leaves_.Leaves().begin()->first;
+  } else if (MayGiveUp(aStep.now)) {
+    GiveUpRole(aStep);
+  }
+}
+
+bool
+Membership::MayGiveUp(state::Instant aNow) const
+{
+  const auto& self = endpoints_.Self();
+  const auto own = leaves_.Leaves().size();
+  if (aNow - relaySince_ < kMinRelayTime || own >= kFewLeaves ||
+      LostRelayRule::IsDead(self)) {
+    return false;
+  }
+  std::size_t relays = 0;
+  std::size_t spare = 0;
+  for (const auto& relay : peers_.relays) {
+    if (relay.dataCentre != self.dataCentre) {
+      continue;
+    }
+    const auto count = leafCounts_.find(relay.node);
+    const auto leaves = count == leafCounts_.end() ? 0 : count->second;
+    ++relays;
+    spare +=
+      LeafRegistry::kMaxLeaves - std::min(LeafRegistry::kMaxLeaves, leaves);
+    // Only the last of the small relays by name gives up at a time.
+    if (leaves < kFewLeaves && relay.node > self.node) {
+      return false;
+    }
+  }
+  return relays >= LeafRegistry::kMinRelays && spare >= own + 1 + kSpareLeaves;
+}
+
+void
+Membership::UpdatePeers(bool aIsTick)
+{
+  const bool isNewRole = peers_.isRelay != IsRelay();
+  peers_.isRelay = IsRelay();
+  peers_.relay = attachment_.Relay();
+  if (!IsRelay()) {
+    peers_.leaves.clear();
+    peers_.relays.clear();
+    for (const auto& relay : attachment_.KnownRelays()) {
+      peers_.relays.push_back(
+        { relay.node(), 0, relay.control_address(), relay.data_centre(), "" });
+    }
+    seenTopology_ = 0;
+    return;
+  }
+  if (seenLeaves_ != leaves_.Version()) {
+    seenLeaves_ = leaves_.Version();
+    peers_.leaves.clear();
+    for (const auto& [node, leaf] : leaves_.Leaves()) {
+      peers_.leaves.push_back(leaf.peer);
+    }
+  }
+  // Reads the whole table, so at most once for each tick.
+  if (seenTopology_ == endpoints_.TopologyVersion() ||
+      (!aIsTick && !isNewRole)) {
+    return;
+  }
+  seenTopology_ = endpoints_.TopologyVersion();
+  peers_.relays.clear();
+  leafCounts_.clear();
+  for (const auto* record : endpoints_.Table().All()) {
+    if (LostRelayRule::IsDead(*record)) {
+      continue;
+    }
+    if (!record->isRelay) {
+      ++leafCounts_[record->relay];
+    } else if (record->node != options_.identity.name) {
+      peers_.relays.push_back(ToPeer(*record));
+    }
+  }
+}
+
+std::pair<Peer, bool>
+Membership::Sender(const wire::Envelope& aEnvelope) const
+{
+  Peer peer{ aEnvelope.from_node(),
+             aEnvelope.from_incarnation(),
+             aEnvelope.from_address(),
+             "",
+             "" };
+  const auto* record = endpoints_.Table().Find(peer.node);
+  if (record != nullptr) {
+    peer.dataCentre = record->dataCentre;
+    peer.region = record->region;
+  }
+  if (IsRelay()) {
+    return { peer, record != nullptr && record->isRelay };
+  }
+  for (const auto& relay : peers_.relays) {
+    if (relay.node == peer.node) {
+      peer.dataCentre = relay.dataCentre;
+      return { peer, true };
+    }
+  }
+  return { peer, peers_.relay && peers_.relay->node == peer.node };
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/NodeCore.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Coordination/DirectCore.h"
+#include "Coordination/EndpointDistribution.h"
+#include "Coordination/Membership.h"
+#include "Coordination/NodeEvents.h"
+#include "Coordination/StatusCollector.h"
+
+namespace teaselhold::coordination {
+
+/// The decision logic of a node: joins membership, endpoints and
+/// configuration.
+class NodeCore
+{
+public:
+  explicit NodeCore(NodeOptions aOptions);
+  NodeCore(const NodeCore&) = delete;
+  NodeCore& operator=(const NodeCore&) = delete;
+
+  Commands Handle(const Event& aEvent, state::Instant aNow);
+
+  FleetStatus Status() const;
+
+  /// What the membership knows, for tests and measurements.
+  const PeerDirectory& Peers() const { return membership_.Peers(); }
+  const EndpointDistribution& Endpoints() const { return endpoints_; }
+
+private:
+  void OnMessage(const wire::Envelope& aEnvelope, const Step& aStep);
+  void OnUpstreamChanged(state::EndpointState aState, const Step& aStep);
+  void UseConfiguration(const Event& aEvent, const Step& aStep);
+  void Publish(Commands& aCommands);
+  void Stamp(Commands& aCommands) const;
+  OwnVersion Version() const;
+
+  NodeOptions options_;
+  EndpointDistribution endpoints_;
+  Membership membership_;
+  StatusCollector status_;
+  // FIXME: Replace by ConfigurationDistribution, ReaderDuty and Acceptance;
+  // until then every node watches the store.
+  DirectCore storeWatch_;
+  state::ConfigurationPointer configuration_;
+  state::Instant lastEvent_{ 0 };
+  bool isStarted_ = false;
+  bool isPublishDue_ = true;
+};
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -64,13 +64,18 @@
   state::Instant deadline;
 };
 
+/// An operator is about to ask for the status; it is gathered from the relays.
+struct StatusRequested
+{};
+
 using Event = std::variant<Started,
                            Tick,
                            MessageReceived,
                            StoreAnswered,
                            UpstreamChanged,
                            CrashObserved,
-                           ApplyRequested>;
+                           ApplyRequested,
+                           StatusRequested>;
 
 // Commands.
 
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::chrono::milliseconds kTickInterval{ 100 };
 constexpr std::chrono::seconds kApplyGrace{ 2 };
+/// How long the relays have to answer before a status is put together.
+constexpr std::chrono::milliseconds kStatusGatherTime{ 200 };
 
 NodeOptions
 MakeOptions(const Settings& aSettings, std::uint64_t aIncarnation)
@@ -27,6 +29,18 @@
   return options;
 }
 
+std::variant<NodeCore, DirectCore>
+MakeCore(const Settings& aSettings, std::uint64_t aIncarnation)
+{
+  auto options = MakeOptions(aSettings, aIncarnation);
+  if (aSettings.distribution == DistributionMode::Direct) {
+    return std::variant<NodeCore, DirectCore>(std::in_place_type<DirectCore>,
+                                              std::move(options));
+  }
+  return std::variant<NodeCore, DirectCore>(std::in_place_type<NodeCore>,
+                                            std::move(options));
+}
+
 } // namespace
 
 /// Carries out the commands of the decision logic.
@@ -76,7 +90,7 @@
   , controlAddress_(aSettings.controlAddress)
   , storeAddress_(aSettings.storeAddress)
   , snapshotSink_(std::move(aSnapshotSink))
-  , core_(std::in_place_type<DirectCore>, MakeOptions(aSettings, aIncarnation))
+  , core_(MakeCore(aSettings, aIncarnation))
 {
 }
 
@@ -161,6 +175,8 @@
 FleetStatus
 ControlPlane::Status()
 {
+  Post(StatusRequested{});
+  std::this_thread::sleep_for(kStatusGatherTime);
   auto promise = std::make_shared<std::promise<FleetStatus>>();
   auto future = promise->get_future();
   if (!ring_.Push(promise) ||
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/DirectCore.h"
+#include "Coordination/NodeCore.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/Settings.h"
 #include "Services/teaselholdd/StoreWorker.h"
@@ -49,7 +50,7 @@
   transport::ControlCounters Counters() const;
 
 private:
-  using Core = std::variant<coordination::DirectCore>;
+  using Core = std::variant<coordination::NodeCore, coordination::DirectCore>;
   using StatusPromise =
     std::shared_ptr<std::promise<coordination::FleetStatus>>;
   using Item = std::variant<coordination::Event, StatusPromise>;
--- /dev/null
+++ b/Tests/Coordination/FakeStore.cpp
@@ -0,0 +1,114 @@
+#include "Tests/Coordination/FakeStore.h"
+
+#include <algorithm>
+
+namespace teaselhold::tests {
+
+using namespace coordination;
+
+namespace {
+
+constexpr state::Duration kAnswerTime = std::chrono::milliseconds(2);
+constexpr state::Duration kOutageTimeout = std::chrono::milliseconds(500);
+
+} // namespace
+
+void
+FakeStore::Call(const std::string& aNode,
+                const CallStore& aCall,
+                state::Instant aNow)
+{
+  ++calls;
+  if (isOut) {
+    const protocol::StoreError error{ protocol::StoreErrorCode::Unavailable,
+                                      "the store is out" };
+    answers_.push_back({ aNow + kOutageTimeout, aNode, { aCall.call, error } });
+    return;
+  }
+  ExpireLeases(aNow);
+  if (const auto* watch = std::get_if<StoreWatch>(&aCall.request)) {
+    watching_.push_back(
+      { aNode, aCall.call, *watch, aNow + state::Duration(watch->wait) });
+    return;
+  }
+  auto result = Carry(aCall, aNow);
+  if (std::holds_alternative<StoreSwap>(aCall.request) && isNextAnswerLost) {
+    isNextAnswerLost = false;
+    result = protocol::StoreError{ protocol::StoreErrorCode::Unknown,
+                                   "the answer was lost" };
+  }
+  answers_.push_back(
+    { aNow + kAnswerTime, aNode, { aCall.call, std::move(result) } });
+}
+
+StoreResult
+FakeStore::Carry(const CallStore& aCall, state::Instant aNow)
+{
+  if (const auto* get = std::get_if<StoreGet>(&aCall.request)) {
+    return entries_[get->key].entry;
+  }
+  if (const auto* swap = std::get_if<StoreSwap>(&aCall.request)) {
+    auto& stored = entries_[swap->key];
+    const bool isExpected = stored.entry.revision == swap->expectedRevision;
+    if (isExpected) {
+      stored = { { swap->value, nextRevision_++ }, swap->lease };
+    }
+    return protocol::SwapResult{ isExpected, stored.entry };
+  }
+  if (const auto* grant = std::get_if<StoreGrant>(&aCall.request)) {
+    const state::Duration duration = grant->timeToLive;
+    leases_[nextLease_] = { aNow + duration, duration };
+    return protocol::LeaseId{ nextLease_++ };
+  }
+  const auto& keepAlive = std::get<StoreKeepAlive>(aCall.request);
+  const auto lease = leases_.find(keepAlive.lease);
+  if (lease != leases_.end()) {
+    lease->second.first = aNow + lease->second.second;
+  }
+  return lease != leases_.end();
+}
+
+void
+FakeStore::ExpireLeases(state::Instant aNow)
+{
+  std::erase_if(leases_,
+                [&](const auto& aLease) { return aLease.second.first < aNow; });
+  for (auto& [key, stored] : entries_) {
+    if (stored.lease != 0 && !leases_.contains(stored.lease)) {
+      stored = {};
+    }
+  }
+}
+
+std::vector<FakeStore::Answer>
+FakeStore::Due(state::Instant aNow)
+{
+  ExpireLeases(aNow);
+  if (!isOut) {
+    std::erase_if(watching_, [&](const Watching& aWatching) {
+      const auto& entry = entries_[aWatching.watch.key].entry;
+      const bool isDue = entry.revision != aWatching.watch.knownRevision ||
+                         aNow >= aWatching.until;
+      if (isDue) {
+        answers_.push_back({ aNow, aWatching.node, { aWatching.call, entry } });
+      }
+      return isDue;
+    });
+  }
+  const auto isLater = [&](const Answer& aAnswer) {
+    return aAnswer.time > aNow;
+  };
+  const auto due =
+    std::stable_partition(answers_.begin(), answers_.end(), isLater);
+  std::vector<Answer> taken(due, answers_.end());
+  answers_.erase(due, answers_.end());
+  return taken;
+}
+
+void
+FakeStore::Force(const std::string& aKey, std::string aValue)
+{
+  entries_[aKey] = { { std::move(aValue), nextRevision_++ }, 0 };
+}
+
+} // namespace teaselhold::tests
--- /dev/null
+++ b/Tests/Coordination/Session.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "Coordination/NodeCore.h"
+#include "Coordination/RandomSource.h"
+#include "Tests/Coordination/FakeStore.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace teaselhold::tests {
+
+/// Several nodes, the messages between them and a store, driven by a script.
+class Session
+{
+public:
+  /// Tells if a message from one node to another is lost.
+  using CutRule =
+    std::function<bool(const std::string& aFrom, const std::string& aTo)>;
+
+  struct Node
+  {
+    coordination::NodeOptions options;
+    std::unique_ptr<coordination::NodeCore> core;
+    coordination::RoutingSnapshotPointer snapshot;
+    state::EndpointState upstream = state::EndpointState::Ready;
+    bool isPaused = false;
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+    /// Highest generation that this node ever had in force.
+    state::Generation highestActive = 0;
+  };
+
+  explicit Session(std::uint64_t aSeed);
+
+  /// Chances in percent; a late message takes up to 300 ms.
+  unsigned lossPercent = 0;
+  unsigned doublePercent = 0;
+  unsigned latePercent = 0;
+  CutRule isCut;
+  FakeStore store;
+
+  /// Adds a node; the first aSeeds nodes are the seeds of all.
+  void Add(const std::string& aName,
+           const std::string& aService,
+           const std::string& aDataCentre,
+           const std::string& aRegion = "north");
+  void SetSeeds(std::vector<std::string> aNames);
+
+  /// Starts the process of a node with a higher incarnation.
+  void Start(const std::string& aName);
+  void StartAll();
+  /// Ends the process without a word.
+  void Kill(const std::string& aName);
+  void Pause(const std::string& aName);
+  void Resume(const std::string& aName);
+  void SetUpstream(const std::string& aName, state::EndpointState aState);
+  void Post(const std::string& aName, const coordination::Event& aEvent);
+
+  /// Writes a text to the store as an accepted change.
+  void Accept(const std::string& aText);
+
+  void Run(state::Duration aDuration);
+  /// Runs until the condition holds, checked every 10 ms.
+  /// @return the time it took, or nothing if it took longer than aLimit.
+  std::optional<state::Duration> RunUntil(
+    const std::function<bool()>& aCondition,
+    state::Duration aLimit);
+
+  state::Instant Now() const { return now_; }
+  Node& At(const std::string& aName) { return *nodes_.at(aName); }
+  std::vector<std::string> Names() const;
+  std::vector<std::string> Relays() const;
+
+  /// The state of aTarget as aObserver routes; "unknown" if it has no record.
+  std::string Seen(const std::string& aObserver, const std::string& aTarget);
+  /// Running nodes that see each of their running peers ready, and no other.
+  bool IsSettled();
+
+  /// Adds a line to the transcript.
+  void Note(const std::string& aText);
+  /// Adds a table: who sees whom in which state.
+  void NoteViews();
+  const std::string& Transcript() const { return transcript_; }
+
+  /// Every FinishApply so far.
+  std::vector<coordination::FinishApply> applies;
+  /// A node put a lower generation in force than before (promise P1).
+  std::vector<std::string> reversions;
+
+private:
+  struct Message
+  {
+    std::string from;
+    std::string to;
+    wire::Envelope envelope;
+  };
+
+  void Step();
+  void Carry(Node& aNode, const coordination::Commands& aCommands);
+  void Send(Node& aNode, const coordination::SendMessage& aSend);
+  void Deliver(const Message& aMessage);
+  void OnSnapshot(Node& aNode,
+                  const coordination::RoutingSnapshotPointer& aSnapshot);
+
+  coordination::RandomSource random_;
+  state::Instant now_{ std::chrono::seconds(1) };
+  std::map<std::string, std::unique_ptr<Node>> nodes_;
+  std::map<std::string, std::string> byAddress_;
+  std::multimap<state::Instant, Message> messages_;
+  std::vector<std::string> seeds_;
+  std::string transcript_;
+};
+
+/// Compares with Tests/Golden/aName.golden, or rewrites it if the environment
+/// variable TEASELHOLD_UPDATE_GOLDEN is set.
+void
+CheckGolden(const std::string& aName, const std::string& aTranscript);
+
+} // namespace teaselhold::tests
