--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -1,79 +1,233 @@
 #include "Coordination/CallSession.h"
 
+#include <algorithm>
+
 namespace teaselhold::coordination {
 
 namespace {
 
-constexpr unsigned kMaxDepth = 24;
-constexpr std::size_t kMaxAttempts = 3;
+/// Travel time of an answer between regions within a data centre group; longer
+/// ones only lose the peer's explanation of a timeout.
+constexpr state::Duration kDeadlineMargin = std::chrono::milliseconds(1);
+/// Longer keys would not fit into the store's and the ledger's budgets.
+constexpr std::size_t kMaxKeySize = 256;
 
 } // namespace
 
 CallSession::CallSession(CallFacts aFacts,
                          RoutingSnapshotPointer aSnapshot,
-                         Router& aRouter)
+                         CallEnvironment& aEnvironment)
   : facts_(std::move(aFacts))
   , snapshot_(std::move(aSnapshot))
-  , router_(aRouter)
+  , environment_(aEnvironment)
+{
+}
+
+CallSession::~CallSession()
+{
+  Release();
+}
+
+void
+CallSession::Release()
+{
+  if (current_ != nullptr) {
+    environment_.router.Abandoned(*current_);
+    current_.reset();
+  }
+}
+
+bool
+CallSession::IsReachable(const std::string& aService) const
+{
+  const auto& configuration = *snapshot_->configuration;
+  const auto* target = configuration.FindService(aService);
+  if (target == nullptr || target->isEntry) {
+    return target != nullptr;
+  }
+  const auto* own = configuration.FindService(environment_.service);
+  return own != nullptr && std::ranges::find(own->dependencies, aService) !=
+                             own->dependencies.end();
+}
+
+std::optional<NotRunReason>
+CallSession::Refusal() const
+{
+  if (facts_.depth > RetryPolicy::kMaxDepth) {
+    return NotRunReason::DepthExceeded;
+  }
+  if (!IsReachable(route_->service)) {
+    return NotRunReason::ServiceNotReachable;
+  }
+  if (snapshot_->quarantined.contains(facts_.fingerprint)) {
+    return NotRunReason::Quarantined;
+  }
+  if (IsKeyed() && facts_.idempotencyKey.size() > kMaxKeySize) {
+    return NotRunReason::BadRequest;
+  }
+  return std::nullopt;
+}
+
+bool
+CallSession::IsKeyed() const
 {
+  return !facts_.idempotencyKey.empty() && !route_->isIdempotent;
 }
 
 CallStep
 CallSession::Start(state::Instant aNow)
 {
   if (snapshot_ == nullptr || snapshot_->configuration == nullptr) {
-    return Respond{ NotRun{ NotRunReason::NotReady } };
+    return Respond{ NotRun{ NotRunReason::NotReady }, facts_.retriesLeft };
   }
   route_ = snapshot_->configuration->FindRoute(facts_.method, facts_.target);
   if (route_ == nullptr) {
-    return Respond{ NotRun{ NotRunReason::NoRoute } };
-  }
-  if (facts_.depth > kMaxDepth) {
-    return Respond{ NotRun{ NotRunReason::DepthExceeded } };
+    return Respond{ NotRun{ NotRunReason::NoRoute }, facts_.retriesLeft };
   }
-  if (snapshot_->quarantined.contains(facts_.fingerprint)) {
-    return Respond{ NotRun{ NotRunReason::Quarantined } };
+  if (const auto reason = Refusal()) {
+    return Respond{ NotRun{ *reason }, facts_.retriesLeft };
   }
   deadline_ =
     std::min(facts_.deadline, aNow + state::Duration(route_->timeout));
-  return Next(aNow);
+  environment_.router.Use(snapshot_->endpoints, aNow);
+  environment_.budget.OnCall(route_->service, aNow);
+  if (IsKeyed()) {
+    return StartKeyed(aNow);
+  }
+  current_ = PickNext(aNow);
+  return current_ == nullptr ? CallStep(End()) : Send(aNow);
 }
 
 CallStep
-CallSession::Finish(const Outcome& aOutcome, state::Instant aNow)
+CallSession::Finish(const Outcome& aOutcome,
+                    state::Instant aNow,
+                    unsigned aRetriesHandedBack)
 {
-  router_.Finished(current_, aOutcome, aNow);
+  environment_.router.Finished(*current_, aOutcome, aNow);
+  tried_.push_back(std::move(current_));
+  current_.reset();
+  ReturnRetries(aOutcome, aRetriesHandedBack);
   lastOutcome_ = aOutcome;
   if (std::holds_alternative<Answered>(aOutcome)) {
-    return Respond{ aOutcome };
+    return Respond{ aOutcome, facts_.retriesLeft };
+  }
+  const auto* notRun = std::get_if<NotRun>(&aOutcome);
+  onlyLoad_ =
+    onlyLoad_ && notRun != nullptr && RetryPolicy::IsLoad(notRun->reason);
+  if (keyed_) {
+    return FinishKeyed(aOutcome, aNow);
   }
   const auto* unknown = std::get_if<Unknown>(&aOutcome);
-  const bool mayRepeat =
-    unknown == nullptr ||
-    (route_->isIdempotent && unknown->reason != UnknownReason::UpstreamCrashed);
-  if (!mayRepeat || facts_.retriesLeft == 0 || tried_.size() >= kMaxAttempts) {
-    return Respond{ aOutcome };
+  if (unknown != nullptr && !doubt_) {
+    doubt_ = *unknown;
+  }
+  if (!RetryPolicy::MayRepeat(aOutcome, route_->isIdempotent)) {
+    return End();
   }
+  return Retry(aNow);
+}
+
+void
+CallSession::ReturnRetries(const Outcome& aOutcome, unsigned aHandedBack)
+{
+  // After a certain not-run nothing below has used any.
+  const bool unused = std::holds_alternative<NotRun>(aOutcome);
+  facts_.retriesLeft +=
+    unused ? retriesPassed_ : std::min(aHandedBack, retriesPassed_);
+  retriesPassed_ = 0;
+}
+
+bool
+CallSession::MayRetry(state::Instant aNow)
+{
+  return facts_.retriesLeft > 0 && attempts_ < RetryPolicy::kMaxAttempts &&
+         aNow < deadline_ &&
+         environment_.budget.HasToken(route_->service, aNow);
+}
+
+void
+CallSession::SpendRetry(state::Instant aNow)
+{
   --facts_.retriesLeft;
-  return Next(aNow);
+  environment_.budget.Spend(route_->service, aNow);
+}
+
+EndpointPointer
+CallSession::PickNext(state::Instant aNow)
+{
+  auto& router = environment_.router;
+  return keyed_ ? router.PickExecutor(route_->service, keyHash_, tried_, aNow)
+                : router.Pick(route_->service, tried_, aNow);
+}
+
+CallStep
+CallSession::Retry(state::Instant aNow)
+{
+  if (!MayRetry(aNow)) {
+    return End();
+  }
+  auto next = PickNext(aNow);
+  return next == nullptr ? WaitOrEnd(aNow) : RetryAt(std::move(next), aNow);
+}
+
+CallStep
+CallSession::RetryAt(EndpointPointer aEndpoint, state::Instant aNow)
+{
+  SpendRetry(aNow);
+  current_ = std::move(aEndpoint);
+  return keyed_ ? OnClaim(keyed_->Move(*current_, aNow), aNow) : Send(aNow);
+}
+
+CallStep
+CallSession::WaitOrEnd(state::Instant aNow)
+{
+  if (!onlyLoad_ || tried_.empty()) {
+    return End();
+  }
+  constexpr double kRange = std::minstd_rand::max();
+  const auto until =
+    aNow + RetryPolicy::Backoff(backoffs_, environment_.random() / kRange);
+  if (until >= deadline_) {
+    return End();
+  }
+  ++backoffs_;
+  return Backoff{ until };
+}
+
+CallStep
+CallSession::Resume(state::Instant aNow)
+{
+  tried_.clear();
+  return Retry(aNow);
 }
 
 CallStep
-CallSession::Next(state::Instant aNow)
+CallSession::Send(state::Instant aNow)
 {
   if (aNow >= deadline_) {
-    return Respond{ tried_.empty()
-                      ? Outcome(NotRun{ NotRunReason::DeadlineExceeded })
-                      : lastOutcome_ };
-  }
-  const auto picked =
-    router_.Pick(*snapshot_->endpoints, route_->service, tried_, aNow);
-  if (!picked) {
-    return Respond{ lastOutcome_ };
-  }
-  current_ = picked->node;
-  tried_.push_back(current_);
-  return Attempt{ *picked, deadline_, facts_.retriesLeft };
+    Release();
+    if (!doubt_) {
+      lastOutcome_ = NotRun{ NotRunReason::DeadlineExceeded };
+    }
+    return End();
+  }
+  ++attempts_;
+  const unsigned kept = std::min(1U, facts_.retriesLeft);
+  retriesPassed_ = facts_.retriesLeft - kept;
+  facts_.retriesLeft = kept;
+  const auto carried = std::max(aNow, deadline_ - kDeadlineMargin);
+  Attempt attempt{ current_, deadline_, carried, retriesPassed_, {} };
+  if (keyed_) {
+    attempt.claim =
+      ClaimTicket{ binding_.incarnation, binding_.epoch, mayStart_ };
+  }
+  return attempt;
+}
+
+Respond
+CallSession::End() const
+{
+  return { doubt_ ? Outcome(*doubt_) : lastOutcome_, facts_.retriesLeft };
 }
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "Coordination/CallTypes.h"
-#include "Coordination/Router.h"
+#include "Coordination/CallEnvironment.h"
+#include "Coordination/KeyedCall.h"
+#include "Coordination/RetryPolicy.h"
 #include "Coordination/RoutingSnapshot.h"
 
 #include <string>
@@ -16,60 +17,144 @@
   std::string method;
   std::string target;
   std::string tenant;
-  /// Empty if the caller gave none.
+  /// Empty if the caller gave none. Ignored on idempotent routes.
   std::string idempotencyKey;
   std::uint64_t fingerprint = 0;
   /// The caller's own deadline, or Instant::max() if it gave none.
   state::Instant deadline = state::Instant::max();
   unsigned depth = 0;
-  /// Retries that the calls above this one have left.
+  /// Retries that the whole chain of calls below this one may still make.
   unsigned retriesLeft = 2;
 };
 
-/// Send the request to this endpoint.
+/// What an attempt tells the executor of a keyed request.
+struct ClaimTicket
+{
+  /// The incarnation that the claim names; another one answers WrongExecutor.
+  std::uint64_t incarnation = 0;
+  std::uint64_t epoch = 0;
+  /// See state::RunLedger::Arrive().
+  bool mayStart = false;
+
+  bool operator==(const ClaimTicket&) const = default;
+};
+
+/// Send the request to this endpoint; then call Finish().
 struct Attempt
 {
-  state::EndpointRecord endpoint;
+  EndpointPointer endpoint;
+  /// When this node gives up.
   state::Instant deadline;
+  /// What the request carries: a little earlier, so that the peer's own word
+  /// on a timeout arrives in time.
+  state::Instant carriedDeadline;
+  /// What the request carries in Teaselhold-Retries-Left.
   unsigned retriesLeft = 0;
+  /// Set for keyed requests.
+  std::optional<ClaimTicket> claim;
 };
 
 /// Answer the caller.
 struct Respond
 {
   Outcome outcome;
+  /// What the answer hands back in Teaselhold-Retries-Left.
+  unsigned retriesLeft = 0;
 };
 
-using CallStep = std::variant<Attempt, Respond>;
+/// Call Resume() at this time.
+struct Backoff
+{
+  state::Instant until;
+};
+
+using CallStep = std::variant<Attempt, Respond, Backoff, ClaimStep>;
 
 /// Decides the steps of one call: which upstream, whether to try again, what
-/// to tell the caller.
+/// to tell the caller. The outcome in Respond is true for the whole call, not
+/// only for its last attempt.
+///
+/// Every step except Respond is followed by exactly one call of the function
+/// that its type names (ClaimStep: FinishClaim). Destroying the session gives
+/// up the attempt in flight.
+///
+/// Retries of a whole chain share one allowance. A call keeps one retry for
+/// itself and passes the others down with each attempt. An answer hands back
+/// what is left of them; a lost answer, or one without the header, counts them
+/// as used; after a certain not-run all of them are still there. So each retry
+/// is held in one place only, and a chain of 22 calls with an allowance of R
+/// makes at most 22 * (R + 1) attempts in total.
 class CallSession
 {
 public:
   CallSession(CallFacts aFacts,
               RoutingSnapshotPointer aSnapshot,
-              Router& aRouter);
+              CallEnvironment& aEnvironment);
+  ~CallSession();
+
+  CallSession(const CallSession&) = delete;
+  CallSession& operator=(const CallSession&) = delete;
 
   CallStep Start(state::Instant aNow);
 
   /// Takes the outcome of the last attempt.
-  CallStep Finish(const Outcome& aOutcome, state::Instant aNow);
+  /// @param aRetriesHandedBack Teaselhold-Retries-Left of the answer, or 0.
+  CallStep Finish(const Outcome& aOutcome,
+                  state::Instant aNow,
+                  unsigned aRetriesHandedBack = 0);
+
+  /// Takes the store's answer to the last ClaimStep.
+  CallStep FinishClaim(const StoreResult& aResult, state::Instant aNow);
+
+  /// The time of the last Backoff has come.
+  CallStep Resume(state::Instant aNow);
 
   /// @return nullptr before a route was found.
   const state::RouteSpec* Route() const { return route_; }
 
 private:
-  CallStep Next(state::Instant aNow);
+  std::optional<NotRunReason> Refusal() const;
+  bool IsReachable(const std::string& aService) const;
+  bool IsKeyed() const;
+  CallStep StartKeyed(state::Instant aNow);
+  CallStep OnClaim(const KeyedCall::Step& aStep, state::Instant aNow);
+  CallStep OnBound(const KeyedCall::Bound& aBound, state::Instant aNow);
+  CallStep SendToExecutor(state::Instant aNow);
+  CallStep FinishKeyed(const Outcome& aOutcome, state::Instant aNow);
+  CallStep OnKeyRefused(NotRunReason aReason, state::Instant aNow);
+  CallStep AskAgain(state::Instant aNow);
+  EndpointPointer Locate(const ClaimBinding& aBinding) const;
+  CallStep Retry(state::Instant aNow);
+  CallStep RetryAt(EndpointPointer aEndpoint, state::Instant aNow);
+  CallStep WaitOrEnd(state::Instant aNow);
+  bool MayRetry(state::Instant aNow);
+  void SpendRetry(state::Instant aNow);
+  EndpointPointer PickNext(state::Instant aNow);
+  CallStep Send(state::Instant aNow);
+  void ReturnRetries(const Outcome& aOutcome, unsigned aHandedBack);
+  void Release();
+  Respond End() const;
 
   CallFacts facts_;
   RoutingSnapshotPointer snapshot_;
-  Router& router_;
+  CallEnvironment& environment_;
   const state::RouteSpec* route_ = nullptr;
   state::Instant deadline_{ 0 };
-  std::vector<std::string> tried_;
-  std::string current_;
+  /// The endpoint that the router counts for this call.
+  EndpointPointer current_;
+  std::vector<EndpointPointer> tried_;
+  /// Every refusal since the last back-off was for load.
+  bool onlyLoad_ = true;
+  unsigned attempts_ = 0;
+  unsigned backoffs_ = 0;
+  unsigned retriesPassed_ = 0;
+  /// Set while the request may have run without this call knowing its answer.
+  std::optional<Unknown> doubt_;
   Outcome lastOutcome_ = NotRun{ NotRunReason::NoUpstream };
+  std::optional<KeyedCall> keyed_;
+  ClaimBinding binding_;
+  bool mayStart_ = false;
+  std::uint64_t keyHash_ = 0;
 };
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/CallTypes.h
+++ b/Libraries/Coordination/CallTypes.h
@@ -31,9 +31,17 @@
   WrongExecutor,
   WrongService,
   BadRequest,
+  /// The peer says on a fresh connection that the request never arrived, and
+  /// refuses it if it arrives later.
+  NeverArrived,
+  /// The executor refuses this send of a keyed request, and every later one
+  /// under the same epoch of its claim.
+  KeyRefused,
+  /// The idempotency key belongs to a request with another content.
+  KeyMismatch,
 };
 
-inline constexpr std::array<state::EnumName<NotRunReason>, 17>
+inline constexpr std::array<state::EnumName<NotRunReason>, 20>
   kNotRunReasonNames{ {
     { NotRunReason::NotReady, "not-ready" },
     { NotRunReason::NoRoute, "no-route" },
@@ -52,6 +60,9 @@
     { NotRunReason::WrongExecutor, "wrong-executor" },
     { NotRunReason::WrongService, "wrong-service" },
     { NotRunReason::BadRequest, "bad-request" },
+    { NotRunReason::NeverArrived, "never-arrived" },
+    { NotRunReason::KeyRefused, "key-refused" },
+    { NotRunReason::KeyMismatch, "key-mismatch" },
   } };
 
 /// Why the outcome of a request is unknown.
@@ -63,9 +74,11 @@
   CrossedAnswer,
   UpstreamCrashed,
   ExecutorGone,
+  /// The executor does not remember the key any more, or not the answer.
+  Forgotten,
 };
 
-inline constexpr std::array<state::EnumName<UnknownReason>, 6>
+inline constexpr std::array<state::EnumName<UnknownReason>, 7>
   kUnknownReasonNames{ {
     { UnknownReason::ConnectionLost, "connection-lost" },
     { UnknownReason::Timeout, "timeout" },
@@ -73,6 +86,7 @@
     { UnknownReason::CrossedAnswer, "crossed-answer" },
     { UnknownReason::UpstreamCrashed, "upstream-crashed" },
     { UnknownReason::ExecutorGone, "executor-gone" },
+    { UnknownReason::Forgotten, "forgotten" },
   } };
 
 /// The upstream's whole answer arrived.
@@ -81,11 +95,16 @@
   unsigned status = 0;
 };
 
+/// The request certainly did not run and will not. For a send with an
+/// idempotency key it covers every send that ended before this one began, with
+/// two exceptions that cover this send alone: ClaimUnavailable, because the
+/// claim was not read, and KeyMismatch.
 struct NotRun
 {
   NotRunReason reason;
 };
 
+/// The request may have run, may be running or may not have run.
 struct Unknown
 {
   UnknownReason reason;
--- /dev/null
+++ b/Libraries/Coordination/KeyedCall.cpp
@@ -0,0 +1,183 @@
+#include "Coordination/KeyedCall.h"
+
+namespace teaselhold::coordination {
+
+namespace {
+
+/// Enough for a grant, a lapsed lease, a lost answer and a conflict.
+constexpr unsigned kMaxCallsPerStep = 6;
+
+} // namespace
+
+KeyedCall::KeyedCall(ClaimKeeper& aKeeper,
+                     const std::string& aName,
+                     std::uint64_t aFingerprint)
+  : keeper_(aKeeper)
+  , storeKey_(ClaimKey(aName))
+  , fingerprint_(aFingerprint)
+{
+}
+
+KeyedCall::Step
+KeyedCall::Begin(const state::EndpointRecord* aCandidate, state::Instant aNow)
+{
+  calls_ = 0;
+  if (aCandidate == nullptr) {
+    return Read();
+  }
+  Want(*aCandidate, 1);
+  return Write(aNow);
+}
+
+KeyedCall::Step
+KeyedCall::Move(const state::EndpointRecord& aCandidate, state::Instant aNow)
+{
+  calls_ = 0;
+  Want(aCandidate, epoch_ + 1);
+  return Write(aNow);
+}
+
+void
+KeyedCall::Want(const state::EndpointRecord& aCandidate, std::uint64_t aEpoch)
+{
+  wanted_ = ClaimBinding{ aEpoch,
+                          aCandidate.node,
+                          aCandidate.incarnation,
+                          aCandidate.dataAddress,
+                          fingerprint_,
+                          keeper_.NextToken() };
+}
+
+KeyedCall::Step
+KeyedCall::Write(state::Instant aNow)
+{
+  if (!keeper_.TryWrite(aNow)) {
+    // Reads are cheap for the store, and an existing claim needs no write.
+    wanted_.reset();
+    absentReason_ = NotRunReason::ClaimUnavailable;
+    return Read();
+  }
+  const auto lease = keeper_.Lease(aNow);
+  if (!lease) {
+    return Call(Phase::Granting, { StoreGrant{ kClaimLeaseTime } });
+  }
+  lease_ = *lease;
+  return Call(
+    Phase::Swapping,
+    { StoreSwap{ storeKey_, revision_, FormatClaim(*wanted_), lease_ } });
+}
+
+KeyedCall::Step
+KeyedCall::Read()
+{
+  return Call(Phase::Reading, { StoreGet{ storeKey_ } });
+}
+
+KeyedCall::Step
+KeyedCall::Call(Phase aPhase, ClaimStep aStep)
+{
+  if (++calls_ > kMaxCallsPerStep) {
+    return Failed{ NotRunReason::ClaimUnavailable };
+  }
+  phase_ = aPhase;
+  return aStep;
+}
+
+KeyedCall::Step
+KeyedCall::Finish(const StoreResult& aResult, state::Instant aNow)
+{
+  if (phase_ == Phase::Granting) {
+    return OnGranted(aResult, aNow);
+  }
+  if (const auto* error = std::get_if<protocol::StoreError>(&aResult)) {
+    if (phase_ == Phase::Swapping) {
+      return OnSwapError(*error, aNow);
+    }
+    return Failed{ NotRunReason::ClaimUnavailable };
+  }
+  if (const auto* swap = std::get_if<protocol::SwapResult>(&aResult)) {
+    return OnSwapped(*swap, aNow);
+  }
+  if (const auto* entry = std::get_if<protocol::StoreEntry>(&aResult)) {
+    return Adopt(*entry, aNow);
+  }
+  return Failed{ NotRunReason::ClaimUnavailable };
+}
+
+KeyedCall::Step
+KeyedCall::OnGranted(const StoreResult& aResult, state::Instant aNow)
+{
+  const auto* lease = std::get_if<protocol::LeaseId>(&aResult);
+  if (lease == nullptr) {
+    const auto* error = std::get_if<protocol::StoreError>(&aResult);
+    if (error != nullptr &&
+        error->code == protocol::StoreErrorCode::RateLimited) {
+      keeper_.OnRateLimited(aNow);
+    }
+    wanted_.reset();
+    absentReason_ = NotRunReason::ClaimUnavailable;
+    return Read();
+  }
+  keeper_.SetLease(*lease, aNow);
+  return Write(aNow);
+}
+
+KeyedCall::Step
+KeyedCall::OnSwapError(const protocol::StoreError& aError, state::Instant aNow)
+{
+  switch (aError.code) {
+    case protocol::StoreErrorCode::Unknown:
+      // The write may have taken effect, or may still do so.
+      return Read();
+    case protocol::StoreErrorCode::RateLimited:
+      keeper_.OnRateLimited(aNow);
+      wanted_.reset();
+      absentReason_ = NotRunReason::ClaimUnavailable;
+      return Read();
+    case protocol::StoreErrorCode::TooLarge:
+      return Failed{ NotRunReason::BadRequest };
+    case protocol::StoreErrorCode::Unavailable:
+      break;
+  }
+  return Failed{ NotRunReason::ClaimUnavailable };
+}
+
+KeyedCall::Step
+KeyedCall::OnSwapped(const protocol::SwapResult& aResult, state::Instant aNow)
+{
+  if (!aResult.swapped && aResult.current.revision == revision_) {
+    // The key is as expected, so the store refused the lease.
+    keeper_.DropLease(lease_);
+  }
+  return Adopt(aResult.current, aNow);
+}
+
+KeyedCall::Step
+KeyedCall::Adopt(const protocol::StoreEntry& aEntry, state::Instant aNow)
+{
+  const auto binding = ParseClaim(aEntry.value);
+  const bool isOurs = aEntry.revision != 0 && binding && wanted_ &&
+                      binding->token == wanted_->token;
+  if (!isOurs && wanted_ &&
+      (aEntry.revision == revision_ || aEntry.revision == 0)) {
+    // Nobody wrote since; or the claim is gone, and its last executor, if there
+    // was one, refused for good.
+    revision_ = aEntry.revision;
+    return Write(aNow);
+  }
+  if (aEntry.revision == 0) {
+    return Failed{ absentReason_ };
+  }
+  if (!binding) {
+    return Failed{ NotRunReason::ClaimUnavailable };
+  }
+  if (binding->fingerprint != fingerprint_) {
+    return Failed{ NotRunReason::KeyMismatch };
+  }
+  revision_ = aEntry.revision;
+  epoch_ = binding->epoch;
+  wanted_.reset();
+  return Bound{ *binding, isOurs };
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/KeyedCallSession.cpp
@@ -0,0 +1,136 @@
+#include "Coordination/CallSession.h"
+
+/// The part of CallSession for requests with an idempotency key.
+namespace teaselhold::coordination {
+
+CallStep
+CallSession::StartKeyed(state::Instant aNow)
+{
+  const auto name =
+    NameOfKeyedRequest(route_->service, facts_.tenant, facts_.idempotencyKey);
+  keyHash_ = state::DigestOfText(name);
+  keyed_.emplace(environment_.claims, name, facts_.fingerprint);
+  current_ = PickNext(aNow);
+  return OnClaim(keyed_->Begin(current_.get(), aNow), aNow);
+}
+
+CallStep
+CallSession::FinishClaim(const StoreResult& aResult, state::Instant aNow)
+{
+  return OnClaim(keyed_->Finish(aResult, aNow), aNow);
+}
+
+CallStep
+CallSession::OnClaim(const KeyedCall::Step& aStep, state::Instant aNow)
+{
+  if (const auto* step = std::get_if<ClaimStep>(&aStep)) {
+    if (aNow < deadline_) {
+      return *step;
+    }
+    Release();
+    if (attempts_ == 0) {
+      lastOutcome_ = NotRun{ NotRunReason::ClaimUnavailable };
+    }
+    return End();
+  }
+  if (const auto* failed = std::get_if<KeyedCall::Failed>(&aStep)) {
+    Release();
+    // After an attempt, its certain refusal says more.
+    if (attempts_ == 0) {
+      lastOutcome_ = NotRun{ failed->reason };
+    }
+    return End();
+  }
+  return OnBound(std::get<KeyedCall::Bound>(aStep), aNow);
+}
+
+CallStep
+CallSession::OnBound(const KeyedCall::Bound& aBound, state::Instant aNow)
+{
+  binding_ = aBound.binding;
+  mayStart_ = aBound.mayStart;
+  if (!mayStart_) {
+    // Another send may have run it, until the executor says otherwise.
+    doubt_ = Unknown{ UnknownReason::ExecutorGone };
+  }
+  return SendToExecutor(aNow);
+}
+
+CallStep
+CallSession::SendToExecutor(state::Instant aNow)
+{
+  const bool isPicked = current_ != nullptr &&
+                        current_->node == binding_.node &&
+                        current_->incarnation == binding_.incarnation;
+  if (!isPicked) {
+    Release();
+    auto endpoint = Locate(binding_);
+    if (endpoint == nullptr) {
+      return End();
+    }
+    environment_.router.Take(endpoint, aNow);
+    current_ = std::move(endpoint);
+  }
+  return Send(aNow);
+}
+
+EndpointPointer
+CallSession::Locate(const ClaimBinding& aBinding) const
+{
+  auto known = environment_.router.Find(aBinding.node);
+  if (known != nullptr && known->incarnation == aBinding.incarnation) {
+    // Down may be wrong, and a draining node still answers from its ledger.
+    return known->state == state::EndpointState::Gone ? nullptr : known;
+  }
+  if (known != nullptr && known->incarnation > aBinding.incarnation) {
+    return nullptr;
+  }
+  auto record = std::make_shared<state::EndpointRecord>();
+  record->node = aBinding.node;
+  record->incarnation = aBinding.incarnation;
+  record->dataAddress = aBinding.dataAddress;
+  record->service = route_->service;
+  return record;
+}
+
+CallStep
+CallSession::FinishKeyed(const Outcome& aOutcome, state::Instant aNow)
+{
+  if (const auto* notRun = std::get_if<NotRun>(&aOutcome)) {
+    return OnKeyRefused(notRun->reason, aNow);
+  }
+  const auto& unknown = std::get<Unknown>(aOutcome);
+  doubt_ = unknown;
+  return RetryPolicy::MayAskAgain(unknown.reason) ? AskAgain(aNow)
+                                                  : CallStep(End());
+}
+
+CallStep
+CallSession::OnKeyRefused(NotRunReason aReason, state::Instant aNow)
+{
+  if (aReason == NotRunReason::KeyMismatch) {
+    doubt_.reset();
+    return End();
+  }
+  if (RetryPolicy::IsCertainForKey(aReason, mayStart_)) {
+    doubt_.reset();
+    return RetryPolicy::MayHelp(aReason) ? Retry(aNow) : CallStep(End());
+  }
+  const bool isGone = aReason == NotRunReason::WrongExecutor ||
+                      aReason == NotRunReason::WrongService;
+  // The executor may start listening again or be reached again.
+  return isGone || !RetryPolicy::MayHelp(aReason) ? End() : AskAgain(aNow);
+}
+
+CallStep
+CallSession::AskAgain(state::Instant aNow)
+{
+  mayStart_ = false;
+  if (!MayRetry(aNow)) {
+    return End();
+  }
+  SpendRetry(aNow);
+  return SendToExecutor(aNow);
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/RetryBudget.cpp
@@ -0,0 +1,64 @@
+#include "Coordination/RetryBudget.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr double kTokensPerCall = 0.1;
+/// The floor: lets a service with few calls retry at all.
+constexpr double kTokensPerSecond = 1;
+constexpr double kFirstTokens = 10;
+/// Bounds the burst after a quiet time.
+constexpr double kMaxTokens = 100;
+/// Twice the services of the design size; services that left are dropped.
+constexpr std::size_t kMaxAccounts = 1024;
+
+} // namespace
+
+RetryBudget::Account&
+RetryBudget::AccountOf(std::string_view aService, state::Instant aNow)
+{
+  auto found = accounts_.find(aService);
+  if (found == accounts_.end()) {
+    if (accounts_.size() >= kMaxAccounts) {
+      accounts_.erase(std::ranges::min_element(
+        accounts_, {}, [](const auto& aRow) { return aRow.second.refilled; }));
+    }
+    found =
+      accounts_.emplace(std::string(aService), Account{ kFirstTokens, aNow })
+        .first;
+  }
+  auto& account = found->second;
+  const std::chrono::duration<double> elapsed = aNow - account.refilled;
+  // The floor fills no more than it grants at first.
+  if (account.tokens < kFirstTokens) {
+    account.tokens = std::min(
+      kFirstTokens, account.tokens + elapsed.count() * kTokensPerSecond);
+  }
+  account.refilled = aNow;
+  return account;
+}
+
+void
+RetryBudget::OnCall(std::string_view aService, state::Instant aNow)
+{
+  auto& account = AccountOf(aService, aNow);
+  account.tokens = std::min(kMaxTokens, account.tokens + kTokensPerCall);
+}
+
+bool
+RetryBudget::HasToken(std::string_view aService, state::Instant aNow)
+{
+  return AccountOf(aService, aNow).tokens >= 1;
+}
+
+void
+RetryBudget::Spend(std::string_view aService, state::Instant aNow)
+{
+  AccountOf(aService, aNow).tokens -= 1;
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/RetryPolicy.cpp
@@ -0,0 +1,98 @@
+#include "Coordination/RetryPolicy.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+/// A few service times of a lookup.
+constexpr state::Duration kFirstBackoff = std::chrono::milliseconds(5);
+constexpr unsigned kMaxDoublings = 4;
+
+} // namespace
+
+bool
+RetryPolicy::MayRepeat(const Outcome& aOutcome, bool aIsIdempotent)
+{
+  if (const auto* notRun = std::get_if<NotRun>(&aOutcome)) {
+    return MayHelp(notRun->reason);
+  }
+  const auto* unknown = std::get_if<Unknown>(&aOutcome);
+  // A request that crashed one upstream may crash the next one.
+  return unknown != nullptr && aIsIdempotent &&
+         unknown->reason != UnknownReason::UpstreamCrashed;
+}
+
+bool
+RetryPolicy::MayHelp(NotRunReason aReason)
+{
+  switch (aReason) {
+    case NotRunReason::NoRoute:
+    case NotRunReason::ServiceNotReachable:
+    case NotRunReason::NoUpstream:
+    // A tenant over its limit would only spread over all upstreams.
+    case NotRunReason::TenantLimit:
+    case NotRunReason::DeadlineExceeded:
+    case NotRunReason::DepthExceeded:
+    case NotRunReason::Quarantined:
+    case NotRunReason::ClaimUnavailable:
+    case NotRunReason::BadRequest:
+    case NotRunReason::KeyMismatch:
+      return false;
+    case NotRunReason::NotReady:
+    case NotRunReason::Starting:
+    case NotRunReason::Draining:
+    case NotRunReason::Full:
+    case NotRunReason::Shed:
+    case NotRunReason::ConnectFailed:
+    case NotRunReason::WrongExecutor:
+    case NotRunReason::WrongService:
+    case NotRunReason::NeverArrived:
+    case NotRunReason::KeyRefused:
+      break;
+  }
+  return true;
+}
+
+bool
+RetryPolicy::IsLoad(NotRunReason aReason)
+{
+  return aReason == NotRunReason::Full || aReason == NotRunReason::Shed;
+}
+
+bool
+RetryPolicy::IsCertainForKey(NotRunReason aReason, bool aMayStart)
+{
+  // Without the right to start, only the ledger's own word counts: other
+  // refusals may come from a place that did not ask the ledger.
+  return aMayStart || aReason == NotRunReason::KeyRefused;
+}
+
+bool
+RetryPolicy::MayAskAgain(UnknownReason aReason)
+{
+  switch (aReason) {
+    case UnknownReason::ConnectionLost:
+    case UnknownReason::Timeout:
+    case UnknownReason::PartialAnswer:
+    case UnknownReason::CrossedAnswer:
+      return true;
+    case UnknownReason::UpstreamCrashed:
+    case UnknownReason::ExecutorGone:
+    case UnknownReason::Forgotten:
+      break;
+  }
+  return false;
+}
+
+state::Duration
+RetryPolicy::Backoff(unsigned aRound, double aJitter)
+{
+  const auto base = kFirstBackoff * (1U << std::min(aRound, kMaxDoublings));
+  const auto jitter = static_cast<state::Duration::rep>(
+    static_cast<double>(base.count()) * aJitter);
+  return base / 2 + state::Duration(jitter);
+}
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -1,75 +1,368 @@
 #include "Coordination/Router.h"
 
 #include <algorithm>
-#include <tuple>
+#include <array>
 
 namespace teaselhold::coordination {
 
 namespace {
 
-constexpr state::Duration kEjectionTime = std::chrono::seconds(2);
+/// This host, this data centre, this region, elsewhere.
+constexpr std::size_t kGroupCount = 4;
+constexpr unsigned kOwnRegion = 2;
+/// Random draws before the neighbours of the last one are searched in order.
+constexpr unsigned kDraws = 4;
+
+/// Mixes all bits; the finalizer of SplitMix64.
+std::uint64_t
+Mix(std::uint64_t aValue)
+{
+  aValue = (aValue ^ (aValue >> 30U)) * 0xbf58476d1ce4e5b9U;
+  aValue = (aValue ^ (aValue >> 27U)) * 0x94d049bb133111ebU;
+  return aValue ^ (aValue >> 31U);
+}
+
+/// Hashes a node name alike on all nodes.
+std::uint64_t
+HashOfNode(std::string_view aNode)
+{
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325U;
+  constexpr std::uint64_t kPrime = 0x100000001b3U;
+  std::uint64_t hash = kOffset;
+  for (const auto letter : aNode) {
+    hash = (hash ^ static_cast<unsigned char>(letter)) * kPrime;
+  }
+  return hash;
+}
+
+bool
+Contains(const std::vector<EndpointPointer>& aTried,
+         const state::EndpointRecord& aRecord)
+{
+  return std::ranges::any_of(aTried, [&](const EndpointPointer& aEndpoint) {
+    return aEndpoint->node == aRecord.node;
+  });
+}
 
 } // namespace
 
-Router::Router(std::string aDataCentre, std::string aRegion)
-  : dataCentre_(std::move(aDataCentre))
-  , region_(std::move(aRegion))
+struct Router::Candidate
+{
+  const state::EndpointRecord* record;
+  UpstreamHealth* health;
+  unsigned distance;
+  std::uint64_t nodeHash;
+
+  bool IsAllowed(bool aPanic, state::Instant aNow) const
+  {
+    return aPanic || !health->IsEjected(aNow);
+  }
+
+  bool HasFreeSlot(state::Instant aNow) const
+  {
+    return health->InFlight() < health->UsableSlots(record->slots, aNow) &&
+           !health->IsLoaded(aNow);
+  }
+
+  double LoadWithOneMore(state::Instant aNow) const
+  {
+    return (health->InFlight() + 1) / health->UsableSlots(record->slots, aNow);
+  }
+};
+
+/// The ready upstreams of one service, nearest first.
+struct Router::ServiceList
+{
+  std::uint64_t tableVersion = 0;
+  std::vector<Candidate> candidates;
+  /// Group g is [groupBegin[g], groupBegin[g + 1]).
+  std::array<std::size_t, kGroupCount + 1> groupBegin{};
+  /// So few upstreams look healthy that local ejection is ignored.
+  bool panic = false;
+  std::uint64_t healthVersion = 0;
+  state::Instant panicValidUntil{ 0 };
+};
+
+Router::Router(RouterOptions aOptions)
+  : options_(std::move(aOptions))
+  , random_(static_cast<std::minstd_rand::result_type>(options_.randomSeed))
 {
 }
 
+Router::~Router() = default;
+
+void
+Router::Use(EndpointTablePointer aEndpoints, state::Instant /*aNow*/)
+{
+  if (aEndpoints == endpoints_ || aEndpoints == nullptr) {
+    return;
+  }
+  endpoints_ = std::move(aEndpoints);
+  ++tableVersion_;
+  std::erase_if(views_, [this](const auto& aView) {
+    return endpoints_->Find(aView.first) == nullptr;
+  });
+  std::erase_if(lists_, [this](const auto& aList) {
+    return endpoints_->Digest(aList.first) == 0;
+  });
+}
+
 unsigned
 Router::Distance(const state::EndpointRecord& aRecord) const
 {
-  if (aRecord.dataCentre == dataCentre_) {
+  if (aRecord.node == options_.node) {
     return 0;
   }
-  return aRecord.region == region_ ? 1 : 2;
+  if (aRecord.dataCentre == options_.dataCentre) {
+    return 1;
+  }
+  return aRecord.region == options_.region ? kOwnRegion : kOwnRegion + 1;
 }
 
-std::optional<state::EndpointRecord>
-Router::Pick(const state::EndpointTable& aEndpoints,
-             const std::string& aService,
-             const std::vector<std::string>& aTried,
-             state::Instant aNow)
+Router::ServiceList*
+Router::ListOf(std::string_view aService, state::Instant aNow)
+{
+  if (endpoints_ == nullptr) {
+    return nullptr;
+  }
+  auto found = lists_.find(aService);
+  if (found == lists_.end()) {
+    if (endpoints_->Digest(aService) == 0) {
+      return nullptr;
+    }
+    found = lists_.try_emplace(std::string(aService)).first;
+  }
+  auto& list = found->second;
+  if (list.tableVersion != tableVersion_) {
+    Rebuild(list, aService, aNow);
+  }
+  UpdatePanic(list, aNow);
+  return &list;
+}
+
+void
+Router::Rebuild(ServiceList& aList,
+                std::string_view aService,
+                state::Instant aNow)
 {
-  const state::EndpointRecord* best = nullptr;
-  std::tuple<bool, unsigned, unsigned> bestRank;
-  for (const auto* record : aEndpoints.OfService(aService)) {
-    if (record->state != state::EndpointState::Ready ||
-        std::ranges::find(aTried, record->node) != aTried.end()) {
+  // Upstreams that are there when the service is first called are not new.
+  const bool warm = aList.tableVersion == 0;
+  aList.candidates.clear();
+  for (const auto* record : endpoints_->OfService(aService)) {
+    if (record->state != state::EndpointState::Ready) {
       continue;
     }
-    const auto& view = views_[record->node];
-    const std::tuple rank{ view.ejectedUntil > aNow,
-                           Distance(*record) +
-                             (view.inFlight >= record->slots ? 3U : 0U),
-                           view.inFlight };
-    if (best == nullptr || rank < bestRank) {
-      best = record;
-      bestRank = rank;
+    const auto [view, isNew] =
+      views_.try_emplace(record->node, record->incarnation, warm, aNow);
+    if (!isNew && view->second.Incarnation() != record->incarnation) {
+      view->second = UpstreamHealth(record->incarnation, false, aNow);
     }
+    aList.candidates.push_back(
+      { record, &view->second, Distance(*record), HashOfNode(record->node) });
+  }
+  std::ranges::stable_sort(aList.candidates, {}, &Candidate::distance);
+  for (unsigned group = 0; group <= kGroupCount; ++group) {
+    const auto begin = std::ranges::lower_bound(
+      aList.candidates, group, {}, &Candidate::distance);
+    aList.groupBegin[group] =
+      static_cast<std::size_t>(begin - aList.candidates.begin());
   }
+  aList.tableVersion = tableVersion_;
+  aList.panicValidUntil = state::Instant{ 0 };
+}
+
+void
+Router::UpdatePanic(ServiceList& aList, state::Instant aNow) const
+{
+  if (aList.healthVersion == healthVersion_ && aNow < aList.panicValidUntil) {
+    return;
+  }
+  std::size_t healthy = 0;
+  aList.panicValidUntil = state::Instant::max();
+  for (const auto& candidate : aList.candidates) {
+    const auto& health = *candidate.health;
+    if (aNow < health.EjectedUntil()) {
+      aList.panicValidUntil =
+        std::min(aList.panicValidUntil, health.EjectedUntil());
+    }
+    const bool suspect = health.IsEjected(aNow) || health.IsHalfOpen(aNow);
+    healthy += suspect ? 0 : 1;
+  }
+  aList.panic = healthy * 2 < aList.candidates.size();
+  aList.healthVersion = healthVersion_;
+}
+
+EndpointPointer
+Router::Pick(std::string_view aService,
+             const std::vector<EndpointPointer>& aTried,
+             state::Instant aNow)
+{
+  const auto* list = ListOf(aService, aNow);
+  if (list == nullptr) {
+    return nullptr;
+  }
+  const auto* candidate = PickFrom(*list, aTried, false, aNow);
+  if (candidate == nullptr) {
+    candidate = PickFrom(*list, aTried, true, aNow);
+  }
+  return candidate == nullptr ? nullptr : Commit(*candidate, aNow);
+}
+
+const Router::Candidate*
+Router::PickFrom(const ServiceList& aList,
+                 const std::vector<EndpointPointer>& aTried,
+                 bool aIgnoreLoad,
+                 state::Instant aNow)
+{
+  if (aIgnoreLoad) {
+    // Where every upstream looks full, nearness counts less than load.
+    return SampleGroup(
+      aList, 0, aList.candidates.size(), aTried, aIgnoreLoad, aNow);
+  }
+  for (std::size_t group = 0; group < kGroupCount; ++group) {
+    const auto* candidate = SampleGroup(aList,
+                                        aList.groupBegin[group],
+                                        aList.groupBegin[group + 1],
+                                        aTried,
+                                        aIgnoreLoad,
+                                        aNow);
+    if (candidate != nullptr) {
+      return candidate;
+    }
+  }
+  return nullptr;
+}
+
+const Router::Candidate*
+Router::SampleGroup(const ServiceList& aList,
+                    std::size_t aBegin,
+                    std::size_t aEnd,
+                    const std::vector<EndpointPointer>& aTried,
+                    bool aIgnoreLoad,
+                    state::Instant aNow)
+{
+  const auto size = aEnd - aBegin;
+  if (size == 0) {
+    return nullptr;
+  }
+  const auto usable = [&](const Candidate& aCandidate) {
+    return aCandidate.IsAllowed(aList.panic, aNow) &&
+           (aIgnoreLoad || aCandidate.HasFreeSlot(aNow)) &&
+           !Contains(aTried, *aCandidate.record);
+  };
+  const auto draw = [&](const Candidate* aOther) -> const Candidate* {
+    std::size_t offset = 0;
+    for (unsigned i = 0; i < kDraws; ++i) {
+      offset = random_() % size;
+      const auto& candidate = aList.candidates[aBegin + offset];
+      if (&candidate != aOther && usable(candidate)) {
+        return &candidate;
+      }
+    }
+    for (std::size_t i = 0; i < size; ++i) {
+      const auto& candidate = aList.candidates[aBegin + (offset + i) % size];
+      if (&candidate != aOther && usable(candidate)) {
+        return &candidate;
+      }
+    }
+    return nullptr;
+  };
+  const auto* first = draw(nullptr);
+  const auto* second = first == nullptr || size == 1 ? nullptr : draw(first);
+  if (second == nullptr) {
+    return first;
+  }
+  return second->LoadWithOneMore(aNow) < first->LoadWithOneMore(aNow) ? second
+                                                                      : first;
+}
+
+EndpointPointer
+Router::PickExecutor(std::string_view aService,
+                     std::uint64_t aKeyHash,
+                     const std::vector<EndpointPointer>& aTried,
+                     state::Instant aNow)
+{
+  const auto* list = ListOf(aService, aNow);
+  if (list == nullptr) {
+    return nullptr;
+  }
+  const auto highest = [&](std::size_t aBegin, std::size_t aEnd) {
+    const Candidate* best = nullptr;
+    std::uint64_t bestScore = 0;
+    for (auto i = aBegin; i < aEnd; ++i) {
+      const auto& candidate = list->candidates[i];
+      const auto score = Mix(candidate.nodeHash ^ aKeyHash);
+      if ((best == nullptr || score > bestScore) &&
+          candidate.IsAllowed(list->panic, aNow) &&
+          !Contains(aTried, *candidate.record)) {
+        best = &candidate;
+        bestScore = score;
+      }
+    }
+    return best;
+  };
+  const auto regionEnd = list->groupBegin[kOwnRegion + 1];
+  const auto* best = highest(0, regionEnd);
   if (best == nullptr) {
-    return std::nullopt;
+    best = highest(regionEnd, list->candidates.size());
+  }
+  return best == nullptr ? nullptr : Commit(*best, aNow);
+}
+
+EndpointPointer
+Router::Commit(const Candidate& aCandidate, state::Instant aNow)
+{
+  aCandidate.health->Begin(aNow);
+  return { endpoints_, aCandidate.record };
+}
+
+UpstreamHealth*
+Router::ViewOf(const state::EndpointRecord& aRecord)
+{
+  const auto found = views_.find(aRecord.node);
+  // A late result of an older incarnation says nothing of the new one.
+  const bool isSame =
+    found != views_.end() && found->second.Incarnation() == aRecord.incarnation;
+  return isSame ? &found->second : nullptr;
+}
+
+void
+Router::Take(const EndpointPointer& aEndpoint, state::Instant aNow)
+{
+  if (auto* view = ViewOf(*aEndpoint)) {
+    view->Begin(aNow);
   }
-  ++views_[best->node].inFlight;
-  return *best;
 }
 
 void
-Router::Finished(const std::string& aNode,
+Router::Finished(const state::EndpointRecord& aEndpoint,
                  const Outcome& aOutcome,
                  state::Instant aNow)
 {
-  auto& view = views_[aNode];
-  --view.inFlight;
-  const auto* notRun = std::get_if<NotRun>(&aOutcome);
-  const bool unreachable =
-    std::holds_alternative<Unknown>(aOutcome) ||
-    (notRun != nullptr && notRun->reason == NotRunReason::ConnectFailed);
-  if (unreachable) {
-    view.ejectedUntil = aNow + kEjectionTime;
+  auto* view = ViewOf(aEndpoint);
+  if (view == nullptr) {
+    return;
+  }
+  constexpr double kRange = std::minstd_rand::max();
+  if (view->End(aOutcome, random_() / kRange, aNow)) {
+    ++healthVersion_;
   }
 }
 
+void
+Router::Abandoned(const state::EndpointRecord& aEndpoint)
+{
+  if (auto* view = ViewOf(aEndpoint)) {
+    view->Abandon();
+  }
+}
+
+EndpointPointer
+Router::Find(std::string_view aNode) const
+{
+  const auto* record =
+    endpoints_ == nullptr ? nullptr : endpoints_->Find(aNode);
+  return record == nullptr ? nullptr : EndpointPointer(endpoints_, record);
+}
+
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -1,45 +1,124 @@
 #pragma once
 
-#include "Coordination/CallTypes.h"
+#include "Coordination/UpstreamHealth.h"
 #include "State/EndpointTable.h"
 
-#include <map>
+#include <memory>
 #include <optional>
+#include <random>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace teaselhold::coordination {
 
-/// Picks the upstream for a request from what this node itself sees.
+/// Shares the ownership of the table that holds the record, so that a pick
+/// copies no record and outlives a change of the table.
+using EndpointPointer = std::shared_ptr<const state::EndpointRecord>;
+using EndpointTablePointer = std::shared_ptr<const state::EndpointTable>;
+
+struct RouterOptions
+{
+  /// The name of this node; the upstream beside it is the nearest one.
+  std::string node;
+  std::string dataCentre;
+  std::string region;
+  std::uint64_t randomSeed = 0;
+};
+
+/// Picks the upstream for a request from the newest endpoints and from what
+/// this node itself sees of them. Belongs to one thread.
+///
+/// Every Pick() and Take() that returns an endpoint is followed by exactly one
+/// Finished() or Abandoned().
 class Router
 {
 public:
-  Router(std::string aDataCentre, std::string aRegion);
+  explicit Router(RouterOptions aOptions);
+  ~Router();
+
+  /// Takes the endpoints of the newest snapshot; cheap if they are the ones in
+  /// use. Forgets what it knew of nodes that left.
+  void Use(EndpointTablePointer aEndpoints, state::Instant aNow);
 
-  /// Picks a ready upstream of the service, nearest first, that is not among
-  /// aTried. Counts the request as in flight until Finished().
-  std::optional<state::EndpointRecord> Pick(
-    const state::EndpointTable& aEndpoints,
-    const std::string& aService,
-    const std::vector<std::string>& aTried,
-    state::Instant aNow);
+  /// Picks a ready upstream of the service that is not among aTried: from the
+  /// nearest group (this host, data centre, region, elsewhere) that has a free
+  /// slot as far as this node sees, the less loaded one of two random ones.
+  /// @return nullptr if no ready upstream is left.
+  EndpointPointer Pick(std::string_view aService,
+                       const std::vector<EndpointPointer>& aTried,
+                       state::Instant aNow);
 
-  void Finished(const std::string& aNode,
+  /// Picks the executor of a keyed request. Nodes of one region with the same
+  /// endpoints choose the same executor for a key, so that a send that finds
+  /// no claim still meets the ledger that knows the key.
+  /// @return nullptr if no ready upstream is left.
+  EndpointPointer PickExecutor(std::string_view aService,
+                               std::uint64_t aKeyHash,
+                               const std::vector<EndpointPointer>& aTried,
+                               state::Instant aNow);
+
+  /// Counts a request to an executor that a claim names.
+  void Take(const EndpointPointer& aEndpoint, state::Instant aNow);
+
+  /// A request that was picked ended.
+  void Finished(const state::EndpointRecord& aEndpoint,
                 const Outcome& aOutcome,
                 state::Instant aNow);
 
+  /// A request that was picked was given up by this node.
+  void Abandoned(const state::EndpointRecord& aEndpoint);
+
+  /// @return the newest record of a node, or nullptr.
+  EndpointPointer Find(std::string_view aNode) const;
+
+  /// @return the number of nodes that the router remembers.
+  std::size_t ViewCount() const { return views_.size(); }
+
 private:
-  struct NodeView
+  struct Candidate;
+  struct ServiceList;
+  struct TextHash
   {
-    unsigned inFlight = 0;
-    state::Instant ejectedUntil{ 0 };
+    using is_transparent = void;
+    std::size_t operator()(std::string_view aText) const
+    {
+      return std::hash<std::string_view>{}(aText);
+    }
   };
+  template<typename Value>
+  using ByName =
+    std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
 
   unsigned Distance(const state::EndpointRecord& aRecord) const;
+  ServiceList* ListOf(std::string_view aService, state::Instant aNow);
+  void Rebuild(ServiceList& aList,
+               std::string_view aService,
+               state::Instant aNow);
+  void UpdatePanic(ServiceList& aList, state::Instant aNow) const;
+  const Candidate* PickFrom(const ServiceList& aList,
+                            const std::vector<EndpointPointer>& aTried,
+                            bool aIgnoreLoad,
+                            state::Instant aNow);
+  const Candidate* SampleGroup(const ServiceList& aList,
+                               std::size_t aBegin,
+                               std::size_t aEnd,
+                               const std::vector<EndpointPointer>& aTried,
+                               bool aIgnoreLoad,
+                               state::Instant aNow);
+  EndpointPointer Commit(const Candidate& aCandidate, state::Instant aNow);
+  UpstreamHealth* ViewOf(const state::EndpointRecord& aRecord);
 
-  std::string dataCentre_;
-  std::string region_;
-  std::map<std::string, NodeView> views_;
+  RouterOptions options_;
+  std::minstd_rand random_;
+  EndpointTablePointer endpoints_;
+  /// Raised by each change of the endpoints; older lists are rebuilt.
+  std::uint64_t tableVersion_ = 0;
+  /// Raised by each ejection and recovery.
+  std::uint64_t healthVersion_ = 0;
+  ByName<UpstreamHealth> views_;
+  ByName<ServiceList> lists_;
 };
 
 } // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/UpstreamHealth.cpp
@@ -0,0 +1,186 @@
+#include "Coordination/UpstreamHealth.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr state::Duration kColdStart = std::chrono::seconds(10);
+constexpr double kColdSlots = 2;
+constexpr state::Duration kFirstEjection = std::chrono::seconds(1);
+constexpr unsigned kMaxDoublings = 5;
+/// How long an upstream that refused as draining or starting is avoided; its
+/// announcement arrives within this time.
+constexpr state::Duration kRefusedPause = std::chrono::milliseconds(500);
+/// About the time in which a full upstream of 12 slots frees one.
+constexpr state::Duration kLoadedPause = std::chrono::milliseconds(20);
+/// A single timeout or broken answer may be the fault of the request.
+constexpr unsigned kSlowFailureLimit = 2;
+/// Answers of 500 and above in a row.
+constexpr unsigned kServerErrorLimit = 5;
+constexpr unsigned kFirstServerError = 500;
+/// Longest part of an ejection that is added at random.
+constexpr double kJitterShare = 0.25;
+
+} // namespace
+
+UpstreamHealth::UpstreamHealth(std::uint64_t aIncarnation,
+                               bool aWarm,
+                               state::Instant aNow)
+  : incarnation_(aIncarnation)
+  , warm_(aWarm)
+  , firstSeen_(aNow)
+{
+}
+
+bool
+UpstreamHealth::IsEjected(state::Instant aNow) const
+{
+  return aNow < ejectedUntil_ || (ejections_ > 0 && trialRunning_);
+}
+
+bool
+UpstreamHealth::IsHalfOpen(state::Instant aNow) const
+{
+  return ejections_ > 0 && aNow >= ejectedUntil_;
+}
+
+double
+UpstreamHealth::UsableSlots(std::uint32_t aSlots, state::Instant aNow) const
+{
+  const double full = std::max<std::uint32_t>(aSlots, 1);
+  const auto age = aNow - firstSeen_;
+  if (warm_ || age >= kColdStart || full <= kColdSlots) {
+    return full;
+  }
+  const double share =
+    static_cast<double>(age.count()) / static_cast<double>(kColdStart.count());
+  return kColdSlots + (full - kColdSlots) * share;
+}
+
+void
+UpstreamHealth::Begin(state::Instant aNow)
+{
+  ++inFlight_;
+  trialRunning_ = trialRunning_ || IsHalfOpen(aNow);
+}
+
+void
+UpstreamHealth::Abandon()
+{
+  inFlight_ -= inFlight_ > 0 ? 1 : 0;
+  trialRunning_ = false;
+}
+
+bool
+UpstreamHealth::End(const Outcome& aOutcome,
+                    double aJitter,
+                    state::Instant aNow)
+{
+  Abandon();
+  if (const auto* answered = std::get_if<Answered>(&aOutcome)) {
+    return OnAnswer(answered->status, aJitter, aNow);
+  }
+  if (const auto* notRun = std::get_if<NotRun>(&aOutcome)) {
+    return OnNotRun(notRun->reason, aJitter, aNow);
+  }
+  return OnUnknown(std::get<Unknown>(aOutcome).reason, aJitter, aNow);
+}
+
+bool
+UpstreamHealth::OnAnswer(unsigned aStatus, double aJitter, state::Instant aNow)
+{
+  if (aStatus >= kFirstServerError) {
+    ++serverErrors_;
+    return serverErrors_ >= kServerErrorLimit && EjectLonger(aJitter, aNow);
+  }
+  serverErrors_ = 0;
+  return Recover();
+}
+
+bool
+UpstreamHealth::OnNotRun(NotRunReason aReason,
+                         double aJitter,
+                         state::Instant aNow)
+{
+  switch (aReason) {
+    case NotRunReason::ConnectFailed:
+    case NotRunReason::NeverArrived:
+      return EjectLonger(aJitter, aNow);
+    case NotRunReason::Full:
+    case NotRunReason::Shed:
+      loadedUntil_ = aNow + kLoadedPause;
+      // It answers, so what ejected it is over.
+      return Recover();
+    case NotRunReason::Starting:
+    case NotRunReason::Draining:
+    case NotRunReason::NotReady:
+    case NotRunReason::WrongExecutor:
+    case NotRunReason::WrongService:
+      return Eject(kRefusedPause, aNow);
+    default:
+      // The refusal is about the request.
+      return Recover();
+  }
+}
+
+bool
+UpstreamHealth::OnUnknown(UnknownReason aReason,
+                          double aJitter,
+                          state::Instant aNow)
+{
+  switch (aReason) {
+    case UnknownReason::ConnectionLost:
+    case UnknownReason::UpstreamCrashed:
+      return EjectLonger(aJitter, aNow);
+    case UnknownReason::Timeout:
+    case UnknownReason::PartialAnswer:
+    case UnknownReason::CrossedAnswer:
+      ++slowFailures_;
+      return (slowFailures_ >= kSlowFailureLimit || ejections_ > 0) &&
+             EjectLonger(aJitter, aNow);
+    case UnknownReason::ExecutorGone:
+      return Eject(kRefusedPause, aNow);
+    case UnknownReason::Forgotten:
+      break;
+  }
+  return false;
+}
+
+bool
+UpstreamHealth::Eject(state::Duration aTime, state::Instant aNow)
+{
+  ejectedUntil_ = std::max(ejectedUntil_, aNow + aTime);
+  return true;
+}
+
+bool
+UpstreamHealth::EjectLonger(double aJitter, state::Instant aNow)
+{
+  // Requests that were in flight together fail together; they count once.
+  if (aNow < ejectedUntil_) {
+    return false;
+  }
+  const auto base =
+    kFirstEjection * (1U << std::min(ejections_, kMaxDoublings));
+  const auto jitter = static_cast<state::Duration::rep>(
+    static_cast<double>(base.count()) * kJitterShare * aJitter);
+  ++ejections_;
+  return Eject(base + state::Duration(jitter), aNow);
+}
+
+bool
+UpstreamHealth::Recover()
+{
+  slowFailures_ = 0;
+  if (ejections_ == 0) {
+    // A pause after a refusal runs its time; older requests still succeed.
+    return false;
+  }
+  ejections_ = 0;
+  ejectedUntil_ = state::Instant{ 0 };
+  return true;
+}
+
+} // namespace teaselhold::coordination
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -23,5 +23,8 @@
 inline constexpr const char* kIdempotencyKey = "Idempotency-Key";
 /// The incarnation that must run a keyed request; others refuse it.
 inline constexpr const char* kExecutor = "Teaselhold-Executor";
+/// The epoch of the claim, followed by ";start" if this delivery may start the
+/// run.
+inline constexpr const char* kClaim = "Teaselhold-Claim";
 
 } // namespace teaselhold::protocol::headers
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -145,7 +145,12 @@
   , stateSink_(std::move(aStateSink))
   , nodes_(context_, kMaxIdlePerPeer)
   , upstream_(context_, aSettings.upstreamSlots)
-  , router_(aSettings.dataCentre, aSettings.region)
+  , environment_({ aSettings.nodeName,
+                   aSettings.dataCentre,
+                   aSettings.region,
+                   aIncarnation },
+                 aIncarnation,
+                 aSettings.service)
   , admission_(aSettings.upstreamSlots)
 {
 }
@@ -234,13 +239,24 @@
     facts.deadline = now + std::chrono::milliseconds(remaining);
   }
   const auto snapshot = snapshot_.load();
-  CallSession session(std::move(facts), snapshot, router_);
+  CallSession session(std::move(facts), snapshot, environment_);
   auto step = session.Start(now);
   Response response;
-  while (const auto* attempt = std::get_if<Attempt>(&step)) {
-    auto exchange = co_await SendToNode(aRequest, session, *attempt);
-    response = std::move(exchange.response);
-    step = session.Finish(exchange.outcome, clock_.Now());
+  while (!std::holds_alternative<Respond>(step)) {
+    if (const auto* attempt = std::get_if<Attempt>(&step)) {
+      auto exchange = co_await SendToNode(aRequest, session, *attempt);
+      response = std::move(exchange.response);
+      step = session.Finish(exchange.outcome, clock_.Now());
+    } else if (const auto* backoff = std::get_if<Backoff>(&step)) {
+      asio::steady_timer timer(context_, clock_.ToSteady(backoff->until));
+      co_await timer.async_wait(asio::use_awaitable);
+      step = session.Resume(clock_.Now());
+    } else {
+      // FIXME: Pass the step to the store; until then keyed calls are not run.
+      step = session.FinishClaim(
+        protocol::StoreError{ protocol::StoreErrorCode::Unavailable, "" },
+        clock_.Now());
+    }
   }
   const auto& outcome = std::get<Respond>(step).outcome;
   if (!std::holds_alternative<Answered>(outcome)) {
@@ -264,7 +280,7 @@
                   "/" + std::to_string(nextRequest_++);
   auto request = aRequest;
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aAttempt.deadline - clock_.Now());
+    aAttempt.carriedDeadline - clock_.Now());
   const auto className =
     state::FindEnumName(state::kRequestClassNames, route.requestClass);
   request.set(headers::kRequestId, id);
@@ -278,7 +294,7 @@
               std::to_string(NumericHeader(request, headers::kDepth, 0U) + 1));
   request.keep_alive(true);
   request.prepare_payload();
-  auto answer = co_await nodes_.Send(aAttempt.endpoint.dataAddress,
+  auto answer = co_await nodes_.Send(aAttempt.endpoint->dataAddress,
                                      std::move(request),
                                      clock_.ToSteady(aAttempt.deadline));
   if (!answer) {
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -2,7 +2,6 @@
 
 #include "Coordination/Admission.h"
 #include "Coordination/CallSession.h"
-#include "Coordination/Router.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/Settings.h"
 #include "Transport/HttpServer.h"
@@ -67,7 +66,7 @@
   transport::HttpClientPool upstream_;
   std::unique_ptr<transport::HttpServer> callerServer_;
   std::unique_ptr<transport::HttpServer> nodeServer_;
-  coordination::Router router_;
+  coordination::CallEnvironment environment_;
   coordination::Admission admission_;
   std::atomic<coordination::RoutingSnapshotPointer> snapshot_;
   state::EndpointState upstreamState_ = state::EndpointState::Starting;
