Settings: Check addresses against each other and suggest spellings

A misspelled section gave no hint, a missing key no line, and two addresses on one port failed only at the start. Settings now name the section's line, suggest the key and are checked as a whole; seeds that name only this node and an admin address off loopback are warnings. Texts and settings report their syntax errors together with all others, and a text without any service is refused, because it would end all traffic.

--- a/Libraries/Protocol/ConfigurationText.cpp
+++ b/Libraries/Protocol/ConfigurationText.cpp
@@ -1,6 +1,7 @@
 #include "Protocol/ConfigurationText.h"
 
 #include "Protocol/IniDocument.h"
+#include "Protocol/Suggestion.h"
 
 #include <algorithm>
 #include <charconv>
@@ -45,41 +46,27 @@
   return parts;
 }
 
-/// Levenshtein distance, for suggestions.
-std::size_t
-EditDistance(std::string_view aLeft, std::string_view aRight)
-{
-  std::vector<std::size_t> row(aRight.size() + 1);
-  for (std::size_t j = 0; j < row.size(); ++j) {
-    row[j] = j;
-  }
-  for (std::size_t i = 0; i < aLeft.size(); ++i) {
-    auto diagonal = row[0];
-    row[0] = i + 1;
-    for (std::size_t j = 0; j < aRight.size(); ++j) {
-      const auto replaced = diagonal + (aLeft[i] == aRight[j] ? 0 : 1);
-      diagonal = row[j + 1];
-      row[j + 1] = std::min({ replaced, row[j] + 1, diagonal + 1 });
-    }
-  }
-  return row.back();
-}
-
 /// Compiles one document, collecting errors.
 class Compiler
 {
 public:
   tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>> Compile(
     const IniDocument& aDocument,
+    std::vector<ProtocolError> aSyntaxErrors,
     std::string_view aText,
     state::Generation aGeneration)
   {
+    // A name or key in an unreadable line would be reported as missing.
+    isWhole_ = aSyntaxErrors.empty();
+    errors_ = std::move(aSyntaxErrors);
     for (const auto& section : aDocument.Sections()) {
       ReadSection(section);
     }
     CheckLimits();
-    CheckReferences();
-    CheckCycles();
+    if (isWhole_) {
+      CheckReferences();
+      CheckCycles();
+    }
     if (!errors_.empty()) {
       std::ranges::stable_sort(errors_, {}, &ProtocolError::line);
       return tl::make_unexpected(std::move(errors_));
@@ -108,7 +95,8 @@
            aSection.line,
            "unknown section [" + aSection.name +
              "]; expected [service NAME], [route NAME], [tenant NAME] or "
-             "[mesh]");
+             "[mesh]" +
+             SuggestName(kind, { "service", "route", "tenant", "mesh" }));
       return;
     }
     if (!IsName(name)) {
@@ -128,20 +116,16 @@
   }
 
   void CheckKeys(const IniSection& aSection,
-                 std::initializer_list<std::string_view> aAllowed)
+                 const std::vector<std::string_view>& aAllowed)
   {
     for (const auto& entry : aSection.entries) {
-      if (std::ranges::find(aAllowed, entry.key) != aAllowed.end()) {
-        continue;
+      if (std::ranges::find(aAllowed, entry.key) == aAllowed.end()) {
+        Fail(ProtocolErrorCode::UnknownName,
+             entry.line,
+             "unknown key \"" + entry.key + "\" in [" + aSection.name +
+               "]; expected " + JoinNames(aAllowed) +
+               SuggestName(entry.key, aAllowed));
       }
-      std::string expected;
-      for (const auto& key : aAllowed) {
-        expected.append(expected.empty() ? "" : ", ").append(key);
-      }
-      Fail(ProtocolErrorCode::UnknownName,
-           entry.line,
-           "unknown key \"" + entry.key + "\" in [" + aSection.name +
-             "]; expected " + expected);
     }
   }
 
@@ -220,7 +204,7 @@
   const IniEntry* Require(const IniSection& aSection, std::string_view aKey)
   {
     const auto* entry = aSection.Find(aKey);
-    if (entry == nullptr) {
+    if (entry == nullptr && isWhole_) {
       Fail(ProtocolErrorCode::InvalidValue,
            aSection.line,
            "[" + aSection.name + "] needs the key \"" + std::string(aKey) +
@@ -306,6 +290,13 @@
 
   void CheckLimits()
   {
+    if (services_.empty() && isWhole_) {
+      // An empty file that is applied by mistake would end all traffic.
+      Fail(ProtocolErrorCode::InvalidValue,
+           0,
+           "the text defines no service; expected at least one "
+           "[service NAME]");
+    }
     if (services_.size() > kMaxServices) {
       Fail(ProtocolErrorCode::TooLarge,
            0,
@@ -352,17 +343,7 @@
 
   std::string Suggest(const std::string& aName) const
   {
-    constexpr std::size_t kMaxDistance = 2;
-    std::size_t best = kMaxDistance + 1;
-    std::string suggestion;
-    for (const auto& name : serviceNames_) {
-      const auto distance = EditDistance(aName, name);
-      if (distance < best) {
-        best = distance;
-        suggestion = name;
-      }
-    }
-    return suggestion.empty() ? "" : "; did you mean \"" + suggestion + "\"?";
+    return SuggestName(aName, { serviceNames_.begin(), serviceNames_.end() });
   }
 
   void CheckCycles()
@@ -443,6 +424,7 @@
   std::map<std::string, std::size_t> routeLines_;
   std::map<std::string, std::pair<std::string, std::size_t>> matches_;
   bool cyclesAllowed_ = false;
+  bool isWhole_ = true;
 };
 
 } // namespace
@@ -450,9 +432,9 @@
 tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
 CompileConfiguration(std::string_view aText, state::Generation aGeneration)
 {
-  return IniDocument::Parse(aText).and_then([&](const IniDocument& aDocument) {
-    return Compiler().Compile(aDocument, aText, aGeneration);
-  });
+  std::vector<ProtocolError> errors;
+  const auto document = IniDocument::ParseReadable(aText, errors);
+  return Compiler().Compile(document, std::move(errors), aText, aGeneration);
 }
 
 std::string
--- a/Libraries/Protocol/IniDocument.cpp
+++ b/Libraries/Protocol/IniDocument.cpp
@@ -75,13 +75,16 @@
   {
     if (aText.back() != ']') {
       Fail("expected \"]\" at the end of the section name");
+      skipping_ = true;
       return;
     }
     const auto name = Trim(aText.substr(1, aText.size() - 2));
     if (name.empty()) {
       Fail("the section has no name");
+      skipping_ = true;
       return;
     }
+    skipping_ = false;
     sections_.push_back({ std::string(name), line_, {} });
     if (!names_.insert(std::string(name)).second) {
       Fail("section [" + std::string(name) + "] is defined twice");
@@ -100,6 +103,9 @@
       Fail("the key before \"=\" is missing");
       return;
     }
+    if (skipping_) {
+      return;
+    }
     if (sections_.empty()) {
       Fail("key \"" + std::string(key) + "\" stands before the first section");
       return;
@@ -115,6 +121,8 @@
   }
 
   std::size_t line_ = 0;
+  /// Below a section whose name cannot be read.
+  bool skipping_ = false;
   std::set<std::string> names_;
 };
 
@@ -130,12 +138,26 @@
 tl::expected<IniDocument, std::vector<ProtocolError>>
 IniDocument::Parse(std::string_view aText)
 {
+  std::vector<ProtocolError> errors;
+  auto document = ParseReadable(aText, errors);
+  if (!errors.empty()) {
+    return tl::make_unexpected(std::move(errors));
+  }
+  return document;
+}
+
+IniDocument
+IniDocument::ParseReadable(std::string_view aText,
+                           std::vector<ProtocolError>& aErrors)
+{
+  IniDocument document;
   if (aText.size() > kMaxBytes) {
-    return tl::make_unexpected(std::vector<ProtocolError>{
-      { ProtocolErrorCode::TooLarge,
-        0,
-        "the text has " + std::to_string(aText.size()) + " bytes; at most " +
-          std::to_string(kMaxBytes) + " are allowed" } });
+    aErrors.push_back({ ProtocolErrorCode::TooLarge,
+                        0,
+                        "the text has " + std::to_string(aText.size()) +
+                          " bytes; at most " + std::to_string(kMaxBytes) +
+                          " are allowed" });
+    return document;
   }
   LineReader reader;
   while (!aText.empty() && !reader.HasTooManyErrors()) {
@@ -144,11 +166,8 @@
     aText = end == std::string_view::npos ? std::string_view{}
                                           : aText.substr(end + 1);
   }
-  if (!reader.errors_.empty()) {
-    return tl::make_unexpected(std::move(reader.errors_));
-  }
-  IniDocument document;
   document.sections_ = std::move(reader.sections_);
+  aErrors = std::move(reader.errors_);
   return document;
 }
 
--- a/Libraries/Protocol/IniDocument.h
+++ b/Libraries/Protocol/IniDocument.h
@@ -40,6 +40,13 @@
   static tl::expected<IniDocument, std::vector<ProtocolError>> Parse(
     std::string_view aText);
 
+  /// Reads the lines that can be read and puts an error for each other one into
+  /// aErrors,
+  /// so that a caller can report errors of other kinds together with them. The
+  /// keys below an unreadable section name are left out.
+  static IniDocument ParseReadable(std::string_view aText,
+                                   std::vector<ProtocolError>& aErrors);
+
   const std::vector<IniSection>& Sections() const { return sections_; }
 
 private:
--- a/Services/teaselholdd/Settings.cpp
+++ b/Services/teaselholdd/Settings.cpp
@@ -1,12 +1,15 @@
 #include "Services/teaselholdd/Settings.h"
 
 #include "Protocol/IniDocument.h"
+#include "Protocol/Suggestion.h"
+#include "Services/teaselholdd/SettingsCheck.h"
 #include "State/EnumNames.h"
 #include "Transport/SocketAddress.h"
 
+#include <algorithm>
 #include <charconv>
 #include <functional>
-#include <map>
+#include <set>
 
 namespace teaselhold::daemon {
 
@@ -23,6 +26,8 @@
   { DistributionMode::Direct, "direct" },
 } };
 
+constexpr std::uint32_t kMaxMilliseconds = 3600 * 1000;
+
 /// Stores a value; returns what was expected if the value is bad.
 using Reader = std::function<std::string(const std::string&)>;
 
@@ -34,12 +39,31 @@
   Reader reader;
 };
 
+/// A name that goes into messages, logs and metric labels.
 Reader
-ReadText(std::string& aTarget)
+ReadName(std::string& aTarget)
 {
   return [&aTarget](const std::string& aValue) -> std::string {
+    constexpr std::size_t kMaxLength = 63;
     aTarget = aValue;
-    return aValue.empty() ? "a value" : "";
+    const bool valid =
+      !aValue.empty() && aValue.size() <= kMaxLength &&
+      std::ranges::all_of(aValue, [](unsigned char aCharacter) {
+        return std::isalnum(aCharacter) != 0 || aCharacter == '-' ||
+               aCharacter == '_' || aCharacter == '.';
+      });
+    return valid ? "" : "1 to 63 of letters, digits, \"-\", \"_\" and \".\"";
+  };
+}
+
+Reader
+ReadPath(std::string& aTarget)
+{
+  return [&aTarget](const std::string& aValue) -> std::string {
+    aTarget = aValue;
+    const bool valid = aValue.starts_with('/') &&
+                       aValue.find_first_of(" #") == std::string::npos;
+    return valid ? "" : "a path such as \"/health\"";
   };
 }
 
@@ -48,7 +72,9 @@
 {
   return [&aTarget](const std::string& aValue) -> std::string {
     aTarget = aValue;
-    return transport::ParseSocketAddress(aValue) ? "" : "IP:PORT";
+    return transport::ParseSocketAddress(aValue)
+             ? ""
+             : "IP:PORT with a port from 1 to 65535, such as 10.1.0.7:7401";
   };
 }
 
@@ -63,7 +89,7 @@
       part.erase(0, part.find_first_not_of(' '));
       part.erase(part.find_last_not_of(' ') + 1);
       if (!transport::ParseSocketAddress(part)) {
-        return "a list of IP:PORT, separated by commas";
+        return "IP:PORT, several of them separated by commas";
       }
       aTarget.push_back(std::move(part));
       start = comma + 1;
@@ -94,12 +120,12 @@
     const auto* end = aValue.data() + aValue.size();
     const auto result = std::from_chars(aValue.data(), end, number);
     const std::string unit(result.ptr, end);
-    if (result.ec != std::errc() || number == 0 || number > 3600000 ||
-        (unit != "ms" && unit != "s")) {
-      return "a time such as \"500ms\" or \"30s\"";
+    const std::uint32_t factor = unit == "s" ? 1000 : 1;
+    if (result.ec != std::errc() || number == 0 ||
+        number > kMaxMilliseconds / factor || (unit != "ms" && unit != "s")) {
+      return "a time from 1ms to 3600s, such as \"500ms\" or \"30s\"";
     }
-    aTarget = std::chrono::milliseconds(std::uint64_t{ number } *
-                                        (unit == "s" ? 1000 : 1));
+    aTarget = std::chrono::milliseconds(number * factor);
     return "";
   };
 }
@@ -130,10 +156,10 @@
 {
   auto& s = aSettings;
   return {
-    { "node", "name", true, ReadText(s.nodeName) },
-    { "node", "service", true, ReadText(s.service) },
-    { "node", "data_centre", true, ReadText(s.dataCentre) },
-    { "node", "region", true, ReadText(s.region) },
+    { "node", "name", true, ReadName(s.nodeName) },
+    { "node", "service", true, ReadName(s.service) },
+    { "node", "data_centre", true, ReadName(s.dataCentre) },
+    { "node", "region", true, ReadName(s.region) },
     { "node", "caller_address", true, ReadAddress(s.callerAddress) },
     { "node", "data_address", true, ReadAddress(s.dataAddress) },
     { "node", "control_address", true, ReadAddress(s.controlAddress) },
@@ -144,7 +170,7 @@
     { "node", "distribution", false, ReadDistribution(s.distribution) },
     { "store", "address", true, ReadAddress(s.storeAddress) },
     { "upstream", "address", true, ReadAddress(s.upstreamAddress) },
-    { "upstream", "health_path", false, ReadText(s.upstreamHealthPath) },
+    { "upstream", "health_path", false, ReadPath(s.upstreamHealthPath) },
     { "upstream", "slots", false, ReadNumber(s.upstreamSlots, 1, 10000) },
     { "upstream", "probe_interval", false, ReadTime(s.upstreamProbeInterval) },
     { "log", "level", false, ReadLogLevel(s.logLevel) },
@@ -160,79 +186,126 @@
   {
   }
 
-  std::vector<ProtocolError> Read(const IniDocument& aDocument)
+  /// @param aIsWhole false if lines of the document could not be read; keys are
+  /// then not reported as missing.
+  void Read(const IniDocument& aDocument, bool aIsWhole)
   {
     for (const auto& section : aDocument.Sections()) {
-      for (const auto& entry : section.entries) {
-        ReadEntry(section, entry);
-      }
+      ReadSection(section);
     }
-    for (const auto& field : fields_) {
-      if (field.required && !seen_.contains(field.section + "." + field.key)) {
-        errors_.push_back({ ProtocolErrorCode::InvalidValue,
-                            0,
-                            "key \"" + field.key + "\" is missing in [" +
-                              field.section + "]" });
-      }
+    if (aIsWhole) {
+      CheckRequired(aDocument);
     }
-    return std::move(errors_);
   }
 
+  std::vector<ProtocolError> errors_;
+
 private:
-  void ReadEntry(const IniSection& aSection, const IniEntry& aEntry)
+  void Fail(ProtocolErrorCode aCode, std::size_t aLine, std::string aMessage)
   {
-    std::string expected;
+    errors_.push_back({ aCode, aLine, std::move(aMessage) });
+  }
+
+  std::vector<std::string_view> Names(std::string_view aSection) const
+  {
+    std::vector<std::string_view> names;
     for (const auto& field : fields_) {
-      if (field.section != aSection.name) {
-        continue;
+      if (aSection.empty() &&
+          (names.empty() || names.back() != field.section)) {
+        names.push_back(field.section);
+      } else if (field.section == aSection) {
+        names.push_back(field.key);
       }
-      if (field.key == aEntry.key) {
-        seen_.insert({ field.section + "." + field.key, true });
-        ReadValue(field, aEntry);
-        return;
-      }
-      expected += (expected.empty() ? "" : ", ") + field.key;
     }
-    errors_.push_back(
-      { ProtocolErrorCode::UnknownName,
-        aEntry.line,
-        "unknown key \"" + aEntry.key + "\" in [" + aSection.name + "]" +
-          (expected.empty()
-             ? "; expected the sections node, store, upstream and log"
-             : "; expected " + expected) });
+    return names;
   }
 
-  void ReadValue(const Field& aField, const IniEntry& aEntry)
+  void ReadSection(const IniSection& aSection)
   {
-    const auto expected = aField.reader(aEntry.value);
+    const auto sections = Names("");
+    if (std::ranges::find(sections, aSection.name) == sections.end()) {
+      Fail(ProtocolErrorCode::UnknownName,
+           aSection.line,
+           "unknown section [" + aSection.name + "]; expected the sections " +
+             protocol::JoinNames(sections) +
+             protocol::SuggestName(aSection.name, sections));
+      return;
+    }
+    for (const auto& entry : aSection.entries) {
+      ReadEntry(aSection, entry);
+    }
+  }
+
+  void ReadEntry(const IniSection& aSection, const IniEntry& aEntry)
+  {
+    const auto field = std::ranges::find_if(fields_, [&](const Field& aField) {
+      return aField.section == aSection.name && aField.key == aEntry.key;
+    });
+    if (field == fields_.end()) {
+      const auto keys = Names(aSection.name);
+      Fail(ProtocolErrorCode::UnknownName,
+           aEntry.line,
+           "unknown key \"" + aEntry.key + "\" in [" + aSection.name +
+             "]; expected " + protocol::JoinNames(keys) +
+             protocol::SuggestName(aEntry.key, keys));
+      return;
+    }
+    const auto expected = field->reader(aEntry.value);
     if (!expected.empty()) {
-      errors_.push_back({ ProtocolErrorCode::InvalidValue,
-                          aEntry.line,
-                          "bad value \"" + aEntry.value + "\" for \"" +
-                            aEntry.key + "\"; expected " + expected });
+      Fail(ProtocolErrorCode::InvalidValue,
+           aEntry.line,
+           "bad value \"" + aEntry.value + "\" for \"" + aEntry.key +
+             "\"; expected " + expected);
+    }
+  }
+
+  void CheckRequired(const IniDocument& aDocument)
+  {
+    std::set<std::string> missingSections;
+    for (const auto& field : fields_) {
+      const auto& sections = aDocument.Sections();
+      const auto section =
+        std::ranges::find(sections, field.section, &IniSection::name);
+      if (!field.required || missingSections.contains(field.section)) {
+        continue;
+      }
+      if (section == sections.end()) {
+        missingSections.insert(field.section);
+        Fail(ProtocolErrorCode::InvalidValue,
+             0,
+             "section [" + field.section + "] is missing");
+      } else if (section->Find(field.key) == nullptr) {
+        Fail(ProtocolErrorCode::InvalidValue,
+             section->line,
+             "key \"" + field.key + "\" is missing in [" + field.section + "]");
+      }
     }
   }
 
   std::vector<Field> fields_;
-  std::map<std::string, bool> seen_;
-  std::vector<ProtocolError> errors_;
 };
 
 } // namespace
 
-tl::expected<Settings, std::vector<ProtocolError>>
+tl::expected<CheckedSettings, std::vector<ProtocolError>>
 ParseSettings(std::string_view aText)
 {
-  const auto document = IniDocument::Parse(aText);
-  if (!document) {
-    return tl::make_unexpected(document.error());
+  std::vector<ProtocolError> errors;
+  const auto document = IniDocument::ParseReadable(aText, errors);
+  CheckedSettings result;
+  SettingsReader reader(MakeFields(result.settings));
+  reader.Read(document, errors.empty());
+  errors.insert(errors.end(), reader.errors_.begin(), reader.errors_.end());
+  if (errors.empty()) {
+    auto findings = CheckSettings(result.settings, document);
+    errors = std::move(findings.errors);
+    result.warnings = std::move(findings.warnings);
   }
-  Settings settings;
-  auto errors = SettingsReader(MakeFields(settings)).Read(*document);
   if (!errors.empty()) {
+    std::ranges::stable_sort(errors, {}, &ProtocolError::line);
     return tl::make_unexpected(std::move(errors));
   }
-  return settings;
+  return result;
 }
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/Settings.h
+++ b/Services/teaselholdd/Settings.h
@@ -18,7 +18,8 @@
   Direct,
 };
 
-/// The daemon's settings, read from an INI file.
+/// The daemon's settings, read from an INI file. The initializers are the
+/// defaults; members without one are required.
 struct Settings
 {
   std::string nodeName;
@@ -31,9 +32,9 @@
   std::string dataAddress;
   /// Control messages, UDP and TCP on the same port.
   std::string controlAddress;
-  /// Where teaselctl connects; loopback unless set otherwise.
+  /// Where teaselctl connects, IP:port. Calls are not authenticated.
   std::string adminAddress;
-  /// Where metrics are served over HTTP; empty serves none.
+  /// Where metrics are served over HTTP, GET /metrics; empty serves none.
   std::string metricsAddress;
   std::vector<std::string> seeds;
   std::string storeAddress;
@@ -47,8 +48,15 @@
   std::string logLevel = "info";
 };
 
+/// Valid settings and what an operator should know about them.
+struct CheckedSettings
+{
+  Settings settings;
+  std::vector<protocol::ProtocolError> warnings;
+};
+
 /// Reads and checks settings. Returns every error at once.
-tl::expected<Settings, std::vector<protocol::ProtocolError>>
+tl::expected<CheckedSettings, std::vector<protocol::ProtocolError>>
 ParseSettings(std::string_view aText);
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -31,12 +31,16 @@
   }
   std::stringstream text;
   text << file.rdbuf();
-  const auto settings = daemon::ParseSettings(text.str());
-  if (!settings) {
-    std::cerr << protocol::FormatErrors(aPath, settings.error());
+  auto checked = daemon::ParseSettings(text.str());
+  if (!checked) {
+    std::cerr << protocol::FormatErrors(aPath, checked.error());
     return std::nullopt;
   }
-  return *settings;
+  for (auto& warning : checked->warnings) {
+    warning.message = "warning: " + warning.message;
+  }
+  std::cerr << protocol::FormatErrors(aPath, checked->warnings);
+  return std::move(checked->settings);
 }
 
 /// The wall clock in milliseconds; a later process has a higher incarnation.
--- a/Tests/Protocol/ConfigurationTextTest.cpp
+++ b/Tests/Protocol/ConfigurationTextTest.cpp
@@ -86,3 +86,30 @@
   REQUIRE_FALSE(compiled);
   CHECK(compiled.error().size() <= IniDocument::kMaxErrors);
 }
+
+TEST_CASE("syntax errors do not hide the other errors of a text")
+{
+  CHECK(ErrorsOf("[service a\nentry = maybe\n[service b]\nentry = maybe\n"
+                 "[route r]\nmatch\nservice = a\nclass = x\n") ==
+        "mesh.ini:1: expected \"]\" at the end of the section name\n"
+        "mesh.ini:4: bad value \"maybe\" for \"entry\"; expected \"yes\" or "
+        "\"no\"\n"
+        "mesh.ini:6: expected \"key = value\" or \"[section]\"\n"
+        "mesh.ini:8: bad value \"x\" for \"class\"; expected order, check, "
+        "lookup, upload or batch\n");
+}
+
+TEST_CASE("a misspelled key or kind of section is refused with a suggestion")
+{
+  CHECK(ErrorsOf("[service a]\ndepend = b\n")
+          .ends_with("expected depends, entry; did you mean \"depends\"?\n"));
+  CHECK(ErrorsOf("[service a]\n[rout r]\n")
+          .ends_with("; did you mean \"route\"?\n"));
+}
+
+TEST_CASE("an empty text is refused, because it would end all traffic")
+{
+  CHECK(ErrorsOf("; nothing here\n") ==
+        "mesh.ini: the text defines no service; expected at least one "
+        "[service NAME]\n");
+}
