NodeCore: Use ConfigurationDistribution, ReaderDuty and Acceptance

Until now each node watched the store through DirectCore. The core passes the heads of all messages to ConfigurationDistribution and the store's answers to the part that made the call.

A leaf that takes the relay role settles on its own knowledge only after 3 s, because its list of relays is incomplete before.

--- a/Libraries/Coordination/Acceptance.h
+++ b/Libraries/Coordination/Acceptance.h
@@ -6,7 +6,6 @@
 #include "Coordination/NodeEvents.h"
 
 #include <optional>
-#include <random>
 
 namespace teaselhold::coordination {
 
@@ -116,7 +115,7 @@
                      std::string aMessage,
                      Commands& aCommands);
 
-  std::mt19937_64 random_;
+  RandomSource random_;
   CallNumbers& numbers_;
   ConfigurationDistribution& distribution_;
   std::vector<Session> sessions_;
--- a/Libraries/Coordination/Backoff.h
+++ b/Libraries/Coordination/Backoff.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "State/Instant.h"
+#include "Coordination/RandomSource.h"
 
 #include <algorithm>
-#include <random>
 
 namespace teaselhold::coordination {
 
@@ -19,15 +18,12 @@
   }
 
   /// @return the delay after one more failure.
-  template<typename Random>
-  state::Duration Next(Random& aRandom)
+  state::Duration Next(RandomSource& aRandom)
   {
     constexpr std::uint32_t kMaxDoublings = 16;
     const auto delay = std::min(longest_, first_ * (1U << failures_));
     failures_ = std::min(failures_ + 1, kMaxDoublings);
-    std::uniform_int_distribution<state::Duration::rep> jitter(
-      0, delay.count() / 2);
-    return delay - state::Duration(jitter(aRandom));
+    return aRandom.Between(delay - delay / 2, delay);
   }
 
   void Reset() { failures_ = 0; }
--- a/Libraries/Coordination/ConfigurationDistribution.cpp
+++ b/Libraries/Coordination/ConfigurationDistribution.cpp
@@ -86,7 +86,8 @@
 }
 
 void
-ConfigurationDistribution::NoteRole(const PeerDirectory& aPeers)
+ConfigurationDistribution::NoteRole(const PeerDirectory& aPeers,
+                                    state::Instant aNow)
 {
   if (aPeers.isRelay == isRelay_) {
     return;
@@ -95,6 +96,7 @@
   if (isRelay_) {
     // A leaf may lag behind a majority of relays. It must not count in a
     // majority before it knows that it holds what that majority put in force.
+    relaySince_ = aNow;
     wasSettledLeaf_ = gate_.IsSettled();
     gate_.ForgetFloor();
   } else {
@@ -116,7 +118,7 @@
                                   state::Instant aNow,
                                   Commands& aCommands)
 {
-  NoteRole(aPeers);
+  NoteRole(aPeers, aNow);
   auto& known = heads_[aSender.node];
   if (aSender.incarnation < known.incarnation) {
     return;
@@ -171,7 +173,7 @@
                                      state::Instant aNow,
                                      Commands& aCommands)
 {
-  NoteRole(aPeers);
+  NoteRole(aPeers, aNow);
   const auto sender = SenderOf(aEnvelope, aPeers);
   if (aEnvelope.has_head_notice()) {
     OnNotice(sender, aEnvelope.head_notice(), aPeers, aNow, aCommands);
@@ -211,7 +213,7 @@
                                     state::Instant aNow,
                                     Commands& aCommands)
 {
-  NoteRole(aPeers);
+  NoteRole(aPeers, aNow);
   const auto offer = gate_.Judge(aStored.generation(), aStored.digest());
   if (offer == state::VersionOffer::Newer) {
     heldFromStore_ = true;
@@ -237,7 +239,7 @@
                                 state::Instant aNow,
                                 Commands& aCommands)
 {
-  NoteRole(aPeers);
+  NoteRole(aPeers, aNow);
   Advance(aPeers, aNow, aCommands);
 }
 
--- a/Libraries/Coordination/ConfigurationDistribution.h
+++ b/Libraries/Coordination/ConfigurationDistribution.h
@@ -5,12 +5,12 @@
 #include "Coordination/FloorSearch.h"
 #include "Coordination/NodeEvents.h"
 #include "Coordination/PeerDirectory.h"
+#include "Coordination/RandomSource.h"
 #include "Coordination/VersionHistory.h"
 #include "State/VersionGate.h"
 #include "admin.pb.h"
 
 #include <map>
-#include <random>
 
 namespace teaselhold::coordination {
 
@@ -110,7 +110,7 @@
     std::uint64_t question;
   };
 
-  void NoteRole(const PeerDirectory& aPeers);
+  void NoteRole(const PeerDirectory& aPeers, state::Instant aNow);
   void Advance(const PeerDirectory& aPeers,
                state::Instant aNow,
                Commands& aCommands);
@@ -176,13 +176,14 @@
             Commands& aCommands);
 
   NodeIdentity identity_;
-  std::mt19937_64 random_;
+  RandomSource random_;
   state::VersionGate gate_;
   VersionHistory history_;
   state::ConfigurationPointer active_;
   state::Generation approved_ = 0;
   ConfigurationPuller puller_;
   bool isRelay_ = false;
+  state::Instant relaySince_{ 0 };
 
   /// By node: relays and leaves that sent a head.
   std::map<std::string, PeerHead> heads_;
--- a/Libraries/Coordination/ConfigurationDistributionMessages.cpp
+++ b/Libraries/Coordination/ConfigurationDistributionMessages.cpp
@@ -11,6 +11,8 @@
 /// Relays outside the relay set that each holder tells of a new version.
 constexpr std::size_t kFanOut = 4;
 constexpr std::size_t kMaxWaitingLeaves = 64;
+/// A new relay knows the other relays of its data centre after this time.
+constexpr state::Duration kDirectoryTime = std::chrono::seconds(3);
 constexpr state::Duration kFirstQuestionInterval =
   std::chrono::milliseconds(500);
 constexpr state::Duration kLongestQuestionInterval = std::chrono::seconds(2);
@@ -32,14 +34,18 @@
     }
     searchingLeaves_ = std::exchange(waitingLeaves_, {});
     // 0 asks nothing.
-    search_.Start(random_() | 1, aNow);
+    search_.Start(random_.Next() | 1, aNow);
   }
   const auto set = FindRelaySet(identity_.dataCentre, aPeers);
   for (const auto& peer : search_.TakeReceivers(set, aPeers, aNow)) {
     SendQuestion(peer, search_.Question(), aCommands);
   }
-  const auto floor = search_.Result(
-    { gate_.IsSettled(), wasSettledLeaf_, gate_.Held() }, set, aPeers);
+  const auto floor =
+    search_.Result({ gate_.IsSettled(),
+                     wasSettledLeaf_ && aNow - relaySince_ >= kDirectoryTime,
+                     gate_.Held() },
+                   set,
+                   aPeers);
   if (!floor) {
     return;
   }
@@ -86,7 +92,7 @@
     return;
   }
   if (isNew) {
-    leafQuestion_ = random_() | 1;
+    leafQuestion_ = random_.Next() | 1;
     askedRelay_ = aPeers.relay->node;
     leafQuestionInterval_ = kFirstQuestionInterval;
   } else {
@@ -241,7 +247,9 @@
       });
     }
   }
-  std::ranges::sample(others, std::back_inserter(receivers), kFanOut, random_);
+  for (auto& peer : random_.Sample(std::move(others), kFanOut)) {
+    receivers.push_back(std::move(peer));
+  }
   for (const auto& peer : receivers) {
     const auto head = heads_.find(peer.node);
     // A peer that has it in force needs no more holders.
--- a/Libraries/Coordination/NodeCore.cpp
+++ b/Libraries/Coordination/NodeCore.cpp
@@ -7,11 +7,28 @@
 /// A tick arrives every 100 ms; after a longer silence this node was paused.
 constexpr state::Duration kMaxLoopDelay = std::chrono::seconds(1);
 
-NodeOptions
-WithoutSeeds(NodeOptions aOptions)
+/// @return nullptr if the message carries no head.
+const wire::Head*
+FindHead(const wire::Envelope& aEnvelope)
 {
-  aOptions.seeds.clear();
-  return aOptions;
+  switch (aEnvelope.body_case()) {
+    case wire::Envelope::kAttach:
+      return &aEnvelope.attach().head();
+    case wire::Envelope::kAttachAnswer:
+      return &aEnvelope.attach_answer().head();
+    case wire::Envelope::kHeartbeat:
+      return &aEnvelope.heartbeat().head();
+    case wire::Envelope::kHeartbeatAnswer:
+      return &aEnvelope.heartbeat_answer().head();
+    case wire::Envelope::kProbe:
+      return &aEnvelope.probe().head();
+    case wire::Envelope::kProbeAnswer:
+      return &aEnvelope.probe_answer().head();
+    case wire::Envelope::kRelayExchange:
+      return &aEnvelope.relay_exchange().head();
+    default:
+      return nullptr;
+  }
 }
 
 } // namespace
@@ -21,7 +38,12 @@
   , endpoints_(options_.identity, options_.randomSeed + 1)
   , membership_(options_, endpoints_)
   , status_(endpoints_, membership_)
-  , storeWatch_(WithoutSeeds(options_))
+  , distribution_(options_.identity, options_.randomSeed + 2)
+  , reader_(options_.identity,
+            options_.randomSeed + 3,
+            callNumbers_,
+            distribution_)
+  , acceptance_(options_.randomSeed + 4, callNumbers_, distribution_)
 {
 }
 
@@ -29,7 +51,7 @@
 NodeCore::Handle(const Event& aEvent, state::Instant aNow)
 {
   Commands commands;
-  const wire::Head head;
+  const auto head = distribution_.Head();
   const Step step{ aNow, head, commands };
   if (isStarted_ && aNow - lastEvent_ > kMaxLoopDelay) {
     AddLog(commands,
@@ -40,7 +62,6 @@
     membership_.OnLate(step);
   }
   lastEvent_ = aNow;
-  UseConfiguration(aEvent, step);
   if (std::holds_alternative<Started>(aEvent)) {
     isStarted_ = true;
     membership_.Start(step);
@@ -50,10 +71,17 @@
     OnUpstreamChanged(change->state, step);
   } else if (std::holds_alternative<StatusRequested>(aEvent)) {
     status_.OnRequested(step);
+  } else if (const auto* answer = std::get_if<StoreAnswered>(&aEvent)) {
+    const auto& peers = membership_.Peers();
+    if (!reader_.OnStoreAnswer(*answer, peers, aNow, commands)) {
+      acceptance_.OnStoreAnswer(*answer, peers, aNow, commands);
+    }
+  } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
+    acceptance_.OnApply(*apply, membership_.Peers(), aNow, commands);
   } else if (std::holds_alternative<Tick>(aEvent)) {
-    membership_.Tick(step);
-    endpoints_.Tick(membership_.Peers(), step);
+    OnTick(step);
   }
+  UseConfiguration();
   endpoints_.FlushUrgent(membership_.Peers(), commands);
   Publish(commands);
   Stamp(commands);
@@ -70,6 +98,33 @@
   membership_.OnMessage(aEnvelope, aStep);
   endpoints_.OnMessage(aEnvelope, aStep);
   status_.OnMessage(aEnvelope, Version(), aStep);
+  PassHead(aEnvelope, aStep);
+  distribution_.OnMessage(
+    aEnvelope, membership_.Peers(), aStep.now, aStep.commands);
+  reader_.OnMessage(aEnvelope, aStep.now);
+}
+
+void
+NodeCore::PassHead(const wire::Envelope& aEnvelope, const Step& aStep)
+{
+  const auto* head = FindHead(aEnvelope);
+  if (head == nullptr) {
+    return;
+  }
+  const auto [sender, isRelay] = membership_.Sender(aEnvelope);
+  distribution_.OnHead(
+    sender, isRelay, *head, membership_.Peers(), aStep.now, aStep.commands);
+}
+
+void
+NodeCore::OnTick(const Step& aStep)
+{
+  membership_.Tick(aStep);
+  const auto& peers = membership_.Peers();
+  endpoints_.Tick(peers, aStep);
+  distribution_.Tick(peers, aStep.now, aStep.commands);
+  reader_.Tick(peers, aStep.now, aStep.commands);
+  acceptance_.Tick(peers, aStep.now, aStep.commands);
 }
 
 void
@@ -83,25 +138,18 @@
 }
 
 void
-NodeCore::UseConfiguration(const Event& aEvent, const Step& aStep)
+NodeCore::UseConfiguration()
 {
-  if (std::holds_alternative<MessageReceived>(aEvent) ||
-      std::holds_alternative<UpstreamChanged>(aEvent)) {
+  membership_.SetRefusal(distribution_.RefusedGeneration(),
+                         distribution_.RefusedReason());
+  if (distribution_.Active() == configuration_) {
     return;
   }
-  for (auto& command : storeWatch_.Handle(aEvent, aStep.now)) {
-    if (const auto* publish = std::get_if<PublishSnapshot>(&command)) {
-      if (publish->snapshot->configuration != configuration_) {
-        configuration_ = publish->snapshot->configuration;
-        isPublishDue_ = true;
-        const auto reach = configuration_->Reach(options_.identity.service);
-        if (endpoints_.SetReach({ reach.begin(), reach.end() })) {
-          membership_.OnReachChanged();
-        }
-      }
-      continue;
-    }
-    aStep.commands.push_back(std::move(command));
+  configuration_ = distribution_.Active();
+  isPublishDue_ = true;
+  const auto reach = configuration_->Reach(options_.identity.service);
+  if (endpoints_.SetReach({ reach.begin(), reach.end() })) {
+    membership_.OnReachChanged();
   }
 }
 
@@ -136,13 +184,19 @@
   OwnVersion version;
   version.activeGeneration =
     configuration_ == nullptr ? 0 : configuration_->GetGeneration();
+  version.refusedGeneration = distribution_.RefusedGeneration();
+  version.refusedReason = distribution_.RefusedReason();
   return version;
 }
 
 FleetStatus
 NodeCore::Status() const
 {
-  auto status = storeWatch_.Status();
+  FleetStatus status;
+  status.storeReachable = reader_.IsStoreReachable();
+  status.storeGeneration = reader_.StoreGeneration();
+  status.highestGeneration = distribution_.Held().generation();
+  status.alarms = distribution_.Alarms();
   status.nodes = status_.Nodes(Version());
   return status;
 }
--- a/Libraries/Coordination/NodeCore.h
+++ b/Libraries/Coordination/NodeCore.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include "Coordination/DirectCore.h"
+#include "Coordination/Acceptance.h"
+#include "Coordination/ConfigurationDistribution.h"
 #include "Coordination/EndpointDistribution.h"
 #include "Coordination/Membership.h"
 #include "Coordination/NodeEvents.h"
+#include "Coordination/ReaderDuty.h"
 #include "Coordination/StatusCollector.h"
 
 namespace teaselhold::coordination {
@@ -24,11 +26,18 @@
   /// What the membership knows, for tests and measurements.
   const PeerDirectory& Peers() const { return membership_.Peers(); }
   const EndpointDistribution& Endpoints() const { return endpoints_; }
+  const ConfigurationDistribution& Distribution() const
+  {
+    return distribution_;
+  }
+  const ReaderDuty& Reader() const { return reader_; }
 
 private:
   void OnMessage(const wire::Envelope& aEnvelope, const Step& aStep);
   void OnUpstreamChanged(state::EndpointState aState, const Step& aStep);
-  void UseConfiguration(const Event& aEvent, const Step& aStep);
+  void PassHead(const wire::Envelope& aEnvelope, const Step& aStep);
+  void OnTick(const Step& aStep);
+  void UseConfiguration();
   void Publish(Commands& aCommands);
   void Stamp(Commands& aCommands) const;
   OwnVersion Version() const;
@@ -37,9 +46,10 @@
   EndpointDistribution endpoints_;
   Membership membership_;
   StatusCollector status_;
-  // FIXME: Replace by ConfigurationDistribution, ReaderDuty and Acceptance;
-  // until then every node watches the store.
-  DirectCore storeWatch_;
+  CallNumbers callNumbers_;
+  ConfigurationDistribution distribution_;
+  ReaderDuty reader_;
+  Acceptance acceptance_;
   state::ConfigurationPointer configuration_;
   state::Instant lastEvent_{ 0 };
   bool isStarted_ = false;
--- a/Libraries/Coordination/ReaderDuty.cpp
+++ b/Libraries/Coordination/ReaderDuty.cpp
@@ -28,10 +28,9 @@
 constexpr state::Duration kLongestFloorDelay = std::chrono::seconds(8);
 
 state::Duration
-Jitter(state::Duration aLimit, std::mt19937_64& aRandom)
+Jitter(state::Duration aLimit, RandomSource& aRandom)
 {
-  return state::Duration(std::uniform_int_distribution<state::Duration::rep>(
-    0, aLimit.count())(aRandom));
+  return aRandom.Between(state::Duration(0), aLimit);
 }
 
 } // namespace
@@ -183,7 +182,7 @@
     Claim(aNow, aCommands);
     return;
   }
-  slot_ = free[random_() % free.size()];
+  slot_ = free[random_.Below(free.size())];
   stage_ = Stage::Granting;
   slotCall_ = Call(StoreGrant{ kLeaseTime }, aNow, aCommands);
 }
--- a/Libraries/Coordination/ReaderDuty.h
+++ b/Libraries/Coordination/ReaderDuty.h
@@ -7,7 +7,6 @@
 
 #include <array>
 #include <optional>
-#include <random>
 
 namespace teaselhold::coordination {
 
@@ -120,7 +119,7 @@
                      Commands& aCommands);
 
   NodeIdentity identity_;
-  std::mt19937_64 random_;
+  RandomSource random_;
   CallNumbers& numbers_;
   ConfigurationDistribution& distribution_;
 
