ConfigurationDistribution: Prefer the store's floor to a few survivors

After a mass restart one settled relay was enough to settle the whole fleet, even if it lagged and the store was up. A minority of settled relays now decides only after the store did not answer. A relay that settles answers the relays that asked it before, so that they need not wait for their next question.

The session harness can decide about single messages, delay the store's answers and end all leases.

--- a/Libraries/Coordination/ConfigurationDistribution.cpp
+++ b/Libraries/Coordination/ConfigurationDistribution.cpp
@@ -106,6 +106,7 @@
     search_.Stop();
     searchingLeaves_.clear();
     waitingLeaves_.clear();
+    waitingRelays_.clear();
   }
   leafQuestion_ = 0;
 }
@@ -224,6 +225,7 @@
   }
   // The store may have been restored from a backup. What peers hold counts as
   // well, as far as it is known.
+  isStoreOut_ = false;
   auto floor = std::max(aStored.generation(), gate_.Held());
   for (const auto& [node, head] : heads_) {
     floor = std::max(floor, head.active);
@@ -250,6 +252,7 @@
 {
   if (isRelay_) {
     AdvanceFloor(aPeers, aNow, aCommands);
+    AnswerWaitingRelays(aPeers, aCommands);
     UpdateApproved(aPeers);
   } else {
     AskRelay(aPeers, aNow, aCommands);
--- a/Libraries/Coordination/ConfigurationDistribution.h
+++ b/Libraries/Coordination/ConfigurationDistribution.h
@@ -27,7 +27,8 @@
 
 /// Spreads configurations from node to node and decides which one is in force
 /// on this node. A relay puts a version in force once a majority of its relay
-/// set holds it, a leaf once its relay has.
+/// set holds it, a leaf once its relay has. NodeCore fills in the sender of the
+/// messages.
 class ConfigurationDistribution
 {
 public:
@@ -59,6 +60,9 @@
                 state::Instant aNow,
                 Commands& aCommands);
 
+  /// The store did not answer the read of an unsettled relay.
+  void OnStoreOut() { isStoreOut_ = true; }
+
   void Tick(const PeerDirectory& aPeers,
             state::Instant aNow,
             Commands& aCommands);
@@ -104,10 +108,10 @@
     std::optional<ConfigurationSections> sections;
   };
 
-  struct LeafQuestion
+  struct Question
   {
-    Peer leaf;
-    std::uint64_t question;
+    Peer sender;
+    std::uint64_t number;
   };
 
   void NoteRole(const PeerDirectory& aPeers, state::Instant aNow);
@@ -136,6 +140,10 @@
                   const PeerDirectory& aPeers,
                   Commands& aCommands);
   void OnAnswer(const Peer& aSender, const wire::HeadNotice& aNotice);
+  void AnswerRelay(const Question& aQuestion,
+                   const PeerDirectory& aPeers,
+                   Commands& aCommands);
+  void AnswerWaitingRelays(const PeerDirectory& aPeers, Commands& aCommands);
   void AnswerLeaves(state::Generation aFloor,
                     const PeerDirectory& aPeers,
                     Commands& aCommands);
@@ -197,10 +205,14 @@
 
   FloorSearch search_;
   bool wasSettledLeaf_ = false;
+  bool isStoreOut_ = false;
   /// Leaves that the running search answers, and those that came after it
   /// began.
-  std::map<std::string, LeafQuestion> searchingLeaves_;
-  std::map<std::string, LeafQuestion> waitingLeaves_;
+  std::map<std::string, Question> searchingLeaves_;
+  std::map<std::string, Question> waitingLeaves_;
+  /// Relays that asked while this node was unsettled; they are told when it
+  /// is.
+  std::map<std::string, Question> waitingRelays_;
   /// This node's question to its relay while it is an unsettled leaf.
   std::uint64_t leafQuestion_ = 0;
   std::string askedRelay_;
--- a/Libraries/Coordination/ConfigurationDistributionMessages.cpp
+++ b/Libraries/Coordination/ConfigurationDistributionMessages.cpp
@@ -11,6 +11,7 @@
 /// Relays outside the relay set that each holder tells of a new version.
 constexpr std::size_t kFanOut = 4;
 constexpr std::size_t kMaxWaitingLeaves = 64;
+constexpr std::size_t kMaxWaitingRelays = 512;
 /// A new relay knows the other relays of its data centre after this time.
 constexpr state::Duration kDirectoryTime = std::chrono::seconds(3);
 constexpr state::Duration kFirstQuestionInterval =
@@ -43,6 +44,7 @@
   const auto floor =
     search_.Result({ gate_.IsSettled(),
                      wasSettledLeaf_ && aNow - relaySince_ >= kDirectoryTime,
+                     isStoreOut_,
                      gate_.Held() },
                    set,
                    aPeers);
@@ -53,6 +55,7 @@
   if (!gate_.IsFloorKnown()) {
     gate_.RaiseFloor(*floor);
     wasSettledLeaf_ = false;
+    isStoreOut_ = false;
     aCommands.push_back(WriteLog{ LogLevel::Info,
                                   "config",
                                   "Floor learned from relays. generation=" +
@@ -71,10 +74,10 @@
     wire::Envelope envelope;
     auto& notice = *envelope.mutable_head_notice();
     *notice.mutable_head() = Head();
-    notice.set_answer(waiting.question);
+    notice.set_answer(waiting.number);
     notice.set_relay_count(static_cast<std::uint32_t>(set.Size()));
     notice.set_floor_generation(aFloor);
-    Send(waiting.leaf, std::move(envelope), aCommands);
+    Send(waiting.sender, std::move(envelope), aCommands);
   }
   searchingLeaves_.clear();
 }
@@ -113,23 +116,47 @@
     return;
   }
   if (!aNotice.from_leaf()) {
-    wire::Envelope envelope;
-    auto& answer = *envelope.mutable_head_notice();
-    *answer.mutable_head() = Head();
-    answer.set_answer(aNotice.question());
-    const auto set = FindRelaySet(identity_.dataCentre, aPeers);
-    answer.set_relay_count(static_cast<std::uint32_t>(set.Size()));
-    Send(aSender, std::move(envelope), aCommands);
+    const Question question{ aSender, aNotice.question() };
+    AnswerRelay(question, aPeers, aCommands);
+    if (!gate_.IsSettled() && waitingRelays_.size() < kMaxWaitingRelays) {
+      waitingRelays_[aSender.node] = question;
+    }
     return;
   }
   const auto searching = searchingLeaves_.find(aSender.node);
   const bool isKnown = searching != searchingLeaves_.end() &&
-                       searching->second.question == aNotice.question();
+                       searching->second.number == aNotice.question();
   if (!isKnown && waitingLeaves_.size() < kMaxWaitingLeaves) {
     waitingLeaves_[aSender.node] = { aSender, aNotice.question() };
   }
 }
 
+void
+ConfigurationDistribution::AnswerRelay(const Question& aQuestion,
+                                       const PeerDirectory& aPeers,
+                                       Commands& aCommands)
+{
+  wire::Envelope envelope;
+  auto& answer = *envelope.mutable_head_notice();
+  *answer.mutable_head() = Head();
+  answer.set_answer(aQuestion.number);
+  const auto set = FindRelaySet(identity_.dataCentre, aPeers);
+  answer.set_relay_count(static_cast<std::uint32_t>(set.Size()));
+  Send(aQuestion.sender, std::move(envelope), aCommands);
+}
+
+void
+ConfigurationDistribution::AnswerWaitingRelays(const PeerDirectory& aPeers,
+                                               Commands& aCommands)
+{
+  if (!gate_.IsSettled()) {
+    return;
+  }
+  for (const auto& [node, question] : std::exchange(waitingRelays_, {})) {
+    AnswerRelay(question, aPeers, aCommands);
+  }
+}
+
 void
 ConfigurationDistribution::OnAnswer(const Peer& aSender,
                                     const wire::HeadNotice& aNotice)
@@ -361,9 +388,6 @@
                                 wire::Envelope aEnvelope,
                                 Commands& aCommands)
 {
-  aEnvelope.set_from_node(identity_.name);
-  aEnvelope.set_from_incarnation(identity_.incarnation);
-  aEnvelope.set_from_address(identity_.controlAddress);
   aCommands.push_back(
     SendMessage{ aReceiver.controlAddress, std::move(aEnvelope) });
 }
--- a/Libraries/Coordination/FloorSearch.cpp
+++ b/Libraries/Coordination/FloorSearch.cpp
@@ -128,7 +128,10 @@
     const auto answer = answers_.find(peer.node);
     possible += answer == answers_.end() || answer->second.isSettled ? 1 : 0;
   }
-  if (settled < possible / 2 + 1) {
+  const auto all = aPeers.relays.size() + 1;
+  const bool isMajority =
+    aSelf.isStoreOut ? settled >= possible / 2 + 1 : settled >= all - all / 2;
+  if (!isMajority) {
     return false;
   }
   const auto inSet = CountSettled(aSet.others) + (aSelf.isSettled ? 1 : 0);
--- a/Libraries/Coordination/FloorSearch.h
+++ b/Libraries/Coordination/FloorSearch.h
@@ -38,6 +38,9 @@
     bool isSettled = false;
     /// It ran as a settled leaf until it took the relay role.
     bool wasSettled = false;
+    /// The store did not answer, so the relays that survived decide, however
+    /// few they are.
+    bool isStoreOut = false;
     state::Generation held = 0;
   };
 
--- a/Libraries/Coordination/ReaderDuty.cpp
+++ b/Libraries/Coordination/ReaderDuty.cpp
@@ -306,9 +306,6 @@
 ReaderDuty::SendBeacon(const PeerDirectory& aPeers, Commands& aCommands)
 {
   wire::Envelope envelope;
-  envelope.set_from_node(identity_.name);
-  envelope.set_from_incarnation(identity_.incarnation);
-  envelope.set_from_address(identity_.controlAddress);
   auto& notice = *envelope.mutable_head_notice();
   *notice.mutable_head() = distribution_.Head();
   notice.set_reader(identity_.name);
@@ -487,8 +484,12 @@
   nextFloorRead_ = aNow + floorBackoff_.Next(random_);
   const auto* entry = std::get_if<protocol::StoreEntry>(&aResult);
   wire::StoredConfiguration stored;
-  if (entry == nullptr ||
-      (entry->revision != 0 && !stored.ParseFromString(entry->value))) {
+  if (entry == nullptr) {
+    distribution_.OnStoreOut();
+    distribution_.Tick(aPeers, aNow, aCommands);
+    return;
+  }
+  if (entry->revision != 0 && !stored.ParseFromString(entry->value)) {
     return;
   }
   floorBackoff_.Reset();
--- a/Tests/Coordination/FakeStore.cpp
+++ b/Tests/Coordination/FakeStore.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr state::Duration kAnswerTime = std::chrono::milliseconds(2);
 constexpr state::Duration kOutageTimeout = std::chrono::milliseconds(500);
 
 } // namespace
@@ -38,7 +37,7 @@
                                    "the answer was lost" };
   }
   answers_.push_back(
-    { aNow + kAnswerTime, aNode, { aCall.call, std::move(result) } });
+    { aNow + answerTime, aNode, { aCall.call, std::move(result) } });
 }
 
 StoreResult
@@ -52,6 +51,7 @@
     const bool isExpected = stored.entry.revision == swap->expectedRevision;
     if (isExpected) {
       stored = { { swap->value, nextRevision_++ }, swap->lease };
+      history[swap->key].push_back(swap->value);
     }
     return protocol::SwapResult{ isExpected, stored.entry };
   }
@@ -108,7 +108,14 @@
 void
 FakeStore::Force(const std::string& aKey, std::string aValue)
 {
+  history[aKey].push_back(aValue);
   entries_[aKey] = { { std::move(aValue), nextRevision_++ }, 0 };
 }
 
+void
+FakeStore::LapseLeases()
+{
+  leases_.clear();
+}
+
 } // namespace teaselhold::tests
--- a/Tests/Coordination/FakeStore.h
+++ b/Tests/Coordination/FakeStore.h
@@ -24,6 +24,9 @@
   /// The next write takes effect, but its answer is lost.
   bool isNextAnswerLost = false;
   std::size_t calls = 0;
+  state::Duration answerTime{ std::chrono::milliseconds(2) };
+  /// Every value that a key ever had, oldest first.
+  std::map<std::string, std::vector<std::string>> history;
 
   /// @return the answers that become due by this call or later by itself.
   void Call(const std::string& aNode,
@@ -41,6 +44,9 @@
   /// Replaces a value as an operator of the platform would (backup restore).
   void Force(const std::string& aKey, std::string aValue);
 
+  /// Ends every lease at once, as if the holders had been silent too long.
+  void LapseLeases();
+
 private:
   struct Stored
   {
--- a/Tests/Coordination/Session.cpp
+++ b/Tests/Coordination/Session.cpp
@@ -188,6 +188,9 @@
     if (const auto* send = std::get_if<SendMessage>(&command)) {
       Send(aNode, *send);
     } else if (const auto* call = std::get_if<CallStore>(&command)) {
+      if (onStoreCall) {
+        onStoreCall(name, *call);
+      }
       store.Call(name, *call, now_);
     } else if (const auto* publish = std::get_if<PublishSnapshot>(&command)) {
       OnSnapshot(aNode, publish->snapshot);
@@ -230,6 +233,15 @@
       (isCut && isCut(from, target->second))) {
     return;
   }
+  if (decide) {
+    if (const auto fate = decide(from, target->second, aSend.envelope)) {
+      for (const auto& delay : *fate) {
+        messages_.emplace(now_ + kTransit + delay,
+                          Message{ from, target->second, aSend.envelope });
+      }
+      return;
+    }
+  }
   const unsigned copies = random_.Below(100) < doublePercent ? 2 : 1;
   for (unsigned i = 0; i < copies; ++i) {
     const bool isLate = random_.Below(100) < latePercent;
--- a/Tests/Coordination/Session.h
+++ b/Tests/Coordination/Session.h
@@ -20,6 +20,9 @@
   using CutRule =
     std::function<bool(const std::string& aFrom, const std::string& aTo)>;
 
+  /// The extra delay of each copy of a message; none means that it is lost.
+  using Fate = std::vector<state::Duration>;
+
   struct Node
   {
     coordination::NodeOptions options;
@@ -41,6 +44,15 @@
   unsigned latePercent = 0;
   CutRule isCut;
   FakeStore store;
+  /// Decides about single messages; nullopt leaves a message to chance.
+  std::function<std::optional<Fate>(const std::string& aFrom,
+                                    const std::string& aTo,
+                                    const wire::Envelope& aEnvelope)>
+    decide;
+  /// Sees each store call before the store does.
+  std::function<void(const std::string& aNode,
+                     const coordination::CallStore& aCall)>
+    onStoreCall;
 
   /// Adds a node; the first aSeeds nodes are the seeds of all.
   void Add(const std::string& aName,
