--- a/Libraries/Coordination/ConfigurationDistribution.cpp
+++ b/Libraries/Coordination/ConfigurationDistribution.cpp
@@ -86,7 +86,8 @@
 }
 
 void
-ConfigurationDistribution::NoteRole(const PeerDirectory& aPeers)
+ConfigurationDistribution::NoteRole(const PeerDirectory& aPeers,
+                                    state::Instant aNow)
 {
   if (aPeers.isRelay == isRelay_) {
     return;
@@ -95,6 +96,7 @@
   if (isRelay_) {
     // A leaf may lag behind a majority of relays. It must not count in a
     // majority before it knows that it holds what that majority put in force.
+    relaySince_ = aNow;
     wasSettledLeaf_ = gate_.IsSettled();
     gate_.ForgetFloor();
   } else {
@@ -104,6 +106,7 @@
     search_.Stop();
     searchingLeaves_.clear();
     waitingLeaves_.clear();
+    waitingRelays_.clear();
   }
   leafQuestion_ = 0;
 }
@@ -116,7 +119,7 @@
                                   state::Instant aNow,
                                   Commands& aCommands)
 {
-  NoteRole(aPeers);
+  NoteRole(aPeers, aNow);
   auto& known = heads_[aSender.node];
   if (aSender.incarnation < known.incarnation) {
     return;
@@ -171,7 +174,7 @@
                                      state::Instant aNow,
                                      Commands& aCommands)
 {
-  NoteRole(aPeers);
+  NoteRole(aPeers, aNow);
   const auto sender = SenderOf(aEnvelope, aPeers);
   if (aEnvelope.has_head_notice()) {
     OnNotice(sender, aEnvelope.head_notice(), aPeers, aNow, aCommands);
@@ -211,7 +214,7 @@
                                     state::Instant aNow,
                                     Commands& aCommands)
 {
-  NoteRole(aPeers);
+  NoteRole(aPeers, aNow);
   const auto offer = gate_.Judge(aStored.generation(), aStored.digest());
   if (offer == state::VersionOffer::Newer) {
     heldFromStore_ = true;
@@ -222,6 +225,7 @@
   }
   // The store may have been restored from a backup. What peers hold counts as
   // well, as far as it is known.
+  isStoreOut_ = false;
   auto floor = std::max(aStored.generation(), gate_.Held());
   for (const auto& [node, head] : heads_) {
     floor = std::max(floor, head.active);
@@ -237,7 +241,7 @@
                                 state::Instant aNow,
                                 Commands& aCommands)
 {
-  NoteRole(aPeers);
+  NoteRole(aPeers, aNow);
   Advance(aPeers, aNow, aCommands);
 }
 
@@ -248,6 +252,7 @@
 {
   if (isRelay_) {
     AdvanceFloor(aPeers, aNow, aCommands);
+    AnswerWaitingRelays(aPeers, aCommands);
     UpdateApproved(aPeers);
   } else {
     AskRelay(aPeers, aNow, aCommands);
--- a/Libraries/Coordination/ConfigurationDistribution.h
+++ b/Libraries/Coordination/ConfigurationDistribution.h
@@ -5,12 +5,12 @@
 #include "Coordination/FloorSearch.h"
 #include "Coordination/NodeEvents.h"
 #include "Coordination/PeerDirectory.h"
+#include "Coordination/RandomSource.h"
 #include "Coordination/VersionHistory.h"
 #include "State/VersionGate.h"
 #include "admin.pb.h"
 
 #include <map>
-#include <random>
 
 namespace teaselhold::coordination {
 
@@ -27,7 +27,8 @@
 
 /// Spreads configurations from node to node and decides which one is in force
 /// on this node. A relay puts a version in force once a majority of its relay
-/// set holds it, a leaf once its relay has.
+/// set holds it, a leaf once its relay has. NodeCore fills in the sender of the
+/// messages.
 class ConfigurationDistribution
 {
 public:
@@ -59,6 +60,9 @@
                 state::Instant aNow,
                 Commands& aCommands);
 
+  /// The store did not answer the read of an unsettled relay.
+  void OnStoreOut() { isStoreOut_ = true; }
+
   void Tick(const PeerDirectory& aPeers,
             state::Instant aNow,
             Commands& aCommands);
@@ -104,13 +108,13 @@
     std::optional<ConfigurationSections> sections;
   };
 
-  struct LeafQuestion
+  struct Question
   {
-    Peer leaf;
-    std::uint64_t question;
+    Peer sender;
+    std::uint64_t number;
   };
 
-  void NoteRole(const PeerDirectory& aPeers);
+  void NoteRole(const PeerDirectory& aPeers, state::Instant aNow);
   void Advance(const PeerDirectory& aPeers,
                state::Instant aNow,
                Commands& aCommands);
@@ -136,6 +140,10 @@
                   const PeerDirectory& aPeers,
                   Commands& aCommands);
   void OnAnswer(const Peer& aSender, const wire::HeadNotice& aNotice);
+  void AnswerRelay(const Question& aQuestion,
+                   const PeerDirectory& aPeers,
+                   Commands& aCommands);
+  void AnswerWaitingRelays(const PeerDirectory& aPeers, Commands& aCommands);
   void AnswerLeaves(state::Generation aFloor,
                     const PeerDirectory& aPeers,
                     Commands& aCommands);
@@ -176,13 +184,14 @@
             Commands& aCommands);
 
   NodeIdentity identity_;
-  std::mt19937_64 random_;
+  RandomSource random_;
   state::VersionGate gate_;
   VersionHistory history_;
   state::ConfigurationPointer active_;
   state::Generation approved_ = 0;
   ConfigurationPuller puller_;
   bool isRelay_ = false;
+  state::Instant relaySince_{ 0 };
 
   /// By node: relays and leaves that sent a head.
   std::map<std::string, PeerHead> heads_;
@@ -196,10 +205,14 @@
 
   FloorSearch search_;
   bool wasSettledLeaf_ = false;
+  bool isStoreOut_ = false;
   /// Leaves that the running search answers, and those that came after it
   /// began.
-  std::map<std::string, LeafQuestion> searchingLeaves_;
-  std::map<std::string, LeafQuestion> waitingLeaves_;
+  std::map<std::string, Question> searchingLeaves_;
+  std::map<std::string, Question> waitingLeaves_;
+  /// Relays that asked while this node was unsettled; they are told when it
+  /// is.
+  std::map<std::string, Question> waitingRelays_;
   /// This node's question to its relay while it is an unsettled leaf.
   std::uint64_t leafQuestion_ = 0;
   std::string askedRelay_;
--- a/Libraries/Coordination/ConfigurationDistributionMessages.cpp
+++ b/Libraries/Coordination/ConfigurationDistributionMessages.cpp
@@ -11,6 +11,9 @@
 /// Relays outside the relay set that each holder tells of a new version.
 constexpr std::size_t kFanOut = 4;
 constexpr std::size_t kMaxWaitingLeaves = 64;
+constexpr std::size_t kMaxWaitingRelays = 512;
+/// A new relay knows the other relays of its data centre after this time.
+constexpr state::Duration kDirectoryTime = std::chrono::seconds(3);
 constexpr state::Duration kFirstQuestionInterval =
   std::chrono::milliseconds(500);
 constexpr state::Duration kLongestQuestionInterval = std::chrono::seconds(2);
@@ -32,14 +35,19 @@
     }
     searchingLeaves_ = std::exchange(waitingLeaves_, {});
     // 0 asks nothing.
-    search_.Start(random_() | 1, aNow);
+    search_.Start(random_.Next() | 1, aNow);
   }
   const auto set = FindRelaySet(identity_.dataCentre, aPeers);
   for (const auto& peer : search_.TakeReceivers(set, aPeers, aNow)) {
     SendQuestion(peer, search_.Question(), aCommands);
   }
-  const auto floor = search_.Result(
-    { gate_.IsSettled(), wasSettledLeaf_, gate_.Held() }, set, aPeers);
+  const auto floor =
+    search_.Result({ gate_.IsSettled(),
+                     wasSettledLeaf_ && aNow - relaySince_ >= kDirectoryTime,
+                     isStoreOut_,
+                     gate_.Held() },
+                   set,
+                   aPeers);
   if (!floor) {
     return;
   }
@@ -47,6 +55,7 @@
   if (!gate_.IsFloorKnown()) {
     gate_.RaiseFloor(*floor);
     wasSettledLeaf_ = false;
+    isStoreOut_ = false;
     aCommands.push_back(WriteLog{ LogLevel::Info,
                                   "config",
                                   "Floor learned from relays. generation=" +
@@ -65,10 +74,10 @@
     wire::Envelope envelope;
     auto& notice = *envelope.mutable_head_notice();
     *notice.mutable_head() = Head();
-    notice.set_answer(waiting.question);
+    notice.set_answer(waiting.number);
     notice.set_relay_count(static_cast<std::uint32_t>(set.Size()));
     notice.set_floor_generation(aFloor);
-    Send(waiting.leaf, std::move(envelope), aCommands);
+    Send(waiting.sender, std::move(envelope), aCommands);
   }
   searchingLeaves_.clear();
 }
@@ -86,7 +95,7 @@
     return;
   }
   if (isNew) {
-    leafQuestion_ = random_() | 1;
+    leafQuestion_ = random_.Next() | 1;
     askedRelay_ = aPeers.relay->node;
     leafQuestionInterval_ = kFirstQuestionInterval;
   } else {
@@ -107,23 +116,47 @@
     return;
   }
   if (!aNotice.from_leaf()) {
-    wire::Envelope envelope;
-    auto& answer = *envelope.mutable_head_notice();
-    *answer.mutable_head() = Head();
-    answer.set_answer(aNotice.question());
-    const auto set = FindRelaySet(identity_.dataCentre, aPeers);
-    answer.set_relay_count(static_cast<std::uint32_t>(set.Size()));
-    Send(aSender, std::move(envelope), aCommands);
+    const Question question{ aSender, aNotice.question() };
+    AnswerRelay(question, aPeers, aCommands);
+    if (!gate_.IsSettled() && waitingRelays_.size() < kMaxWaitingRelays) {
+      waitingRelays_[aSender.node] = question;
+    }
     return;
   }
   const auto searching = searchingLeaves_.find(aSender.node);
   const bool isKnown = searching != searchingLeaves_.end() &&
-                       searching->second.question == aNotice.question();
+                       searching->second.number == aNotice.question();
   if (!isKnown && waitingLeaves_.size() < kMaxWaitingLeaves) {
     waitingLeaves_[aSender.node] = { aSender, aNotice.question() };
   }
 }
 
+void
+ConfigurationDistribution::AnswerRelay(const Question& aQuestion,
+                                       const PeerDirectory& aPeers,
+                                       Commands& aCommands)
+{
+  wire::Envelope envelope;
+  auto& answer = *envelope.mutable_head_notice();
+  *answer.mutable_head() = Head();
+  answer.set_answer(aQuestion.number);
+  const auto set = FindRelaySet(identity_.dataCentre, aPeers);
+  answer.set_relay_count(static_cast<std::uint32_t>(set.Size()));
+  Send(aQuestion.sender, std::move(envelope), aCommands);
+}
+
+void
+ConfigurationDistribution::AnswerWaitingRelays(const PeerDirectory& aPeers,
+                                               Commands& aCommands)
+{
+  if (!gate_.IsSettled()) {
+    return;
+  }
+  for (const auto& [node, question] : std::exchange(waitingRelays_, {})) {
+    AnswerRelay(question, aPeers, aCommands);
+  }
+}
+
 void
 ConfigurationDistribution::OnAnswer(const Peer& aSender,
                                     const wire::HeadNotice& aNotice)
@@ -241,7 +274,9 @@
       });
     }
   }
-  std::ranges::sample(others, std::back_inserter(receivers), kFanOut, random_);
+  for (auto& peer : random_.Sample(std::move(others), kFanOut)) {
+    receivers.push_back(std::move(peer));
+  }
   for (const auto& peer : receivers) {
     const auto head = heads_.find(peer.node);
     // A peer that has it in force needs no more holders.
@@ -353,9 +388,6 @@
                                 wire::Envelope aEnvelope,
                                 Commands& aCommands)
 {
-  aEnvelope.set_from_node(identity_.name);
-  aEnvelope.set_from_incarnation(identity_.incarnation);
-  aEnvelope.set_from_address(identity_.controlAddress);
   aCommands.push_back(
     SendMessage{ aReceiver.controlAddress, std::move(aEnvelope) });
 }
--- a/Libraries/Coordination/ReaderDuty.cpp
+++ b/Libraries/Coordination/ReaderDuty.cpp
@@ -28,10 +28,9 @@
 constexpr state::Duration kLongestFloorDelay = std::chrono::seconds(8);
 
 state::Duration
-Jitter(state::Duration aLimit, std::mt19937_64& aRandom)
+Jitter(state::Duration aLimit, RandomSource& aRandom)
 {
-  return state::Duration(std::uniform_int_distribution<state::Duration::rep>(
-    0, aLimit.count())(aRandom));
+  return aRandom.Between(state::Duration(0), aLimit);
 }
 
 } // namespace
@@ -183,7 +182,7 @@
     Claim(aNow, aCommands);
     return;
   }
-  slot_ = free[random_() % free.size()];
+  slot_ = free[random_.Below(free.size())];
   stage_ = Stage::Granting;
   slotCall_ = Call(StoreGrant{ kLeaseTime }, aNow, aCommands);
 }
@@ -307,9 +306,6 @@
 ReaderDuty::SendBeacon(const PeerDirectory& aPeers, Commands& aCommands)
 {
   wire::Envelope envelope;
-  envelope.set_from_node(identity_.name);
-  envelope.set_from_incarnation(identity_.incarnation);
-  envelope.set_from_address(identity_.controlAddress);
   auto& notice = *envelope.mutable_head_notice();
   *notice.mutable_head() = distribution_.Head();
   notice.set_reader(identity_.name);
@@ -488,8 +484,12 @@
   nextFloorRead_ = aNow + floorBackoff_.Next(random_);
   const auto* entry = std::get_if<protocol::StoreEntry>(&aResult);
   wire::StoredConfiguration stored;
-  if (entry == nullptr ||
-      (entry->revision != 0 && !stored.ParseFromString(entry->value))) {
+  if (entry == nullptr) {
+    distribution_.OnStoreOut();
+    distribution_.Tick(aPeers, aNow, aCommands);
+    return;
+  }
+  if (entry->revision != 0 && !stored.ParseFromString(entry->value)) {
     return;
   }
   floorBackoff_.Reset();
