Coordination: Queue by class, run keyed requests once, quarantine crashes

Admission had no queue, classes, tenants or cold start. It now orders waiting requests by class, sheds the lowest first and keeps a share from bulk work. RunLedger and ArrivalLog are the executor's memory for keyed requests and for the question whether a request arrived. CrashGuard counts crash reports. A queue limit of 0 keeps the daemon's present behaviour until it handles Wait.

--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -2,10 +2,12 @@
 
 #include "Coordination/CallTypes.h"
 
+#include <array>
+#include <boost/intrusive/list.hpp>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -29,7 +31,13 @@
 
 /// The request waits; a later AdmissionRelease decides it.
 struct Wait
-{};
+{
+  /// Call Expire() at this time at the latest.
+  state::Instant until;
+  /// A waiting request of a lower class that gave its place to this one. It is
+  /// refused with NotRunReason::Shed and gets no release.
+  std::optional<std::uint64_t> displaced;
+};
 
 using AdmissionDecision = std::variant<Admit, Wait, NotRun>;
 
@@ -41,30 +49,90 @@
   std::optional<NotRunReason> refused;
 };
 
-/// Decides beside the upstream, before delivery, so that a refusal is certain.
+struct AdmissionOptions
+{
+  /// Requests that the upstream runs at the same time.
+  std::uint32_t slots = 1;
+  /// Requests that wait for a slot; 0 refuses them at once.
+  std::uint32_t queueLimit = 0;
+  /// The upstream's contract says that a 503 marked as shed ran nothing.
+  bool shedAnswerIsNotRun = false;
+};
+
+/// Decides beside the upstream, before delivery, so that every refusal is
+/// certain. Belongs to one thread.
+///
+/// A request that was admitted, by Decide() or by a release, ends with exactly
+/// one Finish().
 class Admission
 {
 public:
   explicit Admission(std::uint32_t aSlots);
+  explicit Admission(AdmissionOptions aOptions);
 
   AdmissionDecision Decide(const AdmissionRequest& aRequest,
                            state::Instant aNow);
 
-  /// A delivered request ended. Returns decisions on waiting requests.
+  /// A delivered request ended, or a waiting one was given up by its caller.
+  /// Returns decisions on waiting requests.
   std::vector<AdmissionRelease> Finish(std::uint64_t aId, state::Instant aNow);
 
-  /// Returns decisions on requests that waited for too long.
+  /// Returns decisions on requests that waited for too long and on those that
+  /// the growing number of slots lets in. Call it also every 100 ms or so.
   std::vector<AdmissionRelease> Expire(state::Instant aNow);
 
-  /// Only a ready upstream gets new work.
-  void SetState(state::EndpointState aState, state::Instant aNow);
+  /// Only a ready upstream gets new work. A draining one finishes what runs
+  /// and what waits; in every other state the waiting requests are refused.
+  std::vector<AdmissionRelease> SetState(state::EndpointState aState,
+                                         state::Instant aNow);
+
+  /// Reads an answer of the upstream.
+  /// @param aSaysShed the answer is marked as shed by the upstream.
+  Outcome ClassifyAnswer(unsigned aStatus, bool aSaysShed) const;
+
+  std::size_t InFlight() const { return running_; }
+  std::size_t Waiting() const { return waiting_; }
 
-  std::size_t InFlight() const { return running_.size(); }
+  /// Slots that are in use now; they grow from 2 while the upstream is cold.
+  std::uint32_t UsableSlots(state::Instant aNow) const;
 
 private:
-  std::uint32_t slots_;
+  struct Entry : boost::intrusive::list_base_hook<>
+  {
+    AdmissionRequest request;
+    state::Instant until{ 0 };
+    bool isRunning = false;
+  };
+  using Queue = boost::intrusive::list<Entry>;
+  using Releases = std::vector<AdmissionRelease>;
+
+  std::optional<NotRunReason> Refusal(const AdmissionRequest& aRequest,
+                                      state::Instant aNow) const;
+  bool HasRoom(state::RequestClass aClass, state::Instant aNow) const;
+  bool IsOvertaking(state::RequestClass aClass) const;
+  AdmissionDecision Enqueue(const AdmissionRequest& aRequest,
+                            state::Instant aNow);
+  std::optional<std::uint64_t> Displace(state::RequestClass aClass);
+  Entry& Add(const AdmissionRequest& aRequest);
+  void Run(Entry& aEntry);
+  void Unqueue(Entry& aEntry);
+  void Remove(std::uint64_t aId);
+  void RefuseWaiting(NotRunReason aReason, Releases& aReleases);
+  void RefuseOverdue(state::Instant aNow, Releases& aReleases);
+  void Promote(state::Instant aNow, Releases& aReleases);
+
+  AdmissionOptions options_;
   state::EndpointState state_ = state::EndpointState::Starting;
-  std::map<std::uint64_t, AdmissionRequest> running_;
+  state::Instant readySince_{ 0 };
+  std::unordered_map<std::uint64_t, Entry> entries_;
+  /// One queue for each class, in order of arrival; destroyed before the
+  /// entries.
+  std::array<Queue, state::kRequestClassNames.size()> queues_;
+  std::unordered_map<std::string, std::uint32_t> perTenant_;
+  std::size_t running_ = 0;
+  /// Uploads and batches among the running ones.
+  std::size_t bulkRunning_ = 0;
+  std::size_t waiting_ = 0;
 };
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -186,7 +186,8 @@
   }
   constexpr double kRange = std::minstd_rand::max();
   const auto until =
-    aNow + RetryPolicy::Backoff(backoffs_, environment_.random() / kRange);
+    aNow + RetryPolicy::Backoff(
+             backoffs_, static_cast<double>(environment_.random()) / kRange);
   if (until >= deadline_) {
     return End();
   }
--- /dev/null
+++ b/Libraries/Coordination/CrashGuard.cpp
@@ -0,0 +1,100 @@
+#include "Coordination/CrashGuard.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr state::Duration kMemory = std::chrono::minutes(10);
+constexpr state::Duration kQuarantine = std::chrono::minutes(10);
+constexpr std::size_t kCrashesForQuarantine = 2;
+/// Crashes that are remembered for one fingerprint.
+constexpr std::size_t kMaxCrashes = 8;
+/// Far more than upstreams can crash within the memory's time by such
+/// requests; bounds the memory if every request of a fault has its own.
+constexpr std::size_t kMaxSuspects = 1024;
+
+} // namespace
+
+bool
+CrashGuard::Report(std::uint64_t aFingerprint,
+                   const std::string& aNode,
+                   std::uint64_t aIncarnation,
+                   state::Instant aNow)
+{
+  const bool expired = Expire(aNow);
+  if (!suspects_.contains(aFingerprint)) {
+    MakeRoom();
+  }
+  auto& suspect = suspects_[aFingerprint];
+  const bool isKnown =
+    std::ranges::any_of(suspect.crashes, [&](const Crash& aCrash) {
+      return aCrash.node == aNode && aCrash.incarnation == aIncarnation;
+    });
+  if (isKnown) {
+    return expired;
+  }
+  if (suspect.crashes.size() >= kMaxCrashes) {
+    suspect.crashes.erase(suspect.crashes.begin());
+  }
+  suspect.crashes.push_back({ aNode, aIncarnation, aNow });
+  if (suspect.crashes.size() < kCrashesForQuarantine) {
+    return expired;
+  }
+  const bool isNew = suspect.quarantinedUntil == state::Instant{ 0 };
+  suspect.quarantinedUntil = aNow + kQuarantine;
+  return isNew || expired;
+}
+
+bool
+CrashGuard::Expire(state::Instant aNow)
+{
+  bool changed = false;
+  for (auto& [fingerprint, suspect] : suspects_) {
+    std::erase_if(suspect.crashes, [&](const Crash& aCrash) {
+      return aNow >= aCrash.time + kMemory;
+    });
+    const bool isOver = suspect.quarantinedUntil != state::Instant{ 0 } &&
+                        aNow >= suspect.quarantinedUntil;
+    if (isOver) {
+      suspect.quarantinedUntil = state::Instant{ 0 };
+      changed = true;
+    }
+  }
+  std::erase_if(suspects_, [](const auto& aRow) {
+    return aRow.second.crashes.empty() &&
+           aRow.second.quarantinedUntil == state::Instant{ 0 };
+  });
+  return changed;
+}
+
+void
+CrashGuard::MakeRoom()
+{
+  if (suspects_.size() < kMaxSuspects) {
+    return;
+  }
+  // Quarantined ones go last, then the one whose last crash is oldest.
+  const auto rank = [](const auto& aRow) {
+    const auto& crashes = aRow.second.crashes;
+    return std::pair(aRow.second.quarantinedUntil,
+                     crashes.empty() ? state::Instant{ 0 }
+                                     : crashes.back().time);
+  };
+  suspects_.erase(std::ranges::min_element(suspects_, {}, rank));
+}
+
+std::set<std::uint64_t>
+CrashGuard::Quarantined() const
+{
+  std::set<std::uint64_t> fingerprints;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    if (suspect.quarantinedUntil != state::Instant{ 0 }) {
+      fingerprints.insert(fingerprint);
+    }
+  }
+  return fingerprints;
+}
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -344,7 +344,7 @@
     return;
   }
   constexpr double kRange = std::minstd_rand::max();
-  if (view->End(aOutcome, random_() / kRange, aNow)) {
+  if (view->End(aOutcome, static_cast<double>(random_()) / kRange, aNow)) {
     ++healthVersion_;
   }
 }
