--- /dev/null
+++ b/Tests/Coordination/CrashGuardTest.cpp
@@ -0,0 +1,48 @@
+#include "Coordination/CrashGuard.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold::coordination;
+using namespace std::chrono_literals;
+
+TEST_CASE("one crash, reported twice, does not stop honest requests")
+{
+  CrashGuard guard;
+  CHECK_FALSE(guard.Report(1, "a", 1, 0s));
+  CHECK_FALSE(guard.Report(1, "a", 1, 1s));
+  CHECK_FALSE(guard.Report(2, "b", 1, 1s));
+  CHECK(guard.Quarantined().empty());
+}
+
+TEST_CASE("a request that crashed two incarnations is kept from the next ones")
+{
+  CrashGuard guard;
+  guard.Report(1, "a", 1, 0s);
+  guard.Report(2, "c", 1, 0s);
+  CHECK(guard.Report(1, "a", 2, 9min));
+  CHECK(guard.Quarantined() == std::set<std::uint64_t>{ 1 });
+  CHECK_FALSE(guard.Expire(18min));
+  CHECK(guard.Expire(19min));
+  CHECK(guard.Quarantined().empty());
+  CHECK(guard.Size() == 0);
+}
+
+TEST_CASE("crashes that are far apart do not add up")
+{
+  CrashGuard guard;
+  guard.Report(1, "a", 1, 0s);
+  CHECK_FALSE(guard.Report(1, "b", 1, 10min));
+}
+
+TEST_CASE(
+  "a flood of fingerprints neither fills the memory nor ends quarantine")
+{
+  CrashGuard guard;
+  guard.Report(1, "a", 1, 0s);
+  guard.Report(1, "b", 1, 0s);
+  for (std::uint64_t i = 2; i < 3000; ++i) {
+    guard.Report(i, "c", 1, 1s);
+  }
+  CHECK(guard.Size() <= 1024);
+  CHECK(guard.Quarantined() == std::set<std::uint64_t>{ 1 });
+}
--- /dev/null
+++ b/Tests/Coordination/RouterTest.cpp
@@ -0,0 +1,248 @@
+#include "Tests/Coordination/CallFixtures.h"
+
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <map>
+#include <set>
+
+using namespace teaselhold;
+using namespace teaselhold::test;
+
+namespace {
+
+const Outcome kAnswer = Answered{ 200 };
+const Outcome kRefusedConnection = NotRun{ NotRunReason::ConnectFailed };
+
+Router
+MakeRouter(std::uint64_t aSeed = 1)
+{
+  return Router({ "entry", "bud1", "bud", aSeed });
+}
+
+std::map<std::string, int>
+Distribution(Router& aRouter, int aCount, state::Instant aNow)
+{
+  std::map<std::string, int> counts;
+  for (int i = 0; i < aCount; ++i) {
+    const auto picked = aRouter.Pick("visits", {}, aNow);
+    if (picked != nullptr) {
+      ++counts[picked->node];
+      aRouter.Finished(*picked, kAnswer, aNow);
+    }
+  }
+  return counts;
+}
+
+/// Fails a node until it is ejected.
+void
+Fail(Router& aRouter, const std::string& aNode, state::Instant aNow)
+{
+  const auto endpoint = aRouter.Find(aNode);
+  aRouter.Take(endpoint, aNow);
+  aRouter.Finished(*endpoint, kRefusedConnection, aNow);
+}
+
+} // namespace
+
+TEST_CASE("a request never goes to an upstream that is not announced ready")
+{
+  auto router = MakeRouter();
+  std::vector<state::EndpointRecord> records;
+  for (const auto& [state, name] : state::kEndpointStateNames) {
+    records.push_back(MakeEndpoint(std::string(name)));
+    records.back().state = state;
+  }
+  router.Use(MakeTable(records), 0s);
+  const auto counts = Distribution(router, 100, 0s);
+  CHECK(counts == std::map<std::string, int>{ { "ready", 100 } });
+  Fail(router, "ready", 0s);
+  // The panic threshold ignores the ejection, but not what was announced.
+  CHECK(Distribution(router, 100, 0s) == counts);
+}
+
+TEST_CASE("requests stay near until this node's own load fills the near ones")
+{
+  auto router = MakeRouter();
+  auto near = MakeEndpoint("near");
+  near.slots = 2;
+  router.Use(
+    MakeTable(
+      { near, MakeEndpoint("region", "bud2"), MakeEndpoint("far", "dkr1") }),
+    0s);
+  std::vector<std::string> picked;
+  for (int i = 0; i < 15; ++i) {
+    picked.push_back(router.Pick("visits", {}, 0s)->node);
+  }
+  CHECK(std::ranges::count(picked, "near") == 2);
+  CHECK(std::ranges::count(picked, "region") == 12);
+  CHECK(picked.back() == "far");
+}
+
+TEST_CASE("an upstream that refused for load is passed over for a moment")
+{
+  auto router = MakeRouter();
+  router.Use(MakeTable({ MakeEndpoint("a"), MakeEndpoint("b", "bud2") }), 0s);
+  const auto first = router.Pick("visits", {}, 1s);
+  REQUIRE(first->node == "a");
+  router.Finished(*first, NotRun{ NotRunReason::Full }, 1s);
+  CHECK(Distribution(router, 5, 1s).contains("b"));
+  CHECK(Distribution(router, 5, 2s).contains("a"));
+}
+
+TEST_CASE("a failed upstream is ejected at once and tried again by one request")
+{
+  auto router = MakeRouter();
+  const auto table =
+    MakeTable({ MakeEndpoint("a"), MakeEndpoint("b"), MakeEndpoint("c") });
+  router.Use(table, 0s);
+  Distribution(router, 1, 0s);
+  Fail(router, "a", 0s);
+  CHECK_FALSE(Distribution(router, 200, 900ms).contains("a"));
+  // Half open: one request in flight at a time.
+  int trials = 0;
+  for (int i = 0; i < 60; ++i) {
+    trials += router.Pick("visits", {}, 2s)->node == "a" ? 1 : 0;
+  }
+  CHECK(trials == 1);
+  router.Finished(*router.Find("a"), kRefusedConnection, 2s);
+  CHECK_FALSE(Distribution(router, 200, 3900ms).contains("a"));
+  CHECK(Distribution(router, 200, 5s).contains("a"));
+}
+
+TEST_CASE("ejection that grows never exceeds its limit")
+{
+  UpstreamHealth health(1, true, 0s);
+  state::Instant now{ 0 };
+  state::Duration longest{ 0 };
+  for (int i = 0; i < 20; ++i) {
+    health.Begin(now);
+    health.End(kRefusedConnection, 1.0, now);
+    longest = std::max(longest, health.EjectedUntil() - now);
+    now = health.EjectedUntil();
+  }
+  CHECK(longest == 40s);
+}
+
+TEST_CASE("mass ejection by this node's own fault does not stop the service")
+{
+  auto router = MakeRouter();
+  router.Use(
+    MakeTable({ MakeEndpoint("a"), MakeEndpoint("b"), MakeEndpoint("c") }), 0s);
+  Distribution(router, 1, 0s);
+  Fail(router, "a", 0s);
+  CHECK(Distribution(router, 300, 0s).size() == 2);
+  Fail(router, "b", 0s);
+  // No request ends here, because a success would end the ejection.
+  std::set<std::string> picked;
+  for (int i = 0; i < 30; ++i) {
+    picked.insert(router.Pick("visits", {}, 0s)->node);
+  }
+  CHECK(picked.size() == 3);
+}
+
+TEST_CASE("a new incarnation starts clean and gets a growing share")
+{
+  auto router = MakeRouter();
+  router.Use(MakeTable({ MakeEndpoint("a"), MakeEndpoint("b") }), 0s);
+  const auto old = router.Pick("visits", { router.Find("b") }, 0s);
+  REQUIRE(old->node == "a");
+  Fail(router, "a", 0s);
+  router.Use(MakeTable({ MakeEndpoint("a", "bud1", 2), MakeEndpoint("b") }),
+             1s);
+  // A late failure of the old incarnation does not count against the new one.
+  const auto fresh = router.Pick("visits", { router.Find("b") }, 1s);
+  REQUIRE(fresh->incarnation == 2);
+  router.Finished(*old, kRefusedConnection, 1s);
+  router.Finished(*fresh, kAnswer, 1s);
+  const auto inFlight = [&](state::Instant aNow) {
+    std::map<std::string, int> counts;
+    std::vector<EndpointPointer> picked;
+    for (int i = 0; i < 12; ++i) {
+      picked.push_back(router.Pick("visits", {}, aNow));
+      ++counts[picked.back()->node];
+    }
+    for (const auto& endpoint : picked) {
+      router.Finished(*endpoint, kAnswer, aNow);
+    }
+    return counts["a"];
+  };
+  const auto cold = inFlight(1s);
+  const auto warm = inFlight(20s);
+  CHECK(cold >= 1);
+  CHECK(cold <= 2);
+  CHECK(warm == 6);
+}
+
+TEST_CASE("views of nodes that left do not fill the memory")
+{
+  auto router = MakeRouter();
+  for (int i = 0; i < 100; ++i) {
+    router.Use(MakeTable({ MakeEndpoint("n" + std::to_string(i)) }), 0s);
+    Distribution(router, 1, 0s);
+  }
+  CHECK(router.ViewCount() == 1);
+}
+
+TEST_CASE("one slow answer does not eject, two without a success do")
+{
+  UpstreamHealth health(1, true, 0s);
+  for (const bool ejected : { false, true }) {
+    health.Begin(0s);
+    health.End(Unknown{ UnknownReason::Timeout }, 0.5, 0s);
+    CHECK(health.IsEjected(0s) == ejected);
+  }
+}
+
+TEST_CASE("nodes of one region choose the same executor for a key")
+{
+  auto left = MakeRouter(1);
+  Router right({ "other", "bud2", "bud", 99 });
+  const auto table = MakeTable({ MakeEndpoint("a"),
+                                 MakeEndpoint("b", "bud2"),
+                                 MakeEndpoint("c", "bud2"),
+                                 MakeEndpoint("d", "dkr1") });
+  left.Use(table, 0s);
+  right.Use(table, 0s);
+  std::map<std::string, int> counts;
+  for (std::uint64_t key = 0; key < 300; ++key) {
+    const auto hash = state::DigestOfText(std::to_string(key));
+    const auto one = left.PickExecutor("visits", hash, {}, 0s);
+    const auto two = right.PickExecutor("visits", hash, {}, 0s);
+    CHECK(one->node == two->node);
+    ++counts[one->node];
+  }
+  CHECK(counts.size() == 3);
+  for (const auto& [node, count] : counts) {
+    CHECK(count > 60);
+  }
+}
+
+TEST_CASE("a pick stays cheap with many services and endpoints")
+{
+  auto router = MakeRouter();
+  state::EndpointTable table;
+  for (int i = 0; i < 6500; ++i) {
+    auto record =
+      MakeEndpoint("node-" + std::to_string(i), "dc" + std::to_string(i % 10));
+    record.service = "service-" + std::to_string(i % 350);
+    table.Merge(record);
+    record.node = "hot-" + std::to_string(i);
+    record.service = "hot";
+    if (i < 300) {
+      table.Merge(record);
+    }
+  }
+  router.Use(std::make_shared<state::EndpointTable>(table), 0s);
+  constexpr int kPicks = 200000;
+  for (const std::string service : { "hot", "service-7" }) {
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < kPicks; ++i) {
+      const auto picked = router.Pick(service, {}, 1s);
+      router.Finished(*picked, kAnswer, 1s);
+    }
+    const std::chrono::duration<double, std::nano> time =
+      std::chrono::steady_clock::now() - begin;
+    std::cout << "router: " << time.count() / kPicks << " ns per pick of "
+              << service << "\n";
+  }
+}
