--- /dev/null
+++ b/Tests/Coordination/CallSessionTest.cpp
@@ -0,0 +1,275 @@
+#include "Tests/Coordination/CallFixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold;
+using namespace teaselhold::test;
+
+namespace {
+
+const Outcome kFull = NotRun{ NotRunReason::Full };
+const Outcome kConnectFailed = NotRun{ NotRunReason::ConnectFailed };
+const Outcome kLost = Unknown{ UnknownReason::ConnectionLost };
+const Outcome kCrashed = Unknown{ UnknownReason::UpstreamCrashed };
+const Outcome kAnswer = Answered{ 200 };
+
+RoutingSnapshotPointer
+ThreeUpstreams()
+{
+  return MakeSnapshot(
+    MakeTable({ MakeEndpoint("a"), MakeEndpoint("b"), MakeEndpoint("c") }));
+}
+
+/// Runs a call whose attempts have the given outcomes, and returns the last
+/// step. Waits are skipped.
+CallStep
+RunCall(CallSession& aSession, const std::vector<Outcome>& aOutcomes)
+{
+  auto step = aSession.Start(0s);
+  for (const auto& outcome : aOutcomes) {
+    if (std::holds_alternative<Backoff>(step)) {
+      step = aSession.Resume(std::get<Backoff>(step).until);
+    }
+    REQUIRE(std::holds_alternative<Attempt>(step));
+    step = aSession.Finish(outcome, 1ms);
+  }
+  return step;
+}
+
+} // namespace
+
+TEST_CASE("a call that may not be routed is refused before any delivery")
+{
+  auto environment = MakeEnvironment();
+  const auto snapshot = ThreeUpstreams();
+  const auto refusal = [&](const std::string& aMethod,
+                           const std::string& aTarget,
+                           unsigned aDepth) {
+    auto facts = MakeFacts(true);
+    facts.method = aMethod;
+    facts.target = aTarget;
+    facts.depth = aDepth;
+    return ReasonOf(CallSession(facts, snapshot, environment).Start(0s));
+  };
+  CHECK(refusal("GET", "/nowhere", 0) == NotRunReason::NoRoute);
+  CHECK(refusal("PUT", "/upload", 0) == NotRunReason::ServiceNotReachable);
+  CHECK(refusal("GET", "/lounge", 0) == NotRunReason::NoUpstream);
+  CHECK(refusal("GET", "/visits", 25) == NotRunReason::DepthExceeded);
+  CHECK(
+    ReasonOf(CallSession(MakeFacts(true), nullptr, environment).Start(0s)) ==
+    NotRunReason::NotReady);
+  CallSession deepest(MakeFacts(true), snapshot, environment);
+  CHECK_FALSE(NodeOf(deepest.Start(0s)).empty());
+}
+
+TEST_CASE("a quarantined request is refused and others pass")
+{
+  auto environment = MakeEnvironment();
+  auto snapshot = std::make_shared<RoutingSnapshot>(*ThreeUpstreams());
+  snapshot->quarantined = { 77 };
+  CallSession guilty(MakeFacts(true), snapshot, environment);
+  CHECK(ReasonOf(guilty.Start(0s)) == NotRunReason::Quarantined);
+  auto facts = MakeFacts(true);
+  facts.fingerprint = 78;
+  CallSession honest(facts, snapshot, environment);
+  CHECK_FALSE(NodeOf(honest.Start(0s)).empty());
+}
+
+TEST_CASE("the outcome is true for the whole call, not for its last attempt")
+{
+  struct Row
+  {
+    bool isIdempotent;
+    std::vector<Outcome> attempts;
+    Outcome told;
+  };
+  const std::vector<Row> rows{
+    { false, { kAnswer }, kAnswer },
+    { false, { kLost }, kLost },
+    { false, { kCrashed }, kCrashed },
+    { false, { kConnectFailed, kLost }, kLost },
+    { false, { kConnectFailed, kAnswer }, kAnswer },
+    { false, { kConnectFailed, kFull, kConnectFailed }, kConnectFailed },
+    { true, { kLost, kConnectFailed }, kLost },
+    { true, { kConnectFailed, kLost, kConnectFailed }, kLost },
+    { true, { kConnectFailed, kConnectFailed, kLost }, kLost },
+    { true, { kLost, kAnswer }, kAnswer },
+    { true, { kLost, kCrashed }, kLost },
+    { true, { kCrashed }, kCrashed },
+    { true, { kConnectFailed, kConnectFailed, kFull }, kFull },
+  };
+  for (const auto& row : rows) {
+    auto environment = MakeEnvironment();
+    CallSession session(
+      MakeFacts(row.isIdempotent), ThreeUpstreams(), environment);
+    const auto step = RunCall(session, row.attempts);
+    REQUIRE(std::holds_alternative<Respond>(step));
+    CHECK(std::get<Respond>(step).outcome.index() == row.told.index());
+  }
+}
+
+TEST_CASE("a refusal that concerns the request itself is not spread by retries")
+{
+  for (const auto reason : { NotRunReason::TenantLimit,
+                             NotRunReason::DeadlineExceeded,
+                             NotRunReason::Quarantined,
+                             NotRunReason::BadRequest }) {
+    auto environment = MakeEnvironment();
+    CallSession session(MakeFacts(true), ThreeUpstreams(), environment);
+    CHECK(ReasonOf(RunCall(session, { NotRun{ reason } })) == reason);
+  }
+}
+
+TEST_CASE("a retry goes to another upstream, with the newest endpoints")
+{
+  auto environment = MakeEnvironment();
+  CallSession session(MakeFacts(false), ThreeUpstreams(), environment);
+  const auto first = NodeOf(session.Start(0s));
+  const auto newer = MakeTable({ MakeEndpoint(first), MakeEndpoint("new") });
+  environment.router.Use(newer, 1ms);
+  CHECK(NodeOf(session.Finish(kConnectFailed, 1ms)) == "new");
+}
+
+TEST_CASE("no attempt starts after the deadline, and each carries less")
+{
+  auto environment = MakeEnvironment();
+  auto facts = MakeFacts(true);
+  facts.deadline = 100ms;
+  CallSession session(facts, ThreeUpstreams(), environment);
+  const auto step = session.Start(0s);
+  const auto& attempt = std::get<Attempt>(step);
+  CHECK(attempt.deadline == 100ms);
+  CHECK(attempt.carriedDeadline < attempt.deadline);
+  CHECK(RespondsWith<NotRun>(session.Finish(kConnectFailed, 100ms)));
+  CallSession late(facts, ThreeUpstreams(), environment);
+  CHECK(ReasonOf(late.Start(100ms)) == NotRunReason::DeadlineExceeded);
+}
+
+TEST_CASE("when all upstreams refuse for load the call waits, then tries again")
+{
+  auto environment = MakeEnvironment();
+  const auto snapshot = MakeSnapshot(MakeTable({ MakeEndpoint("a") }));
+  CallSession session(MakeFacts(false), snapshot, environment);
+  session.Start(0s);
+  const auto step = session.Finish(kFull, 1ms);
+  REQUIRE(std::holds_alternative<Backoff>(step));
+  const auto until = std::get<Backoff>(step).until;
+  CHECK(until > 3ms);
+  CHECK(until < 12ms);
+  CHECK(NodeOf(session.Resume(until)) == "a");
+  // An upstream that cannot be reached is not waited for.
+  CallSession other(MakeFacts(false), snapshot, environment);
+  other.Start(1s);
+  CHECK(RespondsWith<NotRun>(other.Finish(kConnectFailed, 1s)));
+}
+
+TEST_CASE("retries stay within a tenth of the calls when everything fails")
+{
+  auto environment = MakeEnvironment();
+  const auto snapshot = ThreeUpstreams();
+  constexpr int kCalls = 2000;
+  int attempts = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    const auto now = 1ms * i;
+    CallSession session(MakeFacts(true), snapshot, environment);
+    auto step = session.Start(now);
+    while (std::holds_alternative<Attempt>(step)) {
+      ++attempts;
+      step = session.Finish(kConnectFailed, now);
+    }
+  }
+  CHECK(attempts - kCalls <= kCalls / 10 + 10 + 2);
+  CHECK(attempts - kCalls >= kCalls / 10);
+}
+
+TEST_CASE("a service with few calls may retry at all")
+{
+  RetryBudget budget;
+  int retries = 0;
+  for (int i = 0; i < 100; ++i) {
+    budget.OnCall("rare", 10s * i);
+    if (budget.HasToken("rare", 10s * i)) {
+      budget.Spend("rare", 10s * i);
+      ++retries;
+    }
+  }
+  CHECK(retries == 100);
+}
+
+TEST_CASE("a call that is given up does not count as load for ever")
+{
+  auto environment = MakeEnvironment();
+  auto record = MakeEndpoint("a");
+  record.slots = 1;
+  const auto snapshot =
+    MakeSnapshot(MakeTable({ record, MakeEndpoint("b", "bud2") }));
+  {
+    CallSession session(MakeFacts(true), snapshot, environment);
+    REQUIRE(NodeOf(session.Start(0s)) == "a");
+    CallSession other(MakeFacts(true), snapshot, environment);
+    CHECK(NodeOf(other.Start(0s)) == "b");
+  }
+  CallSession session(MakeFacts(true), snapshot, environment);
+  CHECK(NodeOf(session.Start(0s)) == "a");
+}
+
+namespace {
+
+/// One hop of a chain of services: calls the next one with what is left, and
+/// fails for certain or without a trace at the end of the chain.
+class Chain
+{
+public:
+  explicit Chain(Outcome aEnd)
+    : end_(std::move(aEnd))
+  {
+  }
+
+  Respond Call(unsigned aDepth, unsigned aRetriesLeft)
+  {
+    auto facts = MakeFacts(true);
+    facts.depth = aDepth;
+    facts.retriesLeft = aRetriesLeft;
+    auto environment = MakeEnvironment();
+    CallSession session(facts, ThreeUpstreams(), environment);
+    auto step = session.Start(0s);
+    while (const auto* attempt = std::get_if<Attempt>(&step)) {
+      ++attempts;
+      auto inner = Respond{ end_, attempt->retriesLeft };
+      if (aDepth + 1 < kHops) {
+        inner = Call(aDepth + 1, attempt->retriesLeft);
+      }
+      // The upstream of this hop ran, so its failure is not a not-run here.
+      const bool failed = !std::holds_alternative<Answered>(inner.outcome);
+      step =
+        session.Finish(aDepth + 1 < kHops && failed ? kLost : inner.outcome,
+                       0s,
+                       inner.retriesLeft);
+    }
+    return std::get<Respond>(step);
+  }
+
+  static constexpr unsigned kHops = 22;
+  unsigned attempts = 0;
+
+private:
+  Outcome end_;
+};
+
+} // namespace
+
+TEST_CASE("the attempts of a chain of 22 calls do not multiply")
+{
+  for (const auto& end : { kLost, kConnectFailed }) {
+    for (const unsigned allowance : { 0U, 1U, 2U, 5U }) {
+      Chain chain(end);
+      const auto told = chain.Call(0, allowance);
+      CHECK(chain.attempts <= Chain::kHops * (allowance + 1));
+      CHECK(told.retriesLeft <= allowance);
+      CHECK(std::holds_alternative<Unknown>(told.outcome));
+    }
+  }
+  Chain healthy(kAnswer);
+  CHECK(healthy.Call(0, 2).retriesLeft == 2);
+  CHECK(healthy.attempts == Chain::kHops);
+}
