State: Let a question on an arrival name the asked incarnation

A restarted node has no memory of the requests that its predecessor received. It would have called them never arrived, so that a request that ran could be told as not run. Another incarnation now answers that it has forgotten.

--- a/Libraries/State/ArrivalLog.cpp
+++ b/Libraries/State/ArrivalLog.cpp
@@ -4,8 +4,9 @@
 
 namespace teaselhold::state {
 
-ArrivalLog::ArrivalLog(ArrivalLogOptions aOptions)
-  : options_(aOptions)
+ArrivalLog::ArrivalLog(std::uint64_t aIncarnation, ArrivalLogOptions aOptions)
+  : incarnation_(aIncarnation)
+  , options_(aOptions)
 {
 }
 
@@ -99,8 +100,14 @@
 }
 
 ArrivalLog::Answer
-ArrivalLog::Ask(const std::string& aPeer, std::uint64_t aNumber, Instant aNow)
+ArrivalLog::Ask(const std::string& aPeer,
+                std::uint64_t aNumber,
+                std::uint64_t aAskedIncarnation,
+                Instant aNow)
 {
+  if (aAskedIncarnation != incarnation_) {
+    return Answer::Forgotten;
+  }
   auto* peer = Find(aPeer, aNow);
   if (peer == nullptr) {
     if (hasGaps_) {
--- a/Libraries/State/ArrivalLog.h
+++ b/Libraries/State/ArrivalLog.h
@@ -22,7 +22,9 @@
 
 /// Remembers the newest request identities of each peer, for the question
 /// whether a request ever arrived. A request that it calls never arrived is
-/// barred, so that the answer stays true if the request arrives later.
+/// barred, so that the answer stays true if the request arrives later. A
+/// restarted process remembers nothing, so a question names the incarnation
+/// that the request was sent to.
 class ArrivalLog
 {
 public:
@@ -45,7 +47,9 @@
     Forgotten,
   };
 
-  explicit ArrivalLog(ArrivalLogOptions aOptions = {});
+  /// @param aIncarnation of this process.
+  explicit ArrivalLog(std::uint64_t aIncarnation,
+                      ArrivalLogOptions aOptions = {});
 
   /// @param aPeer node and incarnation of the sender.
   /// @param aNumber grows with each request of that incarnation, and is never
@@ -53,7 +57,11 @@
   Verdict Arrive(const std::string& aPeer, std::uint64_t aNumber, Instant aNow);
 
   /// Answers the question of a peer.
-  Answer Ask(const std::string& aPeer, std::uint64_t aNumber, Instant aNow);
+  /// @param aAskedIncarnation the one that the request was sent to.
+  Answer Ask(const std::string& aPeer,
+             std::uint64_t aNumber,
+             std::uint64_t aAskedIncarnation,
+             Instant aNow);
 
   std::size_t PeerCount() const { return peers_.size(); }
 
@@ -83,6 +91,7 @@
   void Insert(Peer& aPeer, std::uint64_t aNumber, bool aIsBarred) const;
   static const Mark* Search(const Peer& aPeer, std::uint64_t aNumber);
 
+  std::uint64_t incarnation_;
   ArrivalLogOptions options_;
   std::unordered_map<std::string, Peer> peers_;
   /// The least recently heard first; destroyed before the peers.
