--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -192,7 +192,7 @@
     return End();
   }
   ++backoffs_;
-  return Backoff{ until };
+  return BackoffStep{ until };
 }
 
 CallStep
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -63,12 +63,12 @@
 };
 
 /// Call Resume() at this time.
-struct Backoff
+struct BackoffStep
 {
   state::Instant until;
 };
 
-using CallStep = std::variant<Attempt, Respond, Backoff, ClaimStep>;
+using CallStep = std::variant<Attempt, Respond, BackoffStep, ClaimStep>;
 
 /// Decides the steps of one call: which upstream, whether to try again, what
 /// to tell the caller. The outcome in Respond is true for the whole call, not
@@ -106,7 +106,7 @@
   /// Takes the store's answer to the last ClaimStep.
   CallStep FinishClaim(const StoreResult& aResult, state::Instant aNow);
 
-  /// The time of the last Backoff has come.
+  /// The time of the last BackoffStep has come.
   CallStep Resume(state::Instant aNow);
 
   /// @return nullptr before a route was found.
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -194,7 +194,7 @@
     co_return aCall.session.Finish(
       exchange.outcome, clock_.Now(), exchange.retriesLeft);
   }
-  if (const auto* backoff = std::get_if<Backoff>(&aStep)) {
+  if (const auto* backoff = std::get_if<BackoffStep>(&aStep)) {
     asio::steady_timer timer(context_, clock_.ToSteady(backoff->until));
     const transport::Cancellation::Scope scope(aCancellation,
                                                [&] { timer.cancel(); });
--- a/Tests/Coordination/CallFaultMatrixTest.cpp
+++ b/Tests/Coordination/CallFaultMatrixTest.cpp
@@ -234,7 +234,7 @@
                 Flight& aFlight,
                 Told& aTold)
   {
-    if (const auto* backoff = std::get_if<Backoff>(&aStep)) {
+    if (const auto* backoff = std::get_if<BackoffStep>(&aStep)) {
       now_ = std::max(now_, backoff->until);
       return aSession.Resume(now_);
     }
--- a/Tests/Coordination/CallSessionTest.cpp
+++ b/Tests/Coordination/CallSessionTest.cpp
@@ -27,8 +27,8 @@
 {
   auto step = aSession.Start(0s);
   for (const auto& outcome : aOutcomes) {
-    if (std::holds_alternative<Backoff>(step)) {
-      step = aSession.Resume(std::get<Backoff>(step).until);
+    if (std::holds_alternative<BackoffStep>(step)) {
+      step = aSession.Resume(std::get<BackoffStep>(step).until);
     }
     REQUIRE(std::holds_alternative<Attempt>(step));
     step = aSession.Finish(outcome, 1ms);
@@ -152,8 +152,8 @@
   CallSession session(MakeFacts(false), snapshot, environment);
   session.Start(0s);
   const auto step = session.Finish(kFull, 1ms);
-  REQUIRE(std::holds_alternative<Backoff>(step));
-  const auto until = std::get<Backoff>(step).until;
+  REQUIRE(std::holds_alternative<BackoffStep>(step));
+  const auto until = std::get<BackoffStep>(step).until;
   CHECK(until > 3ms);
   CHECK(until < 12ms);
   CHECK(NodeOf(session.Resume(until)) == "a");
