--- a/Tests/Coordination/RouterTest.cpp
+++ b/Tests/Coordination/RouterTest.cpp
@@ -70,6 +70,7 @@
       { near, MakeEndpoint("region", "bud2"), MakeEndpoint("far", "dkr1") }),
     0s);
   std::vector<std::string> picked;
+  picked.reserve(15);
   for (int i = 0; i < 15; ++i) {
     picked.push_back(router.Pick("visits", {}, 0s)->node);
   }
