Tests: Break the resends of keyed calls in the fault matrix too

Held-back requests also arrive during the next attempt, lost store answers also belong to writes that take effect late, and each fault of a send is followed by each fault of its resend.

--- a/Tests/Coordination/CallFaultMatrixTest.cpp
+++ b/Tests/Coordination/CallFaultMatrixTest.cpp
@@ -100,18 +100,37 @@
   Fault fault;
 };
 
+/// When a request that was held back arrives.
+enum class LateArrival : std::uint8_t
+{
+  DuringNextAttempt,
+  BeforeResend,
+  AfterResend,
+};
+
 /// What differs between two runs of the same cell.
 struct Variant
 {
-  /// Held-back requests arrive before the caller sends again, or after it.
-  bool lateFirst;
-  /// After a loss the peer is asked whether the request arrived.
+  LateArrival late;
+  /// After a loss the peer is asked whether the request arrived. A write whose
+  /// answer is lost takes effect late.
   bool asks;
 };
 
-constexpr std::array<Variant, 4> kVariants{
-  { { false, false }, { false, true }, { true, false }, { true, true } }
-};
+std::vector<Variant>
+AllVariants()
+{
+  std::vector<Variant> variants;
+  for (const auto late : { LateArrival::DuringNextAttempt,
+                           LateArrival::BeforeResend,
+                           LateArrival::AfterResend }) {
+    variants.push_back({ late, false });
+    variants.push_back({ late, true });
+  }
+  return variants;
+}
+
+const std::vector<Variant> kVariants = AllVariants();
 
 /// The state of the network for one attempt.
 struct Flight
@@ -190,6 +209,7 @@
   /// Held-back requests reach the executors that are still the same process.
   void DeliverLate()
   {
+    store_.LandDelayedWrite();
     for (auto& [node, incarnation, delivery] : std::exchange(late_, {})) {
       // A request carries the remaining time, so that it is not late by itself.
       delivery.deadline = now_ + 1s;
@@ -205,12 +225,12 @@
     store_.down = false;
     store_.downCalls = 0;
     store_.loseAnswers = 0;
+    store_.delayWrite = false;
     now_ += 60s;
   }
 
   const std::vector<Told>& Tolds() const { return tolds_; }
   const RunLog& Log() const { return log_; }
-  bool DeliversLateFirst() const { return variant_.lateFirst; }
 
 private:
   struct LateDelivery
@@ -268,6 +288,16 @@
       ++lastNumber_, aAttempt.carriedDeadline, aAttempt.claim
     };
     auto reply = Transfer(delivery, node, aFlight);
+    if (variant_.late == LateArrival::DuringNextAttempt) {
+      // Requests of earlier attempts arrive; one of this attempt stays held.
+      std::vector<LateDelivery> own;
+      if (!late_.empty() && late_.back().delivery.number == delivery.number) {
+        own.push_back(late_.back());
+        late_.pop_back();
+      }
+      DeliverLate();
+      late_ = std::move(own);
+    }
     if (executor.incarnation != incarnation && !aFlight.connectFails) {
       reply = { Unknown{ UnknownReason::ConnectionLost }, "" };
     }
@@ -399,6 +429,7 @@
                     Flight& aFlight,
                     FakeExecutor& aExecutor)
   {
+    bool lost = false;
     switch (aFault) {
       case Fault::NodeKilled:
         aFlight.connectFails = aStep <= Step::Connect;
@@ -420,7 +451,8 @@
         store_.downCalls = 2;
         break;
       case Fault::StoreAnswerLost:
-        store_.loseAnswers = 1;
+        (variant_.asks ? store_.delayWrite : lost) = true;
+        store_.loseAnswers = lost ? 1 : 0;
         break;
       case Fault::LeaseLapsed:
         store_.LapseLeases();
@@ -505,7 +537,7 @@
 Describe(Kind aKind, Variant aVariant, const std::vector<Planned>& aPlan)
 {
   std::string text(state::FindEnumName(kKinds, aKind));
-  text += aVariant.lateFirst ? ", late first" : "";
+  text += ", late " + std::to_string(static_cast<int>(aVariant.late));
   text += aVariant.asks ? ", asks" : "";
   for (const auto& planned : aPlan) {
     text.append("; ").append(state::FindEnumName(kFaults, planned.fault));
@@ -514,23 +546,30 @@
   return text;
 }
 
+/// @param aResendPlan faults of the resend of a keyed request.
 void
-RunCell(Kind aKind, const std::vector<Planned>& aPlan, Totals& aTotals)
+RunCell(Kind aKind,
+        const std::vector<Planned>& aPlan,
+        Totals& aTotals,
+        const std::vector<Planned>& aResendPlan = {})
 {
   for (const auto variant : kVariants) {
     World world(aKind, variant);
     const auto told = world.Send(0, aPlan);
     world.Heal();
-    if (variant.lateFirst) {
+    if (variant.late != LateArrival::AfterResend) {
       world.DeliverLate();
     }
     if (aKind == Kind::Keyed) {
-      world.Send(1, {});
+      world.Send(1, aResendPlan);
+      world.Heal();
+      world.Send(0, {});
     }
     world.DeliverLate();
     const auto broken = FindBrokenPromise(aKind, world);
     if (!broken.empty()) {
-      FAIL_CHECK(Describe(aKind, variant, aPlan) + ": " + broken);
+      FAIL_CHECK(Describe(aKind, variant, aPlan) + "; resend" +
+                 Describe(aKind, variant, aResendPlan) + ": " + broken);
     }
     ++aTotals.cells;
     aTotals.answered += std::holds_alternative<Answered>(told.outcome) ? 1 : 0;
@@ -593,3 +632,19 @@
   Print("pairs", totals);
   CHECK(totals.answered > 0);
 }
+
+TEST_CASE("no fault of a send followed by one of its resend breaks a promise")
+{
+  Totals totals;
+  auto all = AllFaults();
+  std::erase_if(all, [](const Planned& aPlanned) {
+    return aPlanned.fault == Fault::ClaimsLost;
+  });
+  for (const auto& first : all) {
+    for (const auto& second : all) {
+      RunCell(Kind::Keyed, { first }, totals, { second });
+    }
+  }
+  Print("send and resend", totals);
+  CHECK(totals.answered > 0);
+}
