--- a/Tests/Coordination/AdmissionTest.cpp
+++ b/Tests/Coordination/AdmissionTest.cpp
@@ -264,7 +264,9 @@
       }
     }
     if (!open.empty() && random() % 3 != 0) {
-      const auto ended = std::next(open.begin(), random() % open.size())->first;
+      const auto ended =
+        std::next(open.begin(), static_cast<long>(random() % open.size()))
+          ->first;
       open.erase(ended);
       take(admission.Finish(ended, now));
     }
--- a/Tests/Coordination/RouterTest.cpp
+++ b/Tests/Coordination/RouterTest.cpp
@@ -69,9 +69,9 @@
     MakeTable(
       { near, MakeEndpoint("region", "bud2"), MakeEndpoint("far", "dkr1") }),
     0s);
-  std::vector<std::string> picked;
-  for (int i = 0; i < 15; ++i) {
-    picked.push_back(router.Pick("visits", {}, 0s)->node);
+  std::vector<std::string> picked(15);
+  for (auto& node : picked) {
+    node = router.Pick("visits", {}, 0s)->node;
   }
   CHECK(std::ranges::count(picked, "near") == 2);
   CHECK(std::ranges::count(picked, "region") == 12);
