teaselholdd: Serve metrics, limit repeated log lines and look up applies

The node's metrics were two numbers. It now formats calls, latencies, refusals, control messages, store calls, versions and membership for Prometheus, serves them at metrics_address and answers them to teaselctl. Logs go to standard error with an ISO time; equal lines are written once in 10 s with a count. FindApply reads the store, so that an operator's tool whose node was lost can learn what became of an apply. The data plane does not record its calls yet.

--- a/Services/teaselholdd/AdminServer.cpp
+++ b/Services/teaselholdd/AdminServer.cpp
@@ -1,8 +1,11 @@
 #include "Services/teaselholdd/AdminServer.h"
 
+#include "Transport/GrpcStoreClient.h"
 #include "admin.grpc.pb.h"
 
+#include <algorithm>
 #include <grpcpp/grpcpp.h>
+#include <spdlog/spdlog.h>
 
 namespace teaselhold::daemon {
 
@@ -13,20 +16,74 @@
 constexpr std::chrono::milliseconds kDefaultApplyDeadline{ 5000 };
 constexpr std::chrono::milliseconds kMaxApplyDeadline{ 60000 };
 
+constexpr std::chrono::milliseconds kFindTimeout{ 1500 };
+
 std::string
 ToText(std::string_view aName)
 {
   return std::string(aName);
 }
 
+void
+FillCalls(const CallMetricsCopy& aCalls, wire::MetricsResponse& aResponse)
+{
+  for (const auto bound : kLatencyBounds) {
+    aResponse.add_bucket_bounds_microseconds(bound);
+  }
+  for (const auto& [key, figures] : aCalls.rows) {
+    auto& row = *aResponse.add_calls();
+    row.set_request_class(
+      ToText(state::FindEnumName(state::kRequestClassNames, key.first)));
+    row.set_tenant(key.second);
+    row.set_answered(figures.answered);
+    row.set_not_run(figures.notRun);
+    row.set_unknown(figures.unknown);
+    if (figures.answered > 0) {
+      const auto& latencies = figures.latencies;
+      row.set_mean_microseconds(
+        static_cast<std::uint64_t>(boost::accumulators::mean(latencies)));
+      row.set_max_microseconds(
+        static_cast<std::uint64_t>(boost::accumulators::max(latencies)));
+    }
+    row.mutable_buckets()->Add(figures.buckets.begin(), figures.buckets.end());
+  }
+}
+
+template<std::size_t Size, typename Enum>
+void
+FillReasons(const char* aKind,
+            const CallMetricsCopy::CountsByClass<Size>& aCounts,
+            const std::array<state::EnumName<Enum>, Size>& aNames,
+            wire::MetricsResponse& aResponse)
+{
+  for (const auto& requestClass : state::kRequestClassNames) {
+    for (const auto& reason : aNames) {
+      const auto count = aCounts[static_cast<std::size_t>(requestClass.value)]
+                                [static_cast<std::size_t>(reason.value)];
+      if (count > 0) {
+        auto& row = *aResponse.add_reasons();
+        row.set_kind(aKind);
+        row.set_request_class(ToText(requestClass.name));
+        row.set_reason(ToText(reason.name));
+        row.set_count(count);
+      }
+    }
+  }
+}
+
 } // namespace
 
 class AdminServer::Implementation final : public wire::Admin::Service
 {
 public:
-  Implementation(ControlPlane& aControlPlane, const Clock& aClock)
+  Implementation(const Settings& aSettings,
+                 ControlPlane& aControlPlane,
+                 const MetricsSource& aMetrics,
+                 const Clock& aClock)
     : controlPlane_(aControlPlane)
+    , metrics_(aMetrics)
     , clock_(aClock)
+    , store_(aSettings.storeAddress)
   {
   }
 
@@ -59,12 +116,22 @@
     if (deadline.count() == 0) {
       deadline = kDefaultApplyDeadline;
     }
+    const auto start = clock_.Now();
     const auto finish = controlPlane_.Apply(
       { 0,
         aRequest->text(),
         aRequest->base_generation(),
         aRequest->apply_id(),
         clock_.Now() + std::min(deadline, kMaxApplyDeadline) });
+    spdlog::info("[admin] Apply finished. apply_id={} base={} outcome=\"{}\" "
+                 "generation={} milliseconds={}",
+                 aRequest->apply_id(),
+                 aRequest->base_generation(),
+                 state::FindEnumName(kApplyOutcomeNames, finish.outcome),
+                 finish.generation,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                   clock_.Now() - start)
+                   .count());
     aResponse->set_result(
       static_cast<wire::ApplyResponse::Result>(finish.outcome));
     aResponse->set_generation(finish.generation);
@@ -115,30 +182,68 @@
                        const wire::MetricsRequest* /*aRequest*/,
                        wire::MetricsResponse* aResponse) override
   {
-    const auto counters = controlPlane_.Counters();
-    aResponse->set_text("teaselhold_control_sent_bytes " +
-                        std::to_string(counters.sentBytes) +
-                        "\nteaselhold_control_received_bytes " +
-                        std::to_string(counters.receivedBytes) + "\n");
+    const auto copy = metrics_.Collect();
+    aResponse->set_node(copy.node);
+    aResponse->set_text(FormatMetrics(copy));
+    FillCalls(copy.calls, *aResponse);
+    FillReasons("not-run", copy.calls.notRun, kNotRunReasonNames, *aResponse);
+    FillReasons("unknown", copy.calls.unknown, kUnknownReasonNames, *aResponse);
+    FillReasons("refused", copy.calls.refused, kNotRunReasonNames, *aResponse);
+    return grpc::Status::OK;
+  }
+
+  grpc::Status FindApply(grpc::ServerContext* /*aContext*/,
+                         const wire::FindApplyRequest* aRequest,
+                         wire::FindApplyResponse* aResponse) override
+  {
+    // Read from the store, because nodes forget and lag.
+    const auto entry = store_.Get(protocol::kConfigurationKey, kFindTimeout);
+    wire::StoredConfiguration stored;
+    if (!entry || !stored.ParseFromString(entry->value)) {
+      aResponse->set_result(wire::FindApplyResponse::UNAVAILABLE);
+      aResponse->set_message(entry ? "the store's value cannot be read"
+                                   : "the store cannot be read: " +
+                                       entry.error().message);
+      return grpc::Status::OK;
+    }
+    const auto& id = aRequest->apply_id();
+    const bool found = stored.apply_id() == id ||
+                       std::ranges::find(stored.recent_applies(), id) !=
+                         stored.recent_applies().end();
+    aResponse->set_result(found ? wire::FindApplyResponse::FOUND
+                                : wire::FindApplyResponse::NOT_FOUND);
+    aResponse->set_generation(stored.generation());
+    if (!found) {
+      aResponse->set_current_text(stored.text());
+    }
+    spdlog::info("[admin] Apply looked up. apply_id={} found={} generation={}",
+                 id,
+                 found,
+                 stored.generation());
     return grpc::Status::OK;
   }
 
 private:
   ControlPlane& controlPlane_;
+  const MetricsSource& metrics_;
   const Clock& clock_;
+  transport::GrpcStoreClient store_;
   std::unique_ptr<grpc::Server> server_;
 };
 
 tl::expected<std::unique_ptr<AdminServer>, transport::TransportError>
-AdminServer::Listen(const std::string& aAddress,
+AdminServer::Listen(const Settings& aSettings,
                     ControlPlane& aControlPlane,
+                    const MetricsSource& aMetrics,
                     const Clock& aClock)
 {
-  auto implementation = std::make_unique<Implementation>(aControlPlane, aClock);
-  if (!implementation->Listen(aAddress)) {
+  const auto& address = aSettings.adminAddress;
+  auto implementation = std::make_unique<Implementation>(
+    aSettings, aControlPlane, aMetrics, aClock);
+  if (!implementation->Listen(address)) {
     return tl::make_unexpected(transport::TransportError{
       transport::TransportErrorCode::BindFailed,
-      "cannot listen on " + aAddress + " for teaselctl" });
+      "cannot listen on " + address + " for teaselctl" });
   }
   return std::unique_ptr<AdminServer>(
     new AdminServer(std::move(implementation)));
--- a/Services/teaselholdd/AdminServer.h
+++ b/Services/teaselholdd/AdminServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Services/teaselholdd/ControlPlane.h"
+#include "Services/teaselholdd/MetricsSource.h"
 
 #include <memory>
 #include <string>
@@ -11,9 +12,11 @@
 class AdminServer
 {
 public:
+  /// All arguments must outlive the server.
   static tl::expected<std::unique_ptr<AdminServer>, transport::TransportError>
-  Listen(const std::string& aAddress,
+  Listen(const Settings& aSettings,
          ControlPlane& aControlPlane,
+         const MetricsSource& aMetrics,
          const Clock& aClock);
 
   ~AdminServer();
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -48,6 +48,8 @@
 
   transport::ControlCounters Counters() const;
 
+  StoreCounters StoreCalls() const { return store_->Counters(); }
+
 private:
   using Core = std::variant<coordination::DirectCore>;
   using StatusPromise =
--- /dev/null
+++ b/Services/teaselholdd/Logs.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+namespace teaselhold::daemon {
+
+/// Sets up the process's logs: one line each on standard error with time, level
+/// and "[part] Sentence. key=value". Equal lines are limited to one in 10 s.
+/// aLevel is one of the settings' level names.
+void
+SetUpLogs(const std::string& aLevel);
+
+/// Writes what is left and stops the logs' thread.
+void
+FinishLogs();
+
+} // namespace teaselhold::daemon
--- /dev/null
+++ b/Services/teaselholdd/MetricsText.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Coordination/CallMetrics.h"
+#include "Coordination/NodeEvents.h"
+#include "Services/teaselholdd/StoreWorker.h"
+#include "Transport/ControlChannel.h"
+
+#include <string>
+
+namespace teaselhold::daemon {
+
+/// All metrics of one node at one moment.
+struct MetricsCopy
+{
+  std::string node;
+  std::string service;
+  std::string dataCentre;
+  std::string region;
+  coordination::CallMetricsCopy calls;
+  transport::ControlCounters control;
+  StoreCounters store;
+  coordination::FleetStatus fleet;
+  state::Generation activeGeneration = 0;
+};
+
+/// Formats metrics in the Prometheus text exposition format, version 0.0.4.
+std::string
+FormatMetrics(const MetricsCopy& aMetrics);
+
+} // namespace teaselhold::daemon
--- a/Services/teaselholdd/StoreWorker.cpp
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -1,5 +1,7 @@
 #include "Services/teaselholdd/StoreWorker.h"
 
+#include <spdlog/spdlog.h>
+
 namespace teaselhold::daemon {
 
 namespace {
@@ -95,7 +97,9 @@
 StoreWorker::Run(Ring& aRing)
 {
   while (auto call = aRing.Pop()) {
-    answer_({ call->call, Execute(*call) });
+    auto result = Execute(*call);
+    Count(*call, result);
+    answer_({ call->call, std::move(result) });
   }
 }
 
@@ -105,4 +109,28 @@
   return std::visit(CallVisitor{ *client_ }, aCall.request);
 }
 
+StoreCounters
+StoreWorker::Counters() const
+{
+  return { watchCount_, otherCount_, failureCount_ };
+}
+
+void
+StoreWorker::Count(const CallStore& aCall, const StoreResult& aResult)
+{
+  const bool isWatch = std::holds_alternative<StoreWatch>(aCall.request);
+  ++(isWatch ? watchCount_ : otherCount_);
+  const auto* error = std::get_if<protocol::StoreError>(&aResult);
+  if (error != nullptr) {
+    ++failureCount_;
+    if (!failing_.exchange(true)) {
+      spdlog::warn("[store] Call failed. error=\"{}\" reason=\"{}\"",
+                   state::FindEnumName(protocol::kStoreErrorNames, error->code),
+                   error->message);
+    }
+  } else if (failing_.exchange(false)) {
+    spdlog::info("[store] Calls succeed again.");
+  }
+}
+
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/StoreWorker.h
+++ b/Services/teaselholdd/StoreWorker.h
@@ -4,12 +4,22 @@
 #include "Protocol/StoreClient.h"
 #include "Transport/BoundedRing.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <thread>
 
 namespace teaselhold::daemon {
 
+/// Calls of the store since the start.
+struct StoreCounters
+{
+  std::uint64_t watches = 0;
+  std::uint64_t others = 0;
+  /// Of both kinds.
+  std::uint64_t failures = 0;
+};
+
 /// Runs the store's blocking calls on threads of its own: one for watches,
 /// which wait for long, and one for all other calls.
 class StoreWorker
@@ -26,16 +36,27 @@
 
   void Stop();
 
+  /// Safe on any thread.
+  StoreCounters Counters() const;
+
 private:
   using Ring = transport::BoundedRing<coordination::CallStore>;
 
   void Run(Ring& aRing);
   coordination::StoreResult Execute(const coordination::CallStore& aCall);
 
+  void Count(const coordination::CallStore& aCall,
+             const coordination::StoreResult& aResult);
+
   std::unique_ptr<protocol::StoreClient> client_;
   Answer answer_;
   Ring calls_{ 256 };
   Ring watches_{ 4 };
+  std::atomic<std::uint64_t> watchCount_ = 0;
+  std::atomic<std::uint64_t> otherCount_ = 0;
+  std::atomic<std::uint64_t> failureCount_ = 0;
+  /// Whether the last call failed; its changes are logged.
+  std::atomic<bool> failing_ = false;
   std::thread callThread_;
   std::thread watchThread_;
 };
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -1,6 +1,8 @@
 #include "Protocol/ConfigurationText.h"
 #include "Services/teaselholdd/AdminServer.h"
 #include "Services/teaselholdd/DataPlane.h"
+#include "Services/teaselholdd/Logs.h"
+#include "Services/teaselholdd/MetricsServer.h"
 
 #include <csignal>
 #include <fstream>
@@ -52,11 +54,44 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+int
+FailStart(const transport::TransportError& aError)
+{
+  spdlog::error("[node] Start failed. reason=\"{}\"", aError.message);
+  return kExitFailed;
+}
+
+/// Gives the tenants of each new version their own rows in the metrics.
+class TenantNamer
+{
+public:
+  explicit TenantNamer(coordination::CallMetrics& aMetrics)
+    : metrics_(aMetrics)
+  {
+  }
+
+  void Take(const coordination::RoutingSnapshotPointer& aSnapshot)
+  {
+    // Endpoints change far more often than the text.
+    if (aSnapshot->configuration != nullptr &&
+        aSnapshot->configuration != last_) {
+      last_ = aSnapshot->configuration;
+      metrics_.NameTenants(*last_);
+    }
+  }
+
+private:
+  coordination::CallMetrics& metrics_;
+  state::ConfigurationPointer last_;
+};
+
 int
 Run(const daemon::Settings& aSettings, const sigset_t& aSignals)
 {
   const daemon::Clock clock;
   const auto incarnation = MakeIncarnation();
+  coordination::CallMetrics callMetrics;
+  TenantNamer tenantNamer(callMetrics);
   std::unique_ptr<daemon::ControlPlane> controlPlane;
   daemon::DataPlane dataPlane(
     aSettings, clock, incarnation, [&](state::EndpointState aState) {
@@ -67,29 +102,45 @@
     clock,
     incarnation,
     [&](coordination::RoutingSnapshotPointer aSnapshot) {
+      tenantNamer.Take(aSnapshot);
       dataPlane.SetSnapshot(std::move(aSnapshot));
     });
   for (const auto& started : { controlPlane->Start(), dataPlane.Start() }) {
     if (!started) {
-      spdlog::error("[node] Start failed. reason=\"{}\"",
-                    started.error().message);
-      return kExitFailed;
+      return FailStart(started.error());
     }
   }
+  const daemon::MetricsSource metrics(aSettings, *controlPlane, callMetrics);
   auto admin =
-    daemon::AdminServer::Listen(aSettings.adminAddress, *controlPlane, clock);
+    daemon::AdminServer::Listen(aSettings, *controlPlane, metrics, clock);
   if (!admin) {
-    spdlog::error("[node] Start failed. reason=\"{}\"", admin.error().message);
-    return kExitFailed;
+    return FailStart(admin.error());
+  }
+  std::unique_ptr<daemon::MetricsServer> metricsServer;
+  if (!aSettings.metricsAddress.empty()) {
+    auto server =
+      daemon::MetricsServer::Listen(aSettings.metricsAddress, metrics);
+    if (!server) {
+      return FailStart(server.error());
+    }
+    metricsServer = std::move(*server);
   }
-  spdlog::info("[node] Started. name={} service={} incarnation={}",
+  spdlog::info("[node] Started. name={} service={} incarnation={} callers={} "
+               "admin={} metrics={}",
                aSettings.nodeName,
                aSettings.service,
-               incarnation);
+               incarnation,
+               aSettings.callerAddress,
+               aSettings.adminAddress,
+               aSettings.metricsAddress.empty() ? "none"
+                                                : aSettings.metricsAddress);
   int signal = 0;
   sigwait(&aSignals, &signal);
-  spdlog::info("[node] Draining. signal={}", signal);
+  spdlog::info("[node] Draining. signal={} timeout_milliseconds={}",
+               signal,
+               aSettings.drainTimeout.count());
   dataPlane.DrainAndStop();
+  metricsServer.reset();
   admin->reset();
   controlPlane->Stop();
   spdlog::info("[node] Stopped.");
@@ -115,7 +166,7 @@
     std::cout << FLAGS_config << ": valid\n";
     return kExitDone;
   }
-  spdlog::set_level(spdlog::level::from_str(settings->logLevel));
+  daemon::SetUpLogs(settings->logLevel);
   // Blocked before any thread starts, so that sigwait receives the signals.
   sigset_t signals;
   sigemptyset(&signals);
@@ -123,5 +174,7 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  return Run(*settings, signals);
+  const int code = Run(*settings, signals);
+  daemon::FinishLogs();
+  return code;
 }
