--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -49,6 +49,8 @@
 
   transport::ControlCounters Counters() const;
 
+  StoreCounters StoreCalls() const { return store_->Counters(); }
+
 private:
   using Core = std::variant<coordination::NodeCore, coordination::DirectCore>;
   using StatusPromise =
