--- a/Tests/Coordination/DrainFaultMatrixTest.cpp
+++ b/Tests/Coordination/DrainFaultMatrixTest.cpp
@@ -215,7 +215,7 @@
                         environment_);
     auto step = session.Start(now_);
     while (!std::holds_alternative<Respond>(step)) {
-      if (const auto* backoff = std::get_if<Backoff>(&step)) {
+      if (const auto* backoff = std::get_if<BackoffStep>(&step)) {
         now_ = backoff->until;
         step = session.Resume(now_);
         continue;
