--- a/Libraries/Coordination/Membership.cpp
+++ b/Libraries/Coordination/Membership.cpp
@@ -204,8 +204,16 @@
   }
   for (const auto& relay : exchange.relays()) {
     const auto* known = endpoints_.Table().Find(relay.node());
-    if (IsRelay() && relay.node() != options_.identity.name &&
-        (known == nullptr || !known->isRelay)) {
+    if (!IsRelay() || relay.node() == options_.identity.name ||
+        (known != nullptr && known->isRelay)) {
+      continue;
+    }
+    // The list may be old and name a node that is a leaf by now, which answers
+    // with a list again; without a limit the answers multiply without end.
+    const auto last = introducedAt_.find(relay.control_address());
+    if (last == introducedAt_.end() ||
+        aStep.now - last->second >= kIntroductionInterval) {
+      introducedAt_[relay.control_address()] = aStep.now;
       Introduce(relay.control_address(), aStep);
     }
   }
--- a/Libraries/Coordination/Membership.h
+++ b/Libraries/Coordination/Membership.h
@@ -86,6 +86,7 @@
   std::string promoted_;
   std::set<std::string> probedLeaves_;
   std::map<std::string, state::Instant> toldAt_;
+  std::map<std::string, state::Instant> introducedAt_;
   state::Instant relaySince_{ 0 };
   state::Instant nextRelayProbe_{ 0 };
   state::Instant nextLostProbe_{ 0 };
--- a/Tests/Coordination/Session.cpp
+++ b/Tests/Coordination/Session.cpp
@@ -44,7 +44,6 @@
 {
   auto node = std::make_unique<Node>();
   auto& identity = node->options.identity;
-  const auto number = std::to_string(nodes_.size() + 1);
   identity.name = aName;
   identity.service = aService;
   identity.dataCentre = aDataCentre;
@@ -103,7 +102,11 @@
 void
 Session::Resume(const std::string& aName)
 {
-  At(aName).isPaused = false;
+  auto& node = At(aName);
+  if (node.isPaused) {
+    node.isPaused = false;
+    Post(aName, UpstreamChanged{ node.upstream });
+  }
 }
 
 void
