--- a/Tests/Coordination/KeyedCallTest.cpp
+++ b/Tests/Coordination/KeyedCallTest.cpp
@@ -123,7 +123,7 @@
 {
   FakeStore store;
   auto one = MakeEnvironment("one");
-  Keyed(one, store, { kA });
+  const Keyed first(one, store, { kA });
   auto facts = MakeFacts(false, "key");
   facts.fingerprint = 1;
   CHECK(ReasonOf(Keyed(one, store, { kA }, facts).step) ==
