UpstreamSide: Decide arrivals, keyed runs and shedding beside the upstream

A request that was lost on its way is told as not run only if the peer says on a fresh connection that it never arrived. A keyed run goes on when its caller is gone, so that a later send joins it. A crash is not blamed on requests that the upstream answered before: otherwise two unrelated crashes put a popular request in quarantine.

The load generator tries the next node after a certain refusal, resends keyed orders, has several tenants and a paired straight mode.

--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -28,6 +28,9 @@
 /// run.
 inline constexpr const char* kClaim = "Teaselhold-Claim";
 
+/// Set by an upstream that refused a request before it ran any of it.
+inline constexpr const char* kShed = "Teaselhold-Shed";
+
 /// Paths that a node itself answers on its data address. The requests carry no
 /// Teaselhold-Service.
 inline constexpr const char* kProbePath = "/.teaselhold/probe";
--- a/Services/teaselholdd/AdmissionQueue.cpp
+++ b/Services/teaselholdd/AdmissionQueue.cpp
@@ -14,10 +14,10 @@
 
 AdmissionQueue::AdmissionQueue(asio::io_context& aContext,
                                const Clock& aClock,
-                               std::uint32_t aSlots)
+                               AdmissionOptions aOptions)
   : context_(aContext)
   , clock_(aClock)
-  , admission_(aSlots)
+  , admission_(aOptions)
 {
 }
 
@@ -32,6 +32,10 @@
   if (std::holds_alternative<Admit>(decision)) {
     co_return std::nullopt;
   }
+  const auto& displaced = std::get<Wait>(decision).displaced;
+  if (displaced) {
+    Release({ { *displaced, NotRunReason::Shed } });
+  }
   if (!expiring_) {
     expiring_ = true;
     asio::co_spawn(
@@ -57,13 +61,16 @@
   boost::system::error_code error;
   co_await waiter->released.async_wait(
     asio::redirect_error(asio::use_awaitable, error));
-  if (waiter->decision && !waiter->decision->refused) {
-    co_return std::nullopt;
+  if (!waiter->decision) {
+    // The caller is gone.
+    waiting_.erase(aId);
+    Leave(aId);
+    co_return NotRun{ NotRunReason::DeadlineExceeded };
+  }
+  if (waiter->decision->refused) {
+    co_return NotRun{ *waiter->decision->refused };
   }
-  // Release() gives back the slot of a waiter that is gone.
-  waiting_.erase(aId);
-  co_return NotRun{ waiter->decision ? *waiter->decision->refused
-                                     : NotRunReason::DeadlineExceeded };
+  co_return std::nullopt;
 }
 
 asio::awaitable<void>
@@ -94,8 +101,6 @@
       found->second->decision = release;
       found->second->released.cancel();
       waiting_.erase(found);
-    } else if (!release.refused) {
-      Leave(release.id);
     }
   }
 }
@@ -103,7 +108,7 @@
 void
 AdmissionQueue::SetState(state::EndpointState aState)
 {
-  admission_.SetState(aState, clock_.Now());
+  Release(admission_.SetState(aState, clock_.Now()));
 }
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/AdmissionQueue.h
+++ b/Services/teaselholdd/AdmissionQueue.h
@@ -34,7 +34,7 @@
 
   AdmissionQueue(boost::asio::io_context& aContext,
                  const Clock& aClock,
-                 std::uint32_t aSlots);
+                 coordination::AdmissionOptions aOptions);
 
   /// Waits until the request may be delivered. After Admit the caller holds a
   /// Slot until the request's end.
@@ -48,7 +48,13 @@
   /// Requests that wait or run.
   std::size_t InFlight() const
   {
-    return admission_.InFlight() + waiting_.size();
+    return admission_.InFlight() + admission_.Waiting();
+  }
+
+  /// Tells what an answer of the upstream means.
+  coordination::Outcome Classify(unsigned aStatus, bool aSaysShed) const
+  {
+    return admission_.ClassifyAnswer(aStatus, aSaysShed);
   }
 
 private:
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -37,6 +37,7 @@
   , upstreamSide_(context_,
                   settings_,
                   aClock,
+                  aIncarnation,
                   stateSink_,
                   std::move(aCrashSink))
   , callerSide_(context_, settings_, aClock, aIncarnation, upstreamSide_)
--- a/Services/teaselholdd/HttpHeaders.h
+++ b/Services/teaselholdd/HttpHeaders.h
@@ -19,21 +19,29 @@
 SetHeader(HttpFields& aFields, std::string_view aName, std::string_view aValue);
 
 /// Reads a whole number without a sign.
-/// @return nothing if the header is missing or malformed.
+/// @return nothing if the text is anything else.
 template<typename Number>
 std::optional<Number>
-ReadNumber(const HttpFields& aFields, std::string_view aName)
+ParseNumber(std::string_view aText)
 {
-  const auto text = ReadHeader(aFields, aName);
   Number value = 0;
-  const auto* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, value);
-  if (result.ec != std::errc() || result.ptr != end || text.starts_with('-')) {
+  const auto* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, value);
+  if (result.ec != std::errc() || result.ptr != end || aText.starts_with('-')) {
     return std::nullopt;
   }
   return value;
 }
 
+/// Reads a header with a whole number.
+/// @return nothing if the header is missing or malformed.
+template<typename Number>
+std::optional<Number>
+ReadNumber(const HttpFields& aFields, std::string_view aName)
+{
+  return ParseNumber<Number>(ReadHeader(aFields, aName));
+}
+
 /// Removes the headers that concern one connection only.
 void
 RemoveHopHeaders(HttpFields& aFields);
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -18,6 +18,10 @@
 /// connection, so that a request on it is not lost until its deadline.
 constexpr std::chrono::milliseconds kSilenceLimit{ 2000 };
 
+/// The caller has waited until its deadline already, so the question whether a
+/// request arrived is short. Regions are at most about 100 ms apart.
+constexpr std::chrono::milliseconds kArrivalTimeout{ 400 };
+
 transport::HttpClientOptions
 MakePoolOptions()
 {
@@ -73,7 +77,7 @@
 
 asio::awaitable<Exchange>
 NodeHop::SendRemote(Request& aRequest,
-                    const Load& /*aLoad*/,
+                    const Load& aLoad,
                     const Attempt& aAttempt,
                     transport::CancellationPointer aCancellation)
 {
@@ -82,9 +86,21 @@
   auto answer = co_await pool_.Send(aAttempt.endpoint->dataAddress,
                                     aRequest,
                                     clock_.ToSteady(aAttempt.deadline),
-                                    std::move(aCancellation));
+                                    aCancellation);
   if (!answer) {
-    co_return Exchange{ ToOutcome(answer.error()), {}, 0 };
+    auto outcome = ToOutcome(answer.error());
+    // A call that may be repeated anyway is not worth the question.
+    const bool isDoubtful = std::holds_alternative<Unknown>(outcome) &&
+                            !aLoad.route.isIdempotent &&
+                            !transport::IsCancelled(aCancellation);
+    bool neverArrived = false;
+    if (isDoubtful) {
+      neverArrived = co_await NeverArrived(*aAttempt.endpoint, id);
+    }
+    if (neverArrived) {
+      outcome = NotRun{ NotRunReason::NeverArrived };
+    }
+    co_return Exchange{ outcome, {}, 0 };
   }
   if (ReadHeader(*answer, headers::kRequestId) != id) {
     pool_.CloseIdle(aAttempt.endpoint->dataAddress);
@@ -94,6 +110,24 @@
   co_return Exchange{ outcome, std::move(*answer), 0 };
 }
 
+asio::awaitable<bool>
+NodeHop::NeverArrived(const state::EndpointRecord& aEndpoint, std::string aId)
+{
+  Request question(boost::beast::http::verb::get, headers::kArrivalPath, 11);
+  question.set(boost::beast::http::field::host, aEndpoint.dataAddress);
+  SetHeader(question, headers::kRequestId, aId);
+  SetHeader(
+    question, headers::kExecutor, std::to_string(aEndpoint.incarnation));
+  const auto answer =
+    co_await pool_.Send(aEndpoint.dataAddress,
+                        question,
+                        Clock::Steady::now() + kArrivalTimeout,
+                        nullptr,
+                        transport::ConnectionChoice::Fresh);
+  co_return answer&& ReadHeader(*answer, headers::kReason) ==
+    state::FindEnumName(kNotRunReasonNames, NotRunReason::NeverArrived);
+}
+
 void
 NodeHop::SetNodeHeaders(Request& aRequest,
                         const Load& aLoad,
--- a/Services/teaselholdd/NodeHop.h
+++ b/Services/teaselholdd/NodeHop.h
@@ -43,6 +43,8 @@
                                  const Load& aLoad,
                                  const coordination::Attempt& aAttempt,
                                  transport::CancellationPointer aCancellation);
+  Awaitable<bool> NeverArrived(const state::EndpointRecord& aEndpoint,
+                               std::string aId);
 
   const Settings& settings_;
   const Clock& clock_;
--- a/Services/teaselholdd/Settings.cpp
+++ b/Services/teaselholdd/Settings.cpp
@@ -115,6 +115,15 @@
   };
 }
 
+Reader
+ReadYesOrNo(bool& aTarget)
+{
+  return [&aTarget](const std::string& aValue) -> std::string {
+    aTarget = aValue == "yes";
+    return aTarget || aValue == "no" ? "" : "yes or no";
+  };
+}
+
 Reader
 ReadDistribution(DistributionMode& aTarget)
 {
@@ -147,6 +156,10 @@
     { "upstream", "health_path", false, ReadText(s.upstreamHealthPath) },
     { "upstream", "slots", false, ReadNumber(s.upstreamSlots, 1, 10000) },
     { "upstream", "probe_interval", false, ReadTime(s.upstreamProbeInterval) },
+    { "upstream",
+      "shed_is_not_run",
+      false,
+      ReadYesOrNo(s.upstreamShedIsNotRun) },
     { "log", "level", false, ReadLogLevel(s.logLevel) },
   };
 }
--- a/Services/teaselholdd/Settings.h
+++ b/Services/teaselholdd/Settings.h
@@ -41,6 +41,8 @@
   std::string upstreamHealthPath = "/health";
   std::uint32_t upstreamSlots = 12;
   std::chrono::milliseconds upstreamProbeInterval{ 500 };
+  /// An answer 503 with Teaselhold-Shed means that the upstream ran nothing.
+  bool upstreamShedIsNotRun = false;
   /// How long a stopping node waits for requests in flight.
   std::chrono::milliseconds drainTimeout{ 30000 };
   DistributionMode distribution = DistributionMode::Relay;
--- a/Services/teaselholdd/UpstreamLink.cpp
+++ b/Services/teaselholdd/UpstreamLink.cpp
@@ -30,6 +30,10 @@
 constexpr std::chrono::milliseconds kCrashCheckInterval{ 15 };
 constexpr std::chrono::milliseconds kCrashCheckTimeout{ 100 };
 
+/// Larger bodies are not hashed on each answer: it takes 0.1 ms for 1 MB, and
+/// they are rarely the same.
+constexpr std::size_t kMaxRememberedBytes = std::size_t{ 64 } * 1024;
+
 transport::HttpClientOptions
 MakePoolOptions(const Settings& aSettings)
 {
@@ -71,7 +75,7 @@
   if (!answer) {
     co_return co_await Fail(aRequest, answer.error());
   }
-  lastAnswer_ = clock_.Now();
+  RememberAnswer(aRequest);
   RemoveHopHeaders(*answer);
   RemoveAnswerHeaders(*answer);
   SetHeader(*answer, headers::kOutcome, "answered");
@@ -96,15 +100,35 @@
   }
   if (crashed) {
     SetState(state::EndpointState::Starting);
-    const auto fingerprint = FingerprintOf(aRequest);
-    spdlog::warn("[upstream] Crashed while it ran a request. fingerprint={:x}",
-                 fingerprint);
-    crashSink_(fingerprint);
+    ReportCrash(aRequest);
     outcome = Unknown{ UnknownReason::UpstreamCrashed };
   }
   co_return Exchange{ outcome, MakeResponse(outcome), 0 };
 }
 
+void
+UpstreamLink::ReportCrash(const Request& aRequest)
+{
+  const auto fingerprint = FingerprintOf(aRequest);
+  const bool isSuspect = !answered_.Contains(fingerprint);
+  spdlog::warn(
+    "[upstream] Crashed while it ran a request. fingerprint={:x} suspect={}",
+    fingerprint,
+    isSuspect ? "yes" : "no");
+  if (isSuspect) {
+    crashSink_(fingerprint);
+  }
+}
+
+void
+UpstreamLink::RememberAnswer(const Request& aRequest)
+{
+  lastAnswer_ = clock_.Now();
+  if (aRequest.body().size() <= kMaxRememberedBytes) {
+    answered_.Add(FingerprintOf(aRequest));
+  }
+}
+
 asio::awaitable<bool>
 UpstreamLink::HasCrashed()
 {
--- a/Services/teaselholdd/UpstreamLink.h
+++ b/Services/teaselholdd/UpstreamLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Services/teaselholdd/AnsweredRequests.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/Exchange.h"
 #include "Services/teaselholdd/Settings.h"
@@ -52,6 +53,8 @@
                            const transport::TransportError& aError);
   Awaitable<bool> HasCrashed();
   Awaitable<bool> IsRefusing();
+  void ReportCrash(const Request& aRequest);
+  void RememberAnswer(const Request& aRequest);
   void SetState(state::EndpointState aState);
 
   boost::asio::io_context& context_;
@@ -63,6 +66,7 @@
   state::EndpointState state_ = state::EndpointState::Starting;
   unsigned failedProbes_ = 0;
   state::Instant lastAnswer_{ 0 };
+  AnsweredRequests answered_;
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -1,7 +1,9 @@
 #include "Services/teaselholdd/UpstreamSide.h"
 
+#include "Coordination/ClaimBinding.h"
 #include "Protocol/Headers.h"
 #include "Services/teaselholdd/HttpHeaders.h"
+#include "Services/teaselholdd/RequestFingerprint.h"
 
 namespace teaselhold::daemon {
 
@@ -12,10 +14,52 @@
 namespace http = boost::beast::http;
 namespace headers = protocol::headers;
 
+/// Requests that wait for one slot. A queue that is longer than a few service
+/// times only adds latency.
+constexpr std::uint32_t kQueuePerSlot = 4;
+
+AdmissionOptions
+MakeAdmissionOptions(const Settings& aSettings)
+{
+  AdmissionOptions options;
+  options.slots = aSettings.upstreamSlots;
+  options.queueLimit = aSettings.upstreamSlots * kQueuePerSlot;
+  options.shedAnswerIsNotRun = aSettings.upstreamShedIsNotRun;
+  return options;
+}
+
+Exchange
+MakeExchange(const Outcome& aOutcome)
+{
+  return { aOutcome, MakeResponse(aOutcome), 0 };
+}
+
 Exchange
 Refuse(NotRunReason aReason)
 {
-  return { NotRun{ aReason }, MakeResponse(NotRun{ aReason }), 0 };
+  return MakeExchange(NotRun{ aReason });
+}
+
+/// The identity of a request: node, incarnation and number of its sender.
+struct Identity
+{
+  std::string peer;
+  std::uint64_t number = 0;
+};
+
+std::optional<Identity>
+ReadIdentity(const Request& aRequest)
+{
+  const auto text = ReadHeader(aRequest, headers::kRequestId);
+  const auto slash = text.rfind('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto number = ParseNumber<std::uint64_t>(text.substr(slash + 1));
+  if (!number) {
+    return std::nullopt;
+  }
+  return Identity{ std::string(text.substr(0, slash)), *number };
 }
 
 } // namespace
@@ -23,14 +67,19 @@
 UpstreamSide::UpstreamSide(asio::io_context& aContext,
                            const Settings& aSettings,
                            const Clock& aClock,
+                           std::uint64_t aIncarnation,
                            UpstreamLink::StateSink aStateSink,
                            UpstreamLink::CrashSink aCrashSink)
   : context_(aContext)
   , settings_(aSettings)
   , clock_(aClock)
-  , admission_(std::make_shared<AdmissionQueue>(aContext,
-                                                aClock,
-                                                aSettings.upstreamSlots))
+  , incarnation_(aIncarnation)
+  , arrivals_(aIncarnation)
+  , keyedRuns_(aContext, aClock)
+  , admission_(
+      std::make_shared<AdmissionQueue>(aContext,
+                                       aClock,
+                                       MakeAdmissionOptions(aSettings)))
   , upstream_(
       aContext,
       aSettings,
@@ -65,12 +114,56 @@
     response.result(http::status::no_content);
     co_return response;
   }
+  if (aRequest.target() == headers::kArrivalPath) {
+    co_return AnswerArrival(aRequest);
+  }
   const std::string id(ReadHeader(aRequest, headers::kRequestId));
-  auto exchange = co_await Serve(aRequest, std::move(aCancellation));
+  const auto refused = CheckArrival(aRequest);
+  Exchange exchange;
+  if (refused) {
+    exchange = MakeExchange(*refused);
+  } else {
+    exchange = co_await Serve(aRequest, std::move(aCancellation));
+  }
   SetHeader(exchange.response, headers::kRequestId, id);
   co_return std::move(exchange.response);
 }
 
+Response
+UpstreamSide::AnswerArrival(const Request& aRequest)
+{
+  const auto identity = ReadIdentity(aRequest);
+  const auto asked = ReadNumber<std::uint64_t>(aRequest, headers::kExecutor);
+  if (!identity || !asked) {
+    return MakeResponse(NotRun{ NotRunReason::BadRequest });
+  }
+  const auto answer =
+    arrivals_.Ask(identity->peer, identity->number, *asked, clock_.Now());
+  const bool neverArrived = answer == state::ArrivalLog::Answer::NeverArrived;
+  return MakeResponse(neverArrived
+                        ? Outcome(NotRun{ NotRunReason::NeverArrived })
+                        : Outcome(Unknown{ UnknownReason::ConnectionLost }));
+}
+
+std::optional<Outcome>
+UpstreamSide::CheckArrival(const Request& aRequest)
+{
+  const auto identity = ReadIdentity(aRequest);
+  if (!identity) {
+    return NotRun{ NotRunReason::BadRequest };
+  }
+  using Verdict = state::ArrivalLog::Verdict;
+  switch (arrivals_.Arrive(identity->peer, identity->number, clock_.Now())) {
+    case Verdict::Barred:
+      return NotRun{ NotRunReason::NeverArrived };
+    case Verdict::Doubtful:
+      return Unknown{ UnknownReason::ConnectionLost };
+    case Verdict::New:
+      break;
+  }
+  return std::nullopt;
+}
+
 asio::awaitable<Exchange>
 UpstreamSide::ServeLocal(Request& aRequest,
                          transport::CancellationPointer aCancellation)
@@ -89,9 +182,43 @@
   if (!admission) {
     co_return Refuse(NotRunReason::BadRequest);
   }
+  if (aRequest.count(headers::kClaim) > 0) {
+    co_return co_await RunKeyed(aRequest, *admission);
+  }
   co_return co_await Run(aRequest, *admission, std::move(aCancellation));
 }
 
+asio::awaitable<Exchange>
+UpstreamSide::RunKeyed(Request& aRequest, const AdmissionRequest& aAdmission)
+{
+  static constexpr std::string_view kStart = ";start";
+  if (ReadNumber<std::uint64_t>(aRequest, headers::kExecutor) != incarnation_) {
+    co_return Refuse(NotRunReason::WrongExecutor);
+  }
+  auto claim = ReadHeader(aRequest, headers::kClaim);
+  state::KeyedDelivery delivery;
+  delivery.mayStart = claim.ends_with(kStart);
+  if (delivery.mayStart) {
+    claim.remove_suffix(kStart.size());
+  }
+  const auto epoch = ParseNumber<std::uint64_t>(claim);
+  if (!epoch) {
+    co_return Refuse(NotRunReason::BadRequest);
+  }
+  delivery.epoch = *epoch;
+  delivery.name = NameOfKeyedRequest(
+    settings_.service,
+    std::string(aAdmission.tenant),
+    std::string(ReadHeader(aRequest, headers::kIdempotencyKey)));
+  delivery.fingerprint = FingerprintOf(aRequest);
+  // The run goes on if its caller is gone, so that a later send joins it.
+  KeyedRuns::RunFunction run = [&] {
+    return Run(aRequest, aAdmission, nullptr);
+  };
+  co_return co_await keyedRuns_.Serve(
+    std::move(delivery), aAdmission.deadline, std::move(run));
+}
+
 asio::awaitable<Exchange>
 UpstreamSide::Run(Request& aRequest,
                   const AdmissionRequest& aAdmission,
@@ -102,8 +229,16 @@
     co_return Refuse(refused->reason);
   }
   const AdmissionQueue::Slot slot(admission_, aAdmission.id);
-  co_return co_await upstream_.Deliver(
+  auto exchange = co_await upstream_.Deliver(
     aRequest, aAdmission.deadline, std::move(aCancellation));
+  if (const auto* answered = std::get_if<Answered>(&exchange.outcome)) {
+    const bool saysShed = exchange.response.count(headers::kShed) > 0;
+    const auto outcome = admission_->Classify(answered->status, saysShed);
+    if (!std::holds_alternative<Answered>(outcome)) {
+      exchange = MakeExchange(outcome);
+    }
+  }
+  co_return exchange;
 }
 
 std::optional<AdmissionRequest>
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "Services/teaselholdd/AdmissionQueue.h"
+#include "Services/teaselholdd/KeyedRuns.h"
 #include "Services/teaselholdd/UpstreamLink.h"
+#include "State/ArrivalLog.h"
 
 namespace teaselhold::daemon {
 
@@ -13,6 +15,7 @@
   UpstreamSide(boost::asio::io_context& aContext,
                const Settings& aSettings,
                const Clock& aClock,
+               std::uint64_t aIncarnation,
                UpstreamLink::StateSink aStateSink,
                UpstreamLink::CrashSink aCrashSink);
 
@@ -37,6 +40,11 @@
 private:
   Awaitable<Exchange> Serve(Request& aRequest,
                             transport::CancellationPointer aCancellation);
+  Response AnswerArrival(const Request& aRequest);
+  std::optional<coordination::Outcome> CheckArrival(const Request& aRequest);
+  Awaitable<Exchange> RunKeyed(
+    Request& aRequest,
+    const coordination::AdmissionRequest& aAdmission);
   Awaitable<Exchange> Run(Request& aRequest,
                           const coordination::AdmissionRequest& aAdmission,
                           transport::CancellationPointer aCancellation);
@@ -46,6 +54,9 @@
   boost::asio::io_context& context_;
   const Settings& settings_;
   const Clock& clock_;
+  std::uint64_t incarnation_;
+  state::ArrivalLog arrivals_;
+  KeyedRuns keyedRuns_;
   std::shared_ptr<AdmissionQueue> admission_;
   UpstreamLink upstream_;
   std::uint64_t nextRequest_ = 1;
--- a/Tests/StandIns/LoadGenerator/main.cpp
+++ b/Tests/StandIns/LoadGenerator/main.cpp
@@ -1,148 +1,77 @@
-#include "Transport/HttpClientPool.h"
+#include "Tests/StandIns/LoadGenerator/Load.h"
 
 #include <algorithm>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <map>
 #include <sstream>
 
 DEFINE_string(nodes, "", "caller addresses of nodes, separated by commas");
 DEFINE_string(requests,
               "check GET /passes",
               "CLASS METHOD /path, separated by commas");
+DEFINE_string(tenants, "load", "names, separated by commas");
+DEFINE_string(straight,
+              "",
+              "address of an upstream that gets each request too, to compare");
 DEFINE_uint32(count, 1000, "requests in all");
 DEFINE_uint32(connections, 8, "requests in flight");
 DEFINE_uint32(rate, 500, "requests a second");
 DEFINE_uint32(timeout_milliseconds, 3000, "time limit of a request");
+DEFINE_uint32(keyed_sends,
+              0,
+              "gives orders an Idempotency-Key and sends them up to so many "
+              "times while their outcome is unknown");
 DEFINE_string(label, "load", "prefix of the run identifiers");
+DEFINE_uint32(seed, 1, "seed of the random choice of tenants");
 
 namespace {
 
-using namespace teaselhold::transport;
+using namespace teaselhold::stand_ins;
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
-using Clock = std::chrono::steady_clock;
-
-struct RequestKind
-{
-  std::string requestClass;
-  std::string method;
-  std::string path;
-};
-
-struct Results
-{
-  std::map<std::string, std::map<std::string, unsigned>> outcomes;
-  std::map<std::string, unsigned> reasons;
-  std::vector<double> latencies;
-  /// Run identifiers of requests that the system reported as not run.
-  std::vector<std::string> notRun;
-};
 
 std::vector<std::string>
-Split(const std::string& aText, char aSeparator)
+Split(const std::string& aText)
 {
   std::vector<std::string> parts;
   std::stringstream stream(aText);
-  for (std::string part; std::getline(stream, part, aSeparator);) {
+  for (std::string part; std::getline(stream, part, ',');) {
     parts.push_back(part);
   }
   return parts;
 }
 
-/// Sends requests at a steady rate from several connections.
-class Load
+LoadOptions
+ReadOptions()
 {
-public:
-  explicit Load(asio::io_context& aContext)
-    : context_(aContext)
-    , pool_(aContext, 64)
-    , nodes_(Split(FLAGS_nodes, ','))
-    , started_(Clock::now())
-  {
-    for (const auto& text : Split(FLAGS_requests, ',')) {
-      std::stringstream stream(text);
-      RequestKind kind;
-      stream >> kind.requestClass >> kind.method >> kind.path;
-      kinds_.push_back(kind);
-    }
-  }
-
-  asio::awaitable<void> Work()
-  {
-    asio::steady_timer timer(context_);
-    while (next_ < FLAGS_count) {
-      const auto number = next_++;
-      timer.expires_at(
-        started_ + std::chrono::microseconds(1000000ULL * number / FLAGS_rate));
-      co_await timer.async_wait(asio::use_awaitable);
-      co_await SendOne(number);
-    }
-  }
-
-  Results results_;
-
-private:
-  asio::awaitable<void> SendOne(unsigned aNumber)
-  {
-    const auto& kind = kinds_[aNumber % kinds_.size()];
-    const auto& node = nodes_[(aNumber / kinds_.size()) % nodes_.size()];
-    const auto id = FLAGS_label + "-" + std::to_string(aNumber);
-    HttpRequest request(http::string_to_verb(kind.method), kind.path, 11);
-    request.set(http::field::host, node);
-    request.set("X-Run-Id", id);
-    request.set("Teaselhold-Tenant", "load");
-    request.body() = id;
-    request.prepare_payload();
-    const auto begin = Clock::now();
-    const auto answer = co_await pool_.Send(
-      node,
-      std::move(request),
-      begin + std::chrono::milliseconds(FLAGS_timeout_milliseconds));
-    const std::chrono::duration<double, std::milli> elapsed =
-      Clock::now() - begin;
-    results_.latencies.push_back(elapsed.count());
-    Record(kind, id, answer);
-  }
-
-  void Record(const RequestKind& aKind,
-              const std::string& aId,
-              const tl::expected<HttpResponse, TransportError>& aAnswer)
-  {
-    std::string outcome = "unknown";
-    if (aAnswer) {
-      const auto value = (*aAnswer)["Teaselhold-Outcome"];
-      outcome.assign(value.data(), value.size());
-      const auto reason = (*aAnswer)["Teaselhold-Reason"];
-      if (!reason.empty()) {
-        ++results_
-            .reasons[outcome + " " + std::string(reason.data(), reason.size())];
-      }
-      if (outcome == "answered" &&
-          aAnswer->body().find(aId) == std::string::npos &&
-          aAnswer->result() == http::status::ok) {
-        outcome = "foreign-answer";
-      }
-    } else if (aAnswer.error().code == TransportErrorCode::ConnectFailed) {
-      outcome = "not-run";
-    }
-    if (outcome == "not-run") {
-      results_.notRun.push_back(aId);
-    }
-    ++results_.outcomes[aKind.requestClass][outcome];
+  LoadOptions options;
+  options.nodes = Split(FLAGS_nodes);
+  options.tenants = Split(FLAGS_tenants);
+  options.straight = FLAGS_straight;
+  options.count = FLAGS_count;
+  options.rate = FLAGS_rate;
+  options.timeout = std::chrono::milliseconds(FLAGS_timeout_milliseconds);
+  options.keyedSends = FLAGS_keyed_sends;
+  options.label = FLAGS_label;
+  options.seed = FLAGS_seed;
+  for (const auto& text : Split(FLAGS_requests)) {
+    std::stringstream stream(text);
+    RequestKind kind;
+    stream >> kind.requestClass >> kind.method >> kind.path;
+    options.kinds.push_back(kind);
   }
+  return options;
+}
 
-  asio::io_context& context_;
-  HttpClientPool pool_;
-  std::vector<std::string> nodes_;
-  std::vector<RequestKind> kinds_;
-  Clock::time_point started_;
-  unsigned next_ = 0;
-};
+double
+Percentile(const std::vector<double>& aSorted, std::size_t aPercent)
+{
+  return aSorted[std::min(aSorted.size() - 1, aSorted.size() * aPercent / 100)];
+}
 
 void
-Print(Results& aResults)
+Print(LoadResults& aResults)
 {
+  std::cout << "seed " << FLAGS_seed << "\n";
   for (const auto& [requestClass, outcomes] : aResults.outcomes) {
     for (const auto& [outcome, count] : outcomes) {
       std::cout << "outcome " << requestClass << " " << outcome << " " << count
@@ -155,11 +84,23 @@
   for (const auto& id : aResults.notRun) {
     std::cout << "not-run " << id << "\n";
   }
-  std::ranges::sort(aResults.latencies);
+  std::cout << "tried-other-node " << aResults.otherNodeTried << "\n"
+            << "resent " << aResults.resent << "\n";
+  auto& through = aResults.latencies;
+  auto& straight = aResults.straightLatencies;
+  std::ranges::sort(through);
+  std::ranges::sort(straight);
   for (const auto percent : { 50, 99 }) {
-    const auto index = aResults.latencies.size() * percent / 100;
-    std::cout << "latency p" << percent << " " << aResults.latencies[index]
-              << " ms\n";
+    if (through.empty()) {
+      continue;
+    }
+    const auto value = Percentile(through, percent);
+    std::cout << "latency p" << percent << " " << value << " ms\n";
+    if (!straight.empty()) {
+      const auto base = Percentile(straight, percent);
+      std::cout << "straight p" << percent << " " << base << " ms\n"
+                << "added p" << percent << " " << value - base << " ms\n";
+    }
   }
 }
 
@@ -170,11 +111,11 @@
 {
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   asio::io_context context(1);
-  Load load(context);
+  Load load(context, ReadOptions());
   for (unsigned i = 0; i < FLAGS_connections; ++i) {
     asio::co_spawn(context, load.Work(), asio::detached);
   }
   context.run();
-  Print(load.results_);
+  Print(load.Results());
   return 0;
 }
