--- a/Libraries/Protocol/StoreClient.h
+++ b/Libraries/Protocol/StoreClient.h
@@ -84,6 +84,9 @@
     const std::string& aKey,
     std::uint64_t aKnownRevision,
     std::chrono::milliseconds aWait) = 0;
+
+  /// Ends waiting calls early and fails all later ones. Safe on any thread.
+  virtual void Close() {}
 };
 
 /// The key of the accepted configuration, a wire::StoredConfiguration.
--- a/Libraries/Transport/GrpcStoreClient.cpp
+++ b/Libraries/Transport/GrpcStoreClient.cpp
@@ -2,7 +2,10 @@
 
 #include "store.grpc.pb.h"
 
+#include <algorithm>
 #include <grpcpp/grpcpp.h>
+#include <mutex>
+#include <set>
 
 namespace teaselhold::transport {
 
@@ -15,6 +18,9 @@
 /// A watch is answered at the end of its wait, so its call may take longer.
 constexpr std::chrono::milliseconds kWatchGrace{ 2000 };
 constexpr int kMaxReconnectMilliseconds = 2000;
+/// A watch must not wait for a connection for as long as for an answer: a wait
+/// for a connection cannot be ended early.
+constexpr std::chrono::milliseconds kConnectTimeout{ 1500 };
 
 StoreError
 ToStoreError(const grpc::Status& aStatus)
@@ -64,24 +70,57 @@
     const Request& aRequest,
     std::chrono::milliseconds aTimeout)
   {
-    const auto deadline = std::chrono::system_clock::now() + aTimeout;
-    if (!channel_->WaitForConnected(deadline)) {
+    const auto now = std::chrono::system_clock::now();
+    if (!channel_->WaitForConnected(now +
+                                    std::min(aTimeout, kConnectTimeout))) {
       return tl::make_unexpected(
         StoreError{ StoreErrorCode::Unavailable, "the store is unreachable" });
     }
     grpc::ClientContext context;
-    context.set_deadline(deadline);
+    context.set_deadline(now + aTimeout);
+    if (!Open(context)) {
+      return tl::make_unexpected(
+        StoreError{ StoreErrorCode::Unavailable, "the client is closed" });
+    }
     Response response;
     const auto status = (stub_.get()->*aMethod)(&context, aRequest, &response);
+    Finish(context);
     if (!status.ok()) {
       return tl::make_unexpected(ToStoreError(status));
     }
     return response;
   }
 
+  void Close()
+  {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    for (auto* context : open_) {
+      context->TryCancel();
+    }
+  }
+
 private:
+  bool Open(grpc::ClientContext& aContext)
+  {
+    const std::lock_guard lock(mutex_);
+    if (!closed_) {
+      open_.insert(&aContext);
+    }
+    return !closed_;
+  }
+
+  void Finish(grpc::ClientContext& aContext)
+  {
+    const std::lock_guard lock(mutex_);
+    open_.erase(&aContext);
+  }
+
   std::shared_ptr<grpc::Channel> channel_;
   std::unique_ptr<wire::Store::Stub> stub_;
+  std::mutex mutex_;
+  std::set<grpc::ClientContext*> open_;
+  bool closed_ = false;
 };
 
 GrpcStoreClient::GrpcStoreClient(const std::string& aAddress)
@@ -91,6 +130,12 @@
 
 GrpcStoreClient::~GrpcStoreClient() = default;
 
+void
+GrpcStoreClient::Close()
+{
+  implementation_->Close();
+}
+
 tl::expected<StoreEntry, StoreError>
 GrpcStoreClient::Get(const std::string& aKey,
                      std::chrono::milliseconds aTimeout)
--- a/Libraries/Transport/GrpcStoreClient.h
+++ b/Libraries/Transport/GrpcStoreClient.h
@@ -39,6 +39,8 @@
     std::uint64_t aKnownRevision,
     std::chrono::milliseconds aWait) override;
 
+  void Close() override;
+
 private:
   class Implementation;
   std::unique_ptr<Implementation> implementation_;
--- a/Services/teaselholdd/AdminServer.cpp
+++ b/Services/teaselholdd/AdminServer.cpp
@@ -83,6 +83,7 @@
     : controlPlane_(aControlPlane)
     , metrics_(aMetrics)
     , clock_(aClock)
+    , nodeName_(aSettings.nodeName)
     , store_(aSettings.storeAddress)
   {
   }
@@ -157,6 +158,7 @@
                       wire::StatusResponse* aResponse) override
   {
     const auto status = controlPlane_.Status();
+    aResponse->set_answering_node(nodeName_);
     aResponse->set_store_generation(status.storeGeneration);
     aResponse->set_store_reachable(status.storeReachable);
     aResponse->set_highest_generation(status.highestGeneration);
@@ -227,6 +229,7 @@
   ControlPlane& controlPlane_;
   const MetricsSource& metrics_;
   const Clock& clock_;
+  std::string nodeName_;
   transport::GrpcStoreClient store_;
   std::unique_ptr<grpc::Server> server_;
 };
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -160,6 +160,12 @@
 
 FleetStatus
 ControlPlane::Status()
+{
+  return LocalStatus();
+}
+
+FleetStatus
+ControlPlane::LocalStatus()
 {
   auto promise = std::make_shared<std::promise<FleetStatus>>();
   auto future = promise->get_future();
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -44,6 +44,10 @@
   /// Takes the status on the control thread.
   coordination::FleetStatus Status();
 
+  /// Takes the status as this node knows it, without asking other nodes. For
+  /// metrics, which would otherwise load every relay at every scrape.
+  coordination::FleetStatus LocalStatus();
+
   coordination::RoutingSnapshotPointer Snapshot() const;
 
   transport::ControlCounters Counters() const;
--- a/Services/teaselholdd/MetricsSource.cpp
+++ b/Services/teaselholdd/MetricsSource.cpp
@@ -13,7 +13,7 @@
   copy.calls = callMetrics_.Copy();
   copy.control = controlPlane_.Counters();
   copy.store = controlPlane_.StoreCalls();
-  copy.fleet = controlPlane_.Status();
+  copy.fleet = controlPlane_.LocalStatus();
   const auto snapshot = controlPlane_.Snapshot();
   if (snapshot != nullptr && snapshot->configuration != nullptr) {
     copy.activeGeneration = snapshot->configuration->GetGeneration();
--- a/Services/teaselholdd/StoreWorker.cpp
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -85,6 +85,8 @@
 {
   calls_.Close();
   watches_.Close();
+  // A watch would hold up the stop for its whole wait of 10 s.
+  client_->Close();
   if (callThread_.joinable()) {
     callThread_.join();
   }
--- a/Utilities/teaselctl/StatusCommand.cpp
+++ b/Utilities/teaselctl/StatusCommand.cpp
@@ -69,11 +69,29 @@
   return states;
 }
 
+/// @return the role of the node that answered, or "" if it is not listed.
+std::string
+AnsweringRole(const wire::StatusResponse& aStatus)
+{
+  const auto found =
+    std::ranges::find_if(aStatus.nodes(), [&](const wire::NodeStatus& aNode) {
+      return aNode.node() == aStatus.answering_node();
+    });
+  return found == aStatus.nodes().end() ? "" : found->role();
+}
+
 std::string
 FormatStatus(const wire::StatusResponse& aStatus, const FleetSummary& aSummary)
 {
   std::ostringstream text;
-  text << "version   "
+  const auto role = AnsweringRole(aStatus);
+  text << "seen by   " << aStatus.answering_node();
+  if (role == "leaf" || role == "joining") {
+    text << ", a " << role
+         << " node, which knows only relays and lagging nodes; ask a relay for "
+            "all nodes";
+  }
+  text << "\nversion   "
        << (aSummary.newest == 0 ? "none accepted yet"
                                 : DescribeProgress(aSummary))
        << "\nstore     "
