Tests: Add golden sessions of versions

Sessions: an accepted change, a version that does not compile, racing operators, a lost answer, a store outage with restarts, a paused reader, a restored store, and crossed, doubled and lost updates. The transcripts leave out times and node names, so that only the behaviour of versions changes them.

--- /dev/null
+++ b/Tests/Coordination/ConfigurationSessionTest.cpp
@@ -0,0 +1,294 @@
+#include "Tests/Coordination/VersionFleet.h"
+
+#include "admin.pb.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold;
+using namespace teaselhold::tests;
+using namespace teaselhold::coordination;
+using namespace std::chrono_literals;
+
+/// Golden sessions of versions. Transcripts leave out times and node names, so
+/// that they change only with the behaviour of versions.
+namespace {
+
+constexpr std::uint64_t kSeed = 7;
+
+class GoldenSession
+{
+public:
+  explicit GoldenSession(std::string aName)
+    : fleet_(kSeed, { "a", "b" }, 5)
+    , name_(std::move(aName))
+  {
+    fleet_.Settle();
+    fleet_.session.onStoreCall = [this](const auto&, const CallStore& aCall) {
+      Count(aCall);
+    };
+    NoteVersions();
+  }
+
+  void Note(const std::string& aText) { transcript_ += aText + "\n"; }
+
+  void NoteVersions()
+  {
+    std::set<state::Generation> active;
+    for (const auto& name : fleet_.session.Names()) {
+      if (fleet_.IsRunning(name)) {
+        active.insert(fleet_.Active(name));
+      }
+    }
+    std::string line = "in force on the running nodes:";
+    for (const auto generation : active) {
+      line += " " + std::to_string(generation);
+    }
+    Note(line + "; in the store: " + std::to_string(fleet_.StoreGeneration()));
+  }
+
+  /// Notes whether all nodes reach the store's value within aLimit.
+  void NoteConvergence(const char* aLimitName, state::Duration aLimit)
+  {
+    const auto time = fleet_.session.RunUntil(
+      [&] { return fleet_.AreAppliesFinished() && fleet_.IsConverged(); },
+      aLimit);
+    Note(std::string(time ? "converged" : "NOT converged") + " within " +
+         aLimitName);
+    NoteVersions();
+  }
+
+  void NoteOutcomes()
+  {
+    auto& applies = fleet_.session.applies;
+    for (; noted_ < applies.size(); ++noted_) {
+      const auto& finish = applies[noted_];
+      Note(
+        "apply " + std::to_string(finish.id) + ": " +
+        std::string(state::FindEnumName(kApplyOutcomeNames, finish.outcome)) +
+        " generation=" + std::to_string(finish.generation) +
+        (finish.message.empty() ? "" : " message=" + finish.message));
+      if (!finish.currentText.empty()) {
+        Note("  the text that won: " +
+             finish.currentText.substr(0, finish.currentText.find('\n')));
+      }
+    }
+  }
+
+  void NoteAlarms()
+  {
+    std::set<std::string> alarms;
+    for (const auto& name : fleet_.session.Names()) {
+      if (fleet_.session.At(name).core != nullptr) {
+        const auto status = fleet_.session.At(name).core->Status();
+        alarms.insert(status.alarms.begin(), status.alarms.end());
+      }
+    }
+    for (const auto& alarm : alarms) {
+      Note("alarm: " + alarm);
+    }
+  }
+
+  void NoteStoreCalls()
+  {
+    Note("store calls for the configuration: " + std::to_string(reads_) +
+         " reads, " + std::to_string(writes_) + " writes");
+    reads_ = 0;
+    writes_ = 0;
+  }
+
+  void Check()
+  {
+    INFO(fleet_.session.Transcript());
+    CHECK(fleet_.Violations() == std::vector<std::string>{});
+    CheckGolden(name_, transcript_);
+  }
+
+  VersionFleet fleet_;
+
+private:
+  void Count(const CallStore& aCall)
+  {
+    const auto* swap = std::get_if<StoreSwap>(&aCall.request);
+    reads_ += std::holds_alternative<StoreGet>(aCall.request) ? 1 : 0;
+    writes_ +=
+      swap != nullptr && swap->key == protocol::kConfigurationKey ? 1 : 0;
+  }
+
+  std::string name_;
+  std::string transcript_;
+  std::size_t noted_ = 0;
+  unsigned reads_ = 0;
+  unsigned writes_ = 0;
+};
+
+std::string
+WithGeneration(state::Generation aGeneration, const std::string& aText)
+{
+  wire::StoredConfiguration stored;
+  stored.set_generation(aGeneration);
+  stored.set_digest(state::DigestOfText(aText));
+  stored.set_text(aText);
+  return stored.SerializeAsString();
+}
+
+} // namespace
+
+TEST_CASE("session: an accepted change needs one read and one write")
+{
+  GoldenSession golden("accepted-change");
+  auto& fleet = golden.fleet_;
+  fleet.Apply(fleet.FindNode(false), "second", 1);
+  golden.NoteConvergence("1 s", 1s);
+  golden.NoteOutcomes();
+  golden.NoteStoreCalls();
+  fleet.Apply(fleet.FindNode(true), "second");
+  fleet.session.Run(1s);
+  golden.NoteOutcomes();
+  golden.Check();
+}
+
+TEST_CASE("session: a version that does not compile never takes effect")
+{
+  GoldenSession golden("refused-change");
+  auto& fleet = golden.fleet_;
+  fleet.Apply(fleet.FindNode(false), "not a name");
+  golden.NoteOutcomes();
+  golden.NoteStoreCalls();
+  golden.Note("the store gets a text that does not compile");
+  fleet.session.store.Force(protocol::kConfigurationKey,
+                            WithGeneration(2, "[service a]\nbroken\n"));
+  fleet.session.Run(3s);
+  golden.NoteVersions();
+  std::size_t refusing = 0;
+  for (const auto& name : fleet.session.Names()) {
+    refusing += fleet.session.At(name).core->Distribution().RefusedGeneration();
+  }
+  golden.Note("nodes that report generation 2 as refused: " +
+              std::to_string(refusing / 2));
+  golden.Note("a good text replaces it");
+  fleet.Apply(fleet.FindNode(false), "good");
+  golden.NoteConvergence("1 s", 1s);
+  golden.Check();
+}
+
+TEST_CASE("session: of two racing operators one gets the other's text")
+{
+  GoldenSession golden("racing-operators");
+  auto& fleet = golden.fleet_;
+  fleet.Apply(fleet.FindNode(true), "left", 1);
+  fleet.Apply(fleet.FindNode(false), "right", 1);
+  golden.NoteConvergence("1 s", 1s);
+  golden.NoteOutcomes();
+  fleet.Apply(fleet.FindNode(false), "right-again", fleet.StoreGeneration());
+  golden.NoteConvergence("1 s", 1s);
+  golden.NoteOutcomes();
+  golden.Check();
+}
+
+TEST_CASE("session: a lost answer of the store is resolved by reading back")
+{
+  GoldenSession golden("lost-answer");
+  auto& fleet = golden.fleet_;
+  fleet.session.store.isNextAnswerLost = true;
+  fleet.Apply(fleet.FindNode(false), "second", 1);
+  golden.NoteConvergence("2 s", 2s);
+  golden.NoteOutcomes();
+  golden.NoteStoreCalls();
+  golden.Check();
+}
+
+TEST_CASE("session: restarts during a store outage lose no version")
+{
+  GoldenSession golden("store-outage-with-restarts");
+  auto& fleet = golden.fleet_;
+  fleet.Apply(fleet.FindNode(false), "second");
+  golden.NoteConvergence("1 s", 1s);
+  golden.NoteOutcomes();
+  golden.Note("the store is out; each node of one data centre restarts");
+  fleet.session.store.isOut = true;
+  for (const auto& name : fleet.session.Names()) {
+    if (name[0] == 'a') {
+      fleet.session.Kill(name);
+      fleet.session.Start(name);
+    }
+  }
+  fleet.Apply(fleet.FindNode(true), "third", 2, 2s);
+  golden.NoteConvergence("15 s", 15s);
+  golden.NoteOutcomes();
+  golden.Note("every node restarts: they wait for the store");
+  for (const auto& name : fleet.session.Names()) {
+    fleet.session.Kill(name);
+    fleet.session.Start(name);
+  }
+  fleet.session.Run(10s);
+  golden.NoteVersions();
+  fleet.session.store.isOut = false;
+  golden.Note("the store is back");
+  golden.NoteConvergence("15 s", 15s);
+  golden.Check();
+}
+
+TEST_CASE("session: a reader that is paused past its lease delays no change")
+{
+  GoldenSession golden("reader-paused");
+  auto& fleet = golden.fleet_;
+  const auto reader = fleet.FindReader();
+  golden.Note("one reader is paused for 10 s");
+  fleet.session.Pause(reader);
+  fleet.session.Run(10s);
+  fleet.session.Resume(reader);
+  fleet.session.Run(100ms);
+  golden.Note(
+    std::string("it still thinks that it is a reader: ") +
+    (fleet.session.At(reader).core->Reader().IsReader() ? "yes" : "no"));
+  golden.Note("both readers are paused; the store changes");
+  for (int i = 0; i < 2; ++i) {
+    fleet.session.Pause(fleet.FindReader());
+  }
+  fleet.Accept("second");
+  golden.NoteConvergence("9 s", 9s);
+  for (const auto& name : fleet.session.Names()) {
+    fleet.session.Resume(name);
+  }
+  golden.NoteConvergence("3 s", 3s);
+  golden.Check();
+}
+
+TEST_CASE("session: a store restored from a backup gets the version back")
+{
+  GoldenSession golden("store-restored");
+  auto& fleet = golden.fleet_;
+  fleet.Apply(fleet.FindNode(false), "second");
+  golden.NoteConvergence("1 s", 1s);
+  const auto backup =
+    fleet.session.store.Entry(protocol::kConfigurationKey).value;
+  fleet.Apply(fleet.FindNode(false), "third");
+  golden.NoteConvergence("1 s", 1s);
+  golden.Note("the store is restored from a backup with generation 2");
+  fleet.session.store.Force(protocol::kConfigurationKey, backup);
+  fleet.session.Run(2s);
+  golden.NoteVersions();
+  golden.NoteAlarms();
+  golden.Note("the store loses the key");
+  fleet.session.store.Remove(protocol::kConfigurationKey);
+  fleet.session.Run(2s);
+  golden.NoteVersions();
+  golden.Check();
+}
+
+TEST_CASE("session: crossed and doubled updates end at the newest version")
+{
+  GoldenSession golden("crossed-updates");
+  auto& fleet = golden.fleet_;
+  fleet.session.latePercent = 60;
+  fleet.session.doublePercent = 50;
+  fleet.session.lossPercent = 10;
+  golden.Note("messages are late (60%), doubled (50%) and lost (10%)");
+  for (const auto* mark : { "second", "third", "fourth", "fifth" }) {
+    fleet.Apply(fleet.FindNode(false), mark);
+    fleet.session.Run(50ms);
+  }
+  golden.NoteConvergence("10 s", 10s);
+  golden.NoteOutcomes();
+  golden.Check();
+}
--- a/Tests/Coordination/FakeStore.h
+++ b/Tests/Coordination/FakeStore.h
@@ -44,6 +44,9 @@
   /// Replaces a value as an operator of the platform would (backup restore).
   void Force(const std::string& aKey, std::string aValue);
 
+  /// Removes a key, as a restored backup without it would.
+  void Remove(const std::string& aKey) { entries_.erase(aKey); }
+
   /// Ends every lease at once, as if the holders had been silent too long.
   void LapseLeases();
 
--- a/Tests/Coordination/VersionFleet.h
+++ b/Tests/Coordination/VersionFleet.h
@@ -34,6 +34,11 @@
   state::Generation Active(const std::string& aNode);
   bool IsRunning(const std::string& aNode);
   bool AllActive(state::Generation aGeneration);
+  /// Each change has an outcome.
+  bool AreAppliesFinished() const
+  {
+    return session.applies.size() == marks_.size();
+  }
   /// All running nodes have the store's value in force.
   bool IsConverged();
   state::Generation StoreGeneration();
