--- a/Tests/Coordination/CallFaultMatrixTest.cpp
+++ b/Tests/Coordination/CallFaultMatrixTest.cpp
@@ -1,5 +1,5 @@
+#include "Tests/Coordination/FakeClaimStore.h"
 #include "Tests/Coordination/FakeExecutor.h"
-#include "Tests/Coordination/FakeStore.h"
 
 #include <catch2/catch.hpp>
 #include <iostream>
@@ -256,7 +256,7 @@
                 Flight& aFlight,
                 Told& aTold)
   {
-    if (const auto* backoff = std::get_if<Backoff>(&aStep)) {
+    if (const auto* backoff = std::get_if<BackoffStep>(&aStep)) {
       now_ = std::max(now_, backoff->until);
       return aSession.Resume(now_);
     }
@@ -475,7 +475,7 @@
   Kind kind_;
   Variant variant_;
   RunLog log_;
-  FakeStore store_;
+  FakeClaimStore store_;
   std::array<CallEnvironment, 2> entries_{ MakeEnvironment("one"),
                                            MakeEnvironment("two") };
   std::map<std::string, FakeExecutor> executors_;
