--- a/Tests/Coordination/KeyedCallTest.cpp
+++ b/Tests/Coordination/KeyedCallTest.cpp
@@ -1,5 +1,5 @@
 #include "Tests/Coordination/CallFixtures.h"
-#include "Tests/Coordination/FakeStore.h"
+#include "Tests/Coordination/FakeClaimStore.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,7 +13,7 @@
 struct Keyed
 {
   Keyed(CallEnvironment& aEnvironment,
-        FakeStore& aStore,
+        FakeClaimStore& aStore,
         const std::vector<state::EndpointRecord>& aRecords,
         const CallFacts& aFacts = MakeFacts(false, "key"))
     : session(aFacts, MakeSnapshot(MakeTable(aRecords)), aEnvironment)
@@ -44,7 +44,7 @@
   }
 
   CallSession session;
-  FakeStore& store;
+  FakeClaimStore& store;
   CallStep step;
 };
 
@@ -54,7 +54,7 @@
 
 TEST_CASE("a resend through another node goes to the same incarnation or none")
 {
-  FakeStore store;
+  FakeClaimStore store;
   auto one = MakeEnvironment("one");
   CHECK(Keyed(one, store, { kA }).Executor() == "a!");
   auto drained = kA;
@@ -73,7 +73,7 @@
 
 TEST_CASE("a claim of another send moves by the ledger's word only")
 {
-  FakeStore store;
+  FakeClaimStore store;
   auto one = MakeEnvironment("one");
   const std::vector<state::EndpointRecord> both{ kA, MakeEndpoint("b") };
   const auto executor = Keyed(one, store, { kA }).Executor();
@@ -95,7 +95,7 @@
 
 TEST_CASE("with the store out or its rate used up a keyed call is not run")
 {
-  FakeStore store;
+  FakeClaimStore store;
   auto one = MakeEnvironment("one");
   store.down = true;
   CHECK(ReasonOf(Keyed(one, store, { kA }).step) ==
@@ -121,7 +121,7 @@
 
 TEST_CASE("a key does not return the answer of another request or tenant")
 {
-  FakeStore store;
+  FakeClaimStore store;
   auto one = MakeEnvironment("one");
   const Keyed first(one, store, { kA });
   auto facts = MakeFacts(false, "key");
