KeyedCall: Stop moving a claim when the rate is used up

A call whose executor had refused for certain read the old claim again and asked the same executor. If that was down, a request that had not run was told as unknown. The call now ends with the certain refusal.

--- a/Libraries/Coordination/KeyedCall.cpp
+++ b/Libraries/Coordination/KeyedCall.cpp
@@ -52,10 +52,7 @@
 KeyedCall::Write(state::Instant aNow)
 {
   if (!keeper_.TryWrite(aNow)) {
-    // Reads are cheap for the store, and an existing claim needs no write.
-    wanted_.reset();
-    absentReason_ = NotRunReason::ClaimUnavailable;
-    return Read();
+    return StopWriting();
   }
   const auto lease = keeper_.Lease(aNow);
   if (!lease) {
@@ -67,6 +64,19 @@
     { StoreSwap{ storeKey_, revision_, FormatClaim(*wanted_), lease_ } });
 }
 
+KeyedCall::Step
+KeyedCall::StopWriting()
+{
+  if (revision_ != 0) {
+    // The executor of the known claim has refused for certain.
+    return Failed{ NotRunReason::ClaimUnavailable };
+  }
+  // Reads are cheap for the store, and an existing claim needs no write.
+  wanted_.reset();
+  absentReason_ = NotRunReason::ClaimUnavailable;
+  return Read();
+}
+
 KeyedCall::Step
 KeyedCall::Read()
 {
@@ -114,9 +124,7 @@
         error->code == protocol::StoreErrorCode::RateLimited) {
       keeper_.OnRateLimited(aNow);
     }
-    wanted_.reset();
-    absentReason_ = NotRunReason::ClaimUnavailable;
-    return Read();
+    return StopWriting();
   }
   keeper_.SetLease(*lease, aNow);
   return Write(aNow);
@@ -131,9 +139,7 @@
       return Read();
     case protocol::StoreErrorCode::RateLimited:
       keeper_.OnRateLimited(aNow);
-      wanted_.reset();
-      absentReason_ = NotRunReason::ClaimUnavailable;
-      return Read();
+      return StopWriting();
     case protocol::StoreErrorCode::TooLarge:
       return Failed{ NotRunReason::BadRequest };
     case protocol::StoreErrorCode::Unavailable:
--- a/Libraries/Coordination/KeyedCall.h
+++ b/Libraries/Coordination/KeyedCall.h
@@ -65,6 +65,7 @@
 
   void Want(const state::EndpointRecord& aCandidate, std::uint64_t aEpoch);
   Step Write(state::Instant aNow);
+  Step StopWriting();
   Step Read();
   Step Call(Phase aPhase, ClaimStep aStep);
   Step OnGranted(const StoreResult& aResult, state::Instant aNow);
--- a/Tests/Coordination/KeyedCallTest.cpp
+++ b/Tests/Coordination/KeyedCallTest.cpp
@@ -119,6 +119,16 @@
   CHECK(Keyed(two, store, { kA }).Executor() == "a");
 }
 
+TEST_CASE("a claim that cannot be moved for the rate is told as not run")
+{
+  FakeClaimStore store;
+  auto one = MakeEnvironment("one");
+  Keyed call(one, store, { kA, MakeEndpoint("b") });
+  store.rateLimited = true;
+  call.Finish(NotRun{ NotRunReason::Draining });
+  CHECK(ReasonOf(call.step) == NotRunReason::Draining);
+}
+
 TEST_CASE("a key does not return the answer of another request or tenant")
 {
   FakeClaimStore store;
