--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/DirectCore.h"
+#include "Coordination/NodeCore.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/Settings.h"
 #include "Services/teaselholdd/StoreWorker.h"
@@ -41,7 +42,7 @@
   /// Runs one apply and waits for its end.
   coordination::FinishApply Apply(coordination::ApplyRequested aRequest);
 
-  /// Takes the status on the control thread.
+  /// Asks the relays and takes the status on the control thread.
   coordination::FleetStatus Status();
 
   /// Takes the status as this node knows it, without asking other nodes. For
@@ -55,7 +56,7 @@
   StoreCounters StoreCalls() const { return store_->Counters(); }
 
 private:
-  using Core = std::variant<coordination::DirectCore>;
+  using Core = std::variant<coordination::NodeCore, coordination::DirectCore>;
   using StatusPromise =
     std::shared_ptr<std::promise<coordination::FleetStatus>>;
   using Item = std::variant<coordination::Event, StatusPromise>;
--- a/Tests/Utilities/TeaselctlTest.cpp
+++ b/Tests/Utilities/TeaselctlTest.cpp
@@ -314,6 +314,44 @@
   CHECK(Contains(result.errors, "+[service winner]"));
 }
 
+TEST_CASE("teaselctl apply: a node that knows no version overwrites the text")
+{
+  const TestFolder folder;
+  const auto path = folder.Write("new.ini", kOther);
+  FakeNode node;
+  std::uint64_t newest = 7;
+  node.status = [&](const auto& /*aRequest*/, auto& aResponse) {
+    aResponse.set_store_generation(newest);
+    return grpc::Status::OK;
+  };
+  node.apply = [](const auto& /*aRequest*/, auto& aResponse) {
+    aResponse.set_result(wire::ApplyResponse::ACCEPTED);
+    return grpc::Status::OK;
+  };
+  CHECK(Run(node, "apply " + path).exitCode == 1);
+  CHECK(node.applies == 0);
+  newest = 0;
+  CHECK(Run(node, "apply " + path).exitCode == 0);
+  CHECK(node.applies == 1);
+}
+
+TEST_CASE("teaselctl apply: base 0 is not taken for a base that lost")
+{
+  const TestFolder folder;
+  const auto path = folder.Write("new.ini", kOther);
+  FakeNode node;
+  PutInForce(node);
+  node.apply = LoseConnection;
+  node.findApply = [](const auto& /*aRequest*/, auto& aResponse) {
+    aResponse.set_result(wire::FindApplyResponse::NOT_FOUND);
+    aResponse.set_generation(4);
+    return grpc::Status::OK;
+  };
+  const auto result = Run(node, "apply --base 0 --timeout 1 " + path);
+  CHECK(result.exitCode == 4);
+  CHECK_FALSE(Contains(result.errors, "it is safe"));
+}
+
 TEST_CASE(
   "teaselctl apply: an outcome that stays unknown is not called a failure")
 {
