--- a/Services/teaselholdd/Logs.cpp
+++ b/Services/teaselholdd/Logs.cpp
@@ -21,7 +21,9 @@
   void sink_it_(const spdlog::details::log_msg& aMessage) override
   {
     WriteSummaries();
-    const std::string line(aMessage.payload.data(), aMessage.payload.size());
+    // The level goes in front, so that a summary can be written with it.
+    std::string line(1, static_cast<char>(aMessage.level));
+    line.append(aMessage.payload.data(), aMessage.payload.size());
     if (limiter_.Admit(line, std::chrono::steady_clock::now())) {
       Write(aMessage);
     }
@@ -35,9 +37,11 @@
   {
     for (const auto& summary :
          limiter_.TakeSummaries(std::chrono::steady_clock::now())) {
-      const auto line =
-        summary.line + " repeated=" + std::to_string(summary.suppressed);
-      Write({ "", spdlog::level::warn, line });
+      const auto level =
+        static_cast<spdlog::level::level_enum>(summary.line.front());
+      const auto line = summary.line.substr(1) +
+                        " repeated=" + std::to_string(summary.suppressed);
+      Write({ "", level, line });
     }
   }
 
--- a/Tests/Services/OperatorsTest.cpp
+++ b/Tests/Services/OperatorsTest.cpp
@@ -28,6 +28,7 @@
     aArguments.insert(aArguments.begin(),
                       std::string(TEASELHOLD_BINARY_FOLDER) + "/" + aProgram);
     std::vector<char*> arguments;
+    arguments.reserve(aArguments.size() + 1);
     for (auto& argument : aArguments) {
       arguments.push_back(argument.data());
     }
--- a/Utilities/teaselctl/ApplyCommand.cpp
+++ b/Utilities/teaselctl/ApplyCommand.cpp
@@ -217,14 +217,16 @@
   const auto winner = "version " + std::to_string(aGeneration);
   const auto& old = baseText_ ? *baseText_ : text_;
   const auto difference = LineDifference(old, aText, BaseName(), winner);
-  context_.report.Errors() << "conflict: " << winner
-                           << " was accepted after version " << base_
-                           << ", the base of this text; nothing was applied\n"
-                           << difference << "take these lines over into "
-                           << context_.options.file
-                           << ", then: teaselctl apply "
-                           << context_.options.file << " --base " << aGeneration
-                           << "\n";
+  context_.report.Errors()
+    << "conflict: " << winner << " was accepted after version " << base_
+    << ", the base of this text; nothing was applied\n"
+    << difference
+    << (baseText_ ? ""
+                  : "(compared with this file, because the text of the base is "
+                    "not known)\n")
+    << "take these lines over into " << context_.options.file
+    << ", then: teaselctl apply " << context_.options.file << " --base "
+    << aGeneration << "\n";
   context_.report.Result({ { "result", "conflict" },
                            { "generation", aGeneration },
                            { "base", base_ },
--- a/Utilities/teaselctl/StatusCommand.cpp
+++ b/Utilities/teaselctl/StatusCommand.cpp
@@ -96,8 +96,10 @@
                                 : DescribeProgress(aSummary))
        << "\nstore     "
        << (aStatus.store_reachable() ? "reachable" : "NOT REACHABLE")
-       << ", version " << aStatus.store_generation() << "\nnodes     "
-       << aStatus.nodes_size();
+       << (aStatus.store_generation() == 0
+             ? ", not read by this node"
+             : ", version " + std::to_string(aStatus.store_generation()))
+       << "\nnodes     " << aStatus.nodes_size();
   std::string separator = ": ";
   for (const auto& [state, count] : CountStates(aStatus)) {
     text << separator << count << " " << state;
@@ -217,7 +219,9 @@
   for (const auto& alarm : aStatus.alarms()) {
     alarms.push_back(alarm);
   }
-  context_.report.Result({ { "newest_generation", summary.newest },
+  context_.report.Result({ { "answering_node", aStatus.answering_node() },
+                           { "answering_role", AnsweringRole(aStatus) },
+                           { "newest_generation", summary.newest },
                            { "store_generation", aStatus.store_generation() },
                            { "store_reachable", aStatus.store_reachable() },
                            { "nodes", CountStates(aStatus) },
