--- /dev/null
+++ b/Libraries/Coordination/NodeCore.cpp
@@ -0,0 +1,204 @@
+#include "Coordination/NodeCore.h"
+
+namespace teaselhold::coordination {
+
+namespace {
+
+/// A tick arrives every 100 ms; after a longer silence this node was paused.
+constexpr state::Duration kMaxLoopDelay = std::chrono::seconds(1);
+
+/// @return nullptr if the message carries no head.
+const wire::Head*
+FindHead(const wire::Envelope& aEnvelope)
+{
+  switch (aEnvelope.body_case()) {
+    case wire::Envelope::kAttach:
+      return &aEnvelope.attach().head();
+    case wire::Envelope::kAttachAnswer:
+      return &aEnvelope.attach_answer().head();
+    case wire::Envelope::kHeartbeat:
+      return &aEnvelope.heartbeat().head();
+    case wire::Envelope::kHeartbeatAnswer:
+      return &aEnvelope.heartbeat_answer().head();
+    case wire::Envelope::kProbe:
+      return &aEnvelope.probe().head();
+    case wire::Envelope::kProbeAnswer:
+      return &aEnvelope.probe_answer().head();
+    case wire::Envelope::kRelayExchange:
+      return &aEnvelope.relay_exchange().head();
+    default:
+      return nullptr;
+  }
+}
+
+} // namespace
+
+NodeCore::NodeCore(NodeOptions aOptions)
+  : options_(std::move(aOptions))
+  , endpoints_(options_.identity, options_.randomSeed + 1)
+  , membership_(options_, endpoints_)
+  , status_(endpoints_, membership_)
+  , distribution_(options_.identity, options_.randomSeed + 2)
+  , reader_(options_.identity,
+            options_.randomSeed + 3,
+            callNumbers_,
+            distribution_)
+  , acceptance_(options_.randomSeed + 4, callNumbers_, distribution_)
+{
+}
+
+Commands
+NodeCore::Handle(const Event& aEvent, state::Instant aNow)
+{
+  Commands commands;
+  const auto head = distribution_.Head();
+  const Step step{ aNow, head, commands };
+  if (isStarted_ && aNow - lastEvent_ > kMaxLoopDelay) {
+    AddLog(commands,
+           LogLevel::Warning,
+           "membership",
+           "This node was paused. microseconds=" +
+             std::to_string((aNow - lastEvent_).count()));
+    membership_.OnLate(step);
+  }
+  lastEvent_ = aNow;
+  if (std::holds_alternative<Started>(aEvent)) {
+    isStarted_ = true;
+    membership_.Start(step);
+  } else if (const auto* message = std::get_if<MessageReceived>(&aEvent)) {
+    OnMessage(message->envelope, step);
+  } else if (const auto* change = std::get_if<UpstreamChanged>(&aEvent)) {
+    OnUpstreamChanged(change->state, step);
+  } else if (std::holds_alternative<StatusRequested>(aEvent)) {
+    status_.OnRequested(step);
+  } else if (const auto* answer = std::get_if<StoreAnswered>(&aEvent)) {
+    const auto& peers = membership_.Peers();
+    if (!reader_.OnStoreAnswer(*answer, peers, aNow, commands)) {
+      acceptance_.OnStoreAnswer(*answer, peers, aNow, commands);
+    }
+  } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
+    acceptance_.OnApply(*apply, membership_.Peers(), aNow, commands);
+  } else if (std::holds_alternative<Tick>(aEvent)) {
+    OnTick(step);
+  }
+  UseConfiguration();
+  endpoints_.FlushUrgent(membership_.Peers(), commands);
+  Publish(commands);
+  Stamp(commands);
+  return commands;
+}
+
+void
+NodeCore::OnMessage(const wire::Envelope& aEnvelope, const Step& aStep)
+{
+  if (aEnvelope.from_node() == options_.identity.name) {
+    return;
+  }
+  membership_.OnHeard(aEnvelope, aStep);
+  membership_.OnMessage(aEnvelope, aStep);
+  endpoints_.OnMessage(aEnvelope, aStep);
+  status_.OnMessage(aEnvelope, Version(), aStep);
+  PassHead(aEnvelope, aStep);
+  distribution_.OnMessage(
+    aEnvelope, membership_.Peers(), aStep.now, aStep.commands);
+  reader_.OnMessage(aEnvelope, aStep.now);
+}
+
+void
+NodeCore::PassHead(const wire::Envelope& aEnvelope, const Step& aStep)
+{
+  const auto* head = FindHead(aEnvelope);
+  if (head == nullptr) {
+    return;
+  }
+  const auto [sender, isRelay] = membership_.Sender(aEnvelope);
+  distribution_.OnHead(
+    sender, isRelay, *head, membership_.Peers(), aStep.now, aStep.commands);
+}
+
+void
+NodeCore::OnTick(const Step& aStep)
+{
+  membership_.Tick(aStep);
+  const auto& peers = membership_.Peers();
+  endpoints_.Tick(peers, aStep);
+  distribution_.Tick(peers, aStep.now, aStep.commands);
+  reader_.Tick(peers, aStep.now, aStep.commands);
+  acceptance_.Tick(peers, aStep.now, aStep.commands);
+}
+
+void
+NodeCore::OnUpstreamChanged(state::EndpointState aState, const Step& aStep)
+{
+  endpoints_.SetState(aState, aStep.now);
+  if (aState == state::EndpointState::Gone) {
+    membership_.OnLeaving(aStep);
+  }
+  membership_.Tick(aStep);
+}
+
+void
+NodeCore::UseConfiguration()
+{
+  membership_.SetRefusal(distribution_.RefusedGeneration(),
+                         distribution_.RefusedReason());
+  if (distribution_.Active() == configuration_) {
+    return;
+  }
+  configuration_ = distribution_.Active();
+  isPublishDue_ = true;
+  const auto reach = configuration_->Reach(options_.identity.service);
+  if (endpoints_.SetReach({ reach.begin(), reach.end() })) {
+    membership_.OnReachChanged();
+  }
+}
+
+void
+NodeCore::Publish(Commands& aCommands)
+{
+  if (!endpoints_.TakeReachableChanged() && !isPublishDue_) {
+    return;
+  }
+  isPublishDue_ = false;
+  auto snapshot = std::make_shared<RoutingSnapshot>();
+  snapshot->configuration = configuration_;
+  snapshot->endpoints = endpoints_.Reachable();
+  aCommands.push_back(PublishSnapshot{ std::move(snapshot) });
+}
+
+void
+NodeCore::Stamp(Commands& aCommands) const
+{
+  for (auto& command : aCommands) {
+    if (auto* send = std::get_if<SendMessage>(&command)) {
+      send->envelope.set_from_node(options_.identity.name);
+      send->envelope.set_from_incarnation(endpoints_.Self().incarnation);
+      send->envelope.set_from_address(options_.identity.controlAddress);
+    }
+  }
+}
+
+OwnVersion
+NodeCore::Version() const
+{
+  OwnVersion version;
+  version.activeGeneration =
+    configuration_ == nullptr ? 0 : configuration_->GetGeneration();
+  version.refusedGeneration = distribution_.RefusedGeneration();
+  version.refusedReason = distribution_.RefusedReason();
+  return version;
+}
+
+FleetStatus
+NodeCore::Status() const
+{
+  FleetStatus status;
+  status.storeReachable = reader_.IsStoreReachable();
+  status.storeGeneration = reader_.StoreGeneration();
+  status.highestGeneration = distribution_.Held().generation();
+  status.alarms = distribution_.Alarms();
+  status.nodes = status_.Nodes(Version());
+  return status;
+}
+
+} // namespace teaselhold::coordination
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/DirectCore.h"
+#include "Coordination/NodeCore.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/Settings.h"
 #include "Services/teaselholdd/StoreWorker.h"
@@ -48,8 +49,10 @@
 
   transport::ControlCounters Counters() const;
 
+  StoreCounters StoreCalls() const { return store_->Counters(); }
+
 private:
-  using Core = std::variant<coordination::DirectCore>;
+  using Core = std::variant<coordination::NodeCore, coordination::DirectCore>;
   using StatusPromise =
     std::shared_ptr<std::promise<coordination::FleetStatus>>;
   using Item = std::variant<coordination::Event, StatusPromise>;
--- a/Tests/Coordination/FakeStore.h
+++ b/Tests/Coordination/FakeStore.h
@@ -1,85 +1,77 @@
 #pragma once
 
-#include "Coordination/KeyedCall.h"
+#include "Coordination/NodeEvents.h"
 
 #include <map>
 #include <set>
+#include <string>
+#include <vector>
 
-namespace teaselhold::test {
+namespace teaselhold::tests {
 
-using namespace coordination;
-
-/// The platform's store for claims, with faults that hit the next calls.
+/// A fake of the platform's store at the level of commands and events.
 class FakeStore
 {
 public:
-  StoreResult Call(const ClaimStep& aStep)
+  struct Answer
   {
-    ++calls;
-    if (down || downCalls > 0) {
-      downCalls -= downCalls > 0 ? 1 : 0;
-      return protocol::StoreError{ protocol::StoreErrorCode::Unavailable, "" };
-    }
-    if (rateLimited) {
-      return protocol::StoreError{ protocol::StoreErrorCode::RateLimited, "" };
-    }
-    return std::visit([this](const auto& aRequest) { return On(aRequest); },
-                      aStep.request);
-  }
+    state::Instant time;
+    std::string node;
+    coordination::StoreAnswered event;
+  };
+
+  bool isOut = false;
+  /// The next write takes effect, but its answer is lost.
+  bool isNextAnswerLost = false;
+  std::size_t calls = 0;
+  state::Duration answerTime{ std::chrono::milliseconds(2) };
+  /// Every value that a key ever had, oldest first.
+  std::map<std::string, std::vector<std::string>> history;
 
-  void LapseLeases() { leases_.clear(); }
+  /// @return the answers that become due by this call or later by itself.
+  void Call(const std::string& aNode,
+            const coordination::CallStore& aCall,
+            state::Instant aNow);
 
-  /// Lets the delayed write take effect if the key still is as expected.
-  void LandDelayedWrite()
+  /// Moves time on and takes the answers that are due.
+  std::vector<Answer> Due(state::Instant aNow);
+
+  const protocol::StoreEntry& Entry(const std::string& aKey)
   {
-    if (delayed_) {
-      On(*std::exchange(delayed_, std::nullopt));
-    }
+    return entries_[aKey].entry;
   }
 
-  bool down = false;
-  bool rateLimited = false;
-  unsigned downCalls = 0;
-  /// The next writes take effect but their answers are lost.
-  unsigned loseAnswers = 0;
-  /// The next write takes effect later, and its answer is lost.
-  bool delayWrite = false;
-  unsigned calls = 0;
-  std::map<std::string, protocol::StoreEntry> entries;
+  /// Replaces a value as an operator of the platform would (backup restore).
+  void Force(const std::string& aKey, std::string aValue);
 
-private:
-  StoreResult On(const StoreGet& aGet) { return entries[aGet.key]; }
+  /// Ends every lease at once, as if the holders had been silent too long.
+  void LapseLeases();
 
-  StoreResult On(const StoreGrant& /*aGrant*/)
+private:
+  struct Stored
   {
-    leases_.insert(++lastLease_);
-    return protocol::LeaseId(lastLease_);
-  }
-
-  StoreResult On(const StoreSwap& aSwap)
+    protocol::StoreEntry entry;
+    protocol::LeaseId lease = 0;
+  };
+  struct Watching
   {
-    const protocol::StoreError lost{ protocol::StoreErrorCode::Unknown, "" };
-    if (std::exchange(delayWrite, false)) {
-      delayed_ = aSwap;
-      return lost;
-    }
-    auto& entry = entries[aSwap.key];
-    const bool swapped =
-      entry.revision == aSwap.expectedRevision && leases_.contains(aSwap.lease);
-    if (swapped) {
-      entry = { aSwap.value, ++lastRevision_ };
-    }
-    if (loseAnswers > 0) {
-      --loseAnswers;
-      return lost;
-    }
-    return protocol::SwapResult{ swapped, entry };
-  }
+    std::string node;
+    std::uint64_t call;
+    coordination::StoreWatch watch;
+    state::Instant until;
+  };
+
+  coordination::StoreResult Carry(const coordination::CallStore& aCall,
+                                  state::Instant aNow);
+  void ExpireLeases(state::Instant aNow);
 
-  std::set<protocol::LeaseId> leases_;
-  std::optional<StoreSwap> delayed_;
-  protocol::LeaseId lastLease_ = 0;
-  std::uint64_t lastRevision_ = 0;
+  std::map<std::string, Stored> entries_;
+  std::map<protocol::LeaseId, std::pair<state::Instant, state::Duration>>
+    leases_;
+  std::vector<Watching> watching_;
+  std::vector<Answer> answers_;
+  std::uint64_t nextRevision_ = 1;
+  protocol::LeaseId nextLease_ = 1;
 };
 
-} // namespace teaselhold::test
+} // namespace teaselhold::tests
--- a/Tests/Coordination/KeyedCallTest.cpp
+++ b/Tests/Coordination/KeyedCallTest.cpp
@@ -1,5 +1,5 @@
 #include "Tests/Coordination/CallFixtures.h"
-#include "Tests/Coordination/FakeStore.h"
+#include "Tests/Coordination/FakeClaimStore.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,7 +13,7 @@
 /// One node that keyed calls enter, with the store that all nodes share.
 struct Entry
 {
-  explicit Entry(const std::string& aNode, FakeStore& aStore)
+  explicit Entry(const std::string& aNode, FakeClaimStore& aStore)
     : environment(MakeEnvironment(aNode))
     , store(aStore)
   {
@@ -46,7 +46,7 @@
   }
 
   CallEnvironment environment;
-  FakeStore& store;
+  FakeClaimStore& store;
 };
 
 RoutingSnapshotPointer
@@ -68,7 +68,7 @@
 
 TEST_CASE("a resend through another node goes to the same executor")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry one("one", store);
   Entry two("two", store);
   const auto first = one.Open(TwoUpstreams());
@@ -87,7 +87,7 @@
 
 TEST_CASE("a resend after the executor's restart is unknown, not a second run")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry entry("one", store);
   entry.Start(*entry.Open(TwoUpstreams()));
   const auto resend = entry.Open(TwoUpstreams(2));
@@ -101,7 +101,7 @@
 
 TEST_CASE("a claim moves after a certain refusal and its epoch grows")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry entry("one", store);
   const auto session = entry.Open(TwoUpstreams());
   const auto first = NodeOf(entry.Start(*session));
@@ -112,7 +112,7 @@
 
 TEST_CASE("a claim of another send does not move without the ledger's word")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry one("one", store);
   Entry two("two", store);
   const auto first = one.Open(TwoUpstreams());
@@ -138,7 +138,7 @@
 
 TEST_CASE("after a lost answer the executor is asked, and may not start again")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry entry("one", store);
   const auto session = entry.Open(TwoUpstreams());
   const auto executor = NodeOf(entry.Start(*session));
@@ -150,7 +150,7 @@
 
 TEST_CASE("with the store out or its rate used up a keyed call is not run")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry entry("one", store);
   store.down = true;
   const auto down = entry.Open(TwoUpstreams());
@@ -170,7 +170,7 @@
 
 TEST_CASE("the rate limit does not keep a resend from its stored answer")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry one("one", store);
   Entry two("two", store);
   one.Start(*one.Open(TwoUpstreams()));
@@ -183,7 +183,7 @@
 TEST_CASE("a lost answer of the claim's write is read back")
 {
   for (const bool delayed : { false, true }) {
-    FakeStore store;
+    FakeClaimStore store;
     Entry entry("one", store);
     store.delayWrite = delayed;
     store.loseAnswers = delayed ? 0 : 1;
@@ -200,7 +200,7 @@
 
 TEST_CASE("a lapsed lease is replaced")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry entry("one", store);
   entry.Start(*entry.Open(TwoUpstreams(), "first"));
   store.LapseLeases();
@@ -210,7 +210,7 @@
 
 TEST_CASE("a key does not return the answer of another request or tenant")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry entry("one", store);
   entry.Start(*entry.Open(TwoUpstreams()));
   auto facts = MakeFacts(false, "key");
@@ -226,7 +226,7 @@
 
 TEST_CASE("an executor that drains or looks down is still asked for its answer")
 {
-  FakeStore store;
+  FakeClaimStore store;
   Entry entry("one", store);
   const auto executor = NodeOf(
     entry.Start(*entry.Open(MakeSnapshot(MakeTable({ MakeEndpoint("a") })))));
