DirectCore: Count crash reports so that crashing requests stop

The direct baseline ignored CrashObserved, so a request that crashes upstreams went on to crash each of them. It now reports crashes to its seeds and publishes the quarantine of CrashGuard. A process test sends such a request through five nodes until every node refuses it and at least two upstreams survive.

--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -46,6 +46,8 @@
     ++self_.sequence;
     dirty_ = table_.Merge(self_) || dirty_;
     Announce(commands);
+  } else if (const auto* crash = std::get_if<CrashObserved>(&aEvent)) {
+    OnCrash(crash->fingerprint, aNow, commands);
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
     OnApply(*apply, commands);
   }
@@ -66,6 +68,7 @@
     nextAnnouncement_ = aNow + kAnnounceInterval;
     Announce(aCommands);
   }
+  dirty_ = crashGuard_.Expire(aNow) || dirty_;
   for (const auto& [node, heard] : lastHeard_) {
     const auto* record = table_.Find(node);
     if (aNow - heard > kSilenceLimit && record != nullptr &&
@@ -77,9 +80,32 @@
   }
 }
 
+void
+DirectCore::OnCrash(std::uint64_t aFingerprint,
+                    state::Instant aNow,
+                    Commands& aCommands)
+{
+  dirty_ =
+    crashGuard_.Report(aFingerprint, self_.node, self_.incarnation, aNow) ||
+    dirty_;
+  wire::Envelope envelope;
+  auto& report = *envelope.mutable_crash_report();
+  report.set_fingerprint(aFingerprint);
+  report.set_node(self_.node);
+  report.set_incarnation(self_.incarnation);
+  SendToSeeds(std::move(envelope), aCommands);
+}
+
 void
 DirectCore::OnMessage(const wire::Envelope& aEnvelope, state::Instant aNow)
 {
+  if (aEnvelope.has_crash_report()) {
+    const auto& report = aEnvelope.crash_report();
+    dirty_ =
+      crashGuard_.Report(
+        report.fingerprint(), report.node(), report.incarnation(), aNow) ||
+      dirty_;
+  }
   for (const auto& endpoint : aEnvelope.endpoint_delta().endpoints()) {
     auto record = FromWire(endpoint);
     if (record.node == self_.node) {
@@ -224,13 +250,19 @@
 DirectCore::Announce(Commands& aCommands) const
 {
   wire::Envelope envelope;
-  envelope.set_from_node(self_.node);
-  envelope.set_from_incarnation(self_.incarnation);
-  envelope.set_from_address(self_.controlAddress);
   *envelope.mutable_endpoint_delta()->add_endpoints() = ToWire(self_);
+  SendToSeeds(std::move(envelope), aCommands);
+}
+
+void
+DirectCore::SendToSeeds(wire::Envelope aEnvelope, Commands& aCommands) const
+{
+  aEnvelope.set_from_node(self_.node);
+  aEnvelope.set_from_incarnation(self_.incarnation);
+  aEnvelope.set_from_address(self_.controlAddress);
   for (const auto& seed : options_.seeds) {
     if (seed != self_.controlAddress) {
-      aCommands.push_back(SendMessage{ seed, envelope });
+      aCommands.push_back(SendMessage{ seed, aEnvelope });
     }
   }
 }
@@ -242,6 +274,7 @@
   auto snapshot = std::make_shared<RoutingSnapshot>();
   snapshot->configuration = configuration_;
   snapshot->endpoints = std::make_shared<state::EndpointTable>(table_);
+  snapshot->quarantined = crashGuard_.Quarantined();
   aCommands.push_back(PublishSnapshot{ std::move(snapshot) });
 }
 
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/CrashGuard.h"
 #include "Coordination/NodeEvents.h"
 
 #include <map>
@@ -21,17 +22,22 @@
 private:
   void OnTick(state::Instant aNow, Commands& aCommands);
   void OnMessage(const wire::Envelope& aEnvelope, state::Instant aNow);
+  void OnCrash(std::uint64_t aFingerprint,
+               state::Instant aNow,
+               Commands& aCommands);
   void OnStoreAnswer(const StoreAnswered& aAnswer, Commands& aCommands);
   void OnConfiguration(const protocol::StoreEntry& aEntry, Commands& aCommands);
   void OnApply(const ApplyRequested& aRequest, Commands& aCommands);
   void OnSwapAnswer(const StoreResult& aResult, Commands& aCommands);
   void Watch(Commands& aCommands);
   void Announce(Commands& aCommands) const;
+  void SendToSeeds(wire::Envelope aEnvelope, Commands& aCommands) const;
   void Publish(Commands& aCommands);
 
   NodeOptions options_;
   state::EndpointRecord self_;
   state::EndpointTable table_;
+  CrashGuard crashGuard_;
   std::map<std::string, state::Instant> lastHeard_;
   state::ConfigurationPointer configuration_;
   std::uint64_t revision_ = 0;
--- a/Tests/Services/FailureProcessTest.cpp
+++ b/Tests/Services/FailureProcessTest.cpp
@@ -86,3 +86,30 @@
            Mesh::Counter(mesh[0], "runs") == runs;
   }));
 }
+
+TEST_CASE("A request that crashes upstreams stops after a few of them")
+{
+  Mesh mesh(5);
+  // The caller sends it again and again, through every node.
+  std::size_t next = 0;
+  CHECK(WaitUntil([&] {
+    const auto result =
+      Call(mesh[next++ % mesh.Size()].caller, "GET", "/passes/crash");
+    return result.Reason() == "quarantined";
+  }));
+  const auto quarantinedEverywhere = [&] {
+    bool everywhere = true;
+    for (std::size_t i = 0; i < mesh.Size(); ++i) {
+      const auto result = Call(mesh[i].caller, "GET", "/passes/crash");
+      everywhere = everywhere && result.Reason() == "quarantined";
+    }
+    return everywhere;
+  };
+  CHECK(WaitUntil(quarantinedEverywhere));
+  std::size_t survivors = 0;
+  for (std::size_t i = 0; i < mesh.Size(); ++i) {
+    survivors += mesh[i].upstream->IsRunning() ? 1 : 0;
+  }
+  CHECK(survivors >= 2);
+  CHECK(Call(mesh[0].caller, "GET", "/passes/1").Outcome() == "answered");
+}
