--- a/Libraries/Coordination/Acceptance.cpp
+++ b/Libraries/Coordination/Acceptance.cpp
@@ -382,10 +382,10 @@
     return;
   }
   if (aOutcome == ApplyOutcome::Accepted) {
-    aCommands.push_back(WriteLog{ LogLevel::Info,
-                                  "apply",
-                                  "Accepted. generation=" +
-                                    std::to_string(aGeneration) });
+    aCommands.push_back(
+      WriteLog{ LogLevel::Info,
+                "apply",
+                "Accepted. generation=" + std::to_string(aGeneration) });
   }
   aCommands.push_back(FinishApply{
     aSession.request.id, aOutcome, aGeneration, std::move(aMessage), "" });
