Membership: Mark a node down only if another node confirms it

A relay that is cut off from all others sees one probe fail each second. Among 270 relays that stays below the 30% of the self-check, and its marks would have to be refuted by each node once it is back. A mark now needs the answer of another node that got no sign of life either, unless there is none to ask.

--- a/Libraries/Coordination/Membership.cpp
+++ b/Libraries/Coordination/Membership.cpp
@@ -355,7 +355,10 @@
     const bool isLeaf = leaves_.Leaves().contains(node);
     const auto population =
       isLeaf ? leaves_.Leaves().size() : peers_.relays.size();
-    if (!check_.MayMark(silent.isConfirmed, population, aStep.now)) {
+    const bool hasHelpers = std::ranges::any_of(
+      helpers, [&](const Peer& aHelper) { return aHelper.node != node; });
+    if (!check_.MayMark(
+          silent.isConfirmed, hasHelpers, population, aStep.now)) {
       continue;
     }
     check_.Marked(aStep.now);
--- a/Libraries/Coordination/ObserverCheck.h
+++ b/Libraries/Coordination/ObserverCheck.h
@@ -16,14 +16,20 @@
   /// The loop of this node was late by more than its limit.
   void OnLate(state::Instant aNow) { doubtUntil_ = aNow + kWindow; }
 
+  /// @param aIsConfirmed another node got no answer either.
+  /// @param aHasHelpers other nodes were asked; if none of them said anything,
+  /// this observer is probably cut off.
   /// @param aPopulation the nodes that this observer watches.
-  bool MayMark(bool aIsConfirmed, std::size_t aPopulation, state::Instant aNow)
+  bool MayMark(bool aIsConfirmed,
+               bool aHasHelpers,
+               std::size_t aPopulation,
+               state::Instant aNow)
   {
     while (!marks_.empty() && aNow - marks_.front() > kWindow) {
       marks_.pop_front();
     }
-    if (aIsConfirmed) {
-      return true;
+    if (aIsConfirmed || aHasHelpers) {
+      return aIsConfirmed;
     }
     const bool isMany =
       (marks_.size() + 1) * 100 > aPopulation * kMaxPercentInWindow;
--- a/Tests/Coordination/MembershipSessionTest.cpp
+++ b/Tests/Coordination/MembershipSessionTest.cpp
@@ -84,7 +84,17 @@
     for (unsigned i = 0; i < 40; ++i) {
       const auto& name = names[random.Below(names.size())];
       auto& node = session.At(name);
-      switch (random.Below(8)) {
+      switch (random.Below(10)) {
+        case 6:
+          session.store.isOut = !session.store.isOut;
+          session.Note(session.store.isOut ? "store out" : "store back");
+          break;
+        case 7:
+          if (!session.store.isOut) {
+            session.Accept(std::string(kText) + "# " + std::to_string(i) +
+                           "\n");
+          }
+          break;
         case 0:
           session.Note("kill " + name);
           session.Kill(name);
@@ -123,6 +133,7 @@
       session.Run(random.Between(100ms, 12s));
     }
     session.isCut = nullptr;
+    session.store.isOut = false;
     session.lossPercent = 0;
     session.latePercent = 0;
     session.doublePercent = 0;
@@ -138,6 +149,7 @@
     UNSCOPED_INFO(session.Transcript());
     CAPTURE(seed);
     REQUIRE(time);
+    REQUIRE(session.reversions.empty());
   }
 }
 
@@ -301,6 +313,35 @@
   CheckGolden("crossed-updates", session.Transcript());
 }
 
+TEST_CASE("a relay that is cut off marks no other node down")
+{
+  Session session(9);
+  Settle(session, 12);
+  const auto alone = session.Relays().front();
+  session.isCut = [&](const std::string& aFrom, const std::string& aTo) {
+    return aFrom == alone || aTo == alone;
+  };
+  session.Run(120s);
+  const auto mark = alone + ": [membership] Marked down";
+  CHECK(session.Transcript().find(mark) == std::string::npos);
+  session.isCut = nullptr;
+  CHECK(session.RunUntil([&] { return IsJoined(session); }, 20s));
+}
+
+TEST_CASE("a crashing request that only some nodes know of runs elsewhere")
+{
+  Session session(10);
+  Settle(session, 9);
+  session.lossPercent = 10;
+  session.Post(session.Names()[1], coordination::CrashObserved{ 42 });
+  session.Post(session.Names()[7], coordination::CrashObserved{ 42 });
+  session.Run(3s);
+  for (const auto& name : session.Names()) {
+    CAPTURE(name);
+    CHECK(session.At(name).snapshot->quarantined.contains(42));
+  }
+}
+
 TEST_CASE("bytes of a quiet fleet", "[.measure]")
 {
   for (const unsigned nodesEach : { 10U, 33U, 100U }) {
