StatusCollector: Answer a leaf after the other relays answered

A leaf that asked for the whole fleet got only what its relay had collected before, so that a single status call on a leaf missed other relays. The relay now answers 100 ms after it asked the others, and relays that ended drop out of the leaf's view. Tests cover the status of a leaf and a relay, and a process that starts under the same name with a lower incarnation.

--- a/Libraries/Coordination/NodeCore.cpp
+++ b/Libraries/Coordination/NodeCore.cpp
@@ -140,6 +140,7 @@
   reader_.Tick(peers, aStep.now, aStep.commands);
   acceptance_.Tick(peers, aStep.now, aStep.commands);
   crashes_.Tick(peers, aStep.now, aStep.commands);
+  status_.Tick(Version(), aStep);
 }
 
 void
--- a/Libraries/Coordination/StatusCollector.cpp
+++ b/Libraries/Coordination/StatusCollector.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr state::Duration kPullInterval = std::chrono::seconds(1);
+/// Enough for an answer from another region.
+constexpr state::Duration kGatherTime = std::chrono::milliseconds(100);
 constexpr int kMaxLaggingNodes = 16;
 
 } // namespace
@@ -42,6 +44,10 @@
                            const Step& aStep)
 {
   if (aEnvelope.has_status_answer()) {
+    if (!endpoints_.Self().isRelay) {
+      // The whole fleet as the relay knows it; relays that ended drop out.
+      summaries_.clear();
+    }
     for (const auto& summary : aEnvelope.status_answer().relays()) {
       summaries_[summary.relay()] = summary;
     }
@@ -50,14 +56,35 @@
   if (!aEnvelope.has_status_pull() || !endpoints_.Self().isRelay) {
     return;
   }
-  const bool isWholeFleet = aEnvelope.status_pull().whole_fleet();
-  if (isWholeFleet) {
+  if (aEnvelope.status_pull().whole_fleet()) {
     OnRequested(aStep);
+    waiting_.emplace(aEnvelope.from_address(), aStep.now + kGatherTime);
+    return;
   }
-  auto& answer = *AddMessage(aStep.commands, aEnvelope.from_address())
-                    .mutable_status_answer();
+  Answer(aEnvelope.from_address(), false, aOwn, aStep);
+}
+
+void
+StatusCollector::Tick(const OwnVersion& aOwn, const Step& aStep)
+{
+  std::erase_if(waiting_, [&](const auto& aWaiting) {
+    const bool isDue = aStep.now >= aWaiting.second;
+    if (isDue) {
+      Answer(aWaiting.first, true, aOwn, aStep);
+    }
+    return isDue;
+  });
+}
+
+void
+StatusCollector::Answer(const std::string& aAddress,
+                        bool aIsWholeFleet,
+                        const OwnVersion& aOwn,
+                        const Step& aStep) const
+{
+  auto& answer = *AddMessage(aStep.commands, aAddress).mutable_status_answer();
   *answer.add_relays() = OwnSummary(aOwn);
-  if (!isWholeFleet) {
+  if (!aIsWholeFleet) {
     return;
   }
   for (const auto& relay : membership_.Peers().relays) {
--- a/Libraries/Coordination/StatusCollector.h
+++ b/Libraries/Coordination/StatusCollector.h
@@ -38,11 +38,19 @@
                  const OwnVersion& aOwn,
                  const Step& aStep);
 
+  /// Answers leaves that asked for the whole fleet, once the other relays had
+  /// time to send their summaries.
+  void Tick(const OwnVersion& aOwn, const Step& aStep);
+
   /// A relay lists all nodes that it knows. A leaf lists itself, the relays,
   /// and the nodes that lag behind their relay.
   std::vector<NodeStatus> Nodes(const OwnVersion& aOwn) const;
 
 private:
+  void Answer(const std::string& aAddress,
+              bool aIsWholeFleet,
+              const OwnVersion& aOwn,
+              const Step& aStep) const;
   wire::RelaySummary OwnSummary(const OwnVersion& aOwn) const;
   NodeStatus Describe(const state::EndpointRecord& aRecord,
                       const OwnVersion& aOwn) const;
@@ -52,6 +60,8 @@
   const Membership& membership_;
   std::map<std::string, wire::RelaySummary> summaries_;
   state::Instant nextPull_{ 0 };
+  /// Leaves that wait for an answer, by address.
+  std::map<std::string, state::Instant> waiting_;
 };
 
 } // namespace teaselhold::coordination
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -13,7 +13,7 @@
 constexpr std::chrono::milliseconds kTickInterval{ 100 };
 constexpr std::chrono::seconds kApplyGrace{ 2 };
 /// How long the relays have to answer before a status is put together.
-constexpr std::chrono::milliseconds kStatusGatherTime{ 200 };
+constexpr std::chrono::milliseconds kStatusGatherTime{ 300 };
 
 NodeOptions
 MakeOptions(const Settings& aSettings, std::uint64_t aIncarnation)
--- a/Tests/Coordination/MembershipSessionTest.cpp
+++ b/Tests/Coordination/MembershipSessionTest.cpp
@@ -342,6 +342,43 @@
   }
 }
 
+TEST_CASE("an operator's status shows a version that other relays do not have")
+{
+  Session session(11);
+  Settle(session, 9);
+  for (const auto& name : { FirstLeaf(session), session.Relays().front() }) {
+    session.Post(name, coordination::StatusRequested{});
+    session.Run(300ms);
+    const auto status = session.At(name).core->Status();
+    std::set<std::string> listed;
+    for (const auto& node : status.nodes) {
+      CAPTURE(name, node.node);
+      CHECK(node.activeGeneration == 1);
+      listed.insert(node.node);
+    }
+    for (const auto& relay : session.Relays()) {
+      CHECK(listed.contains(relay));
+    }
+  }
+}
+
+TEST_CASE("a second process under the same name is not taken for the first")
+{
+  Session session(12);
+  Settle(session, 9);
+  const auto leaf = FirstLeaf(session);
+  const auto first = session.At(leaf).core->Endpoints().Self().incarnation;
+  auto& node = session.At(leaf);
+  // The clock of the host went back, so that the incarnation is lower.
+  node.options.identity.incarnation = 5;
+  node.core = std::make_unique<coordination::NodeCore>(node.options);
+  session.Post(leaf, coordination::Started{});
+  session.SetUpstream(leaf, state::EndpointState::Draining);
+  session.Run(3s);
+  CHECK(node.core->Endpoints().Self().incarnation > first);
+  CHECK(session.IsSettled());
+}
+
 TEST_CASE("bytes of a quiet fleet", "[.measure]")
 {
   for (const unsigned nodesEach : { 10U, 33U, 100U }) {
