--- a/Meta/measure.py
+++ b/Meta/measure.py
@@ -212,8 +212,7 @@
     """Kills one node that holds a reader lease, if one runs."""
     for node in fleet.running()[:-1]:
         log = (fleet.folder / f"{node.name}.node.log").read_text()
-        taken = log.count("Reader lease taken")
-        if taken > log.count("Reader lease lost"):
+        if log.count("Slot taken.") > log.count("Slot lost."):
             node.node.send_signal(signal.SIGKILL)
             node.node.wait()
             return
--- a/Utilities/teaselctl/ApplyCommand.cpp
+++ b/Utilities/teaselctl/ApplyCommand.cpp
@@ -67,6 +67,9 @@
                            "--node A,B,...");
     return false;
   }
+  if (!named && response->generation() == 0 && !CheckIsFirst()) {
+    return false;
+  }
   base_ = named.value_or(response->generation());
   if (base_ == response->generation()) {
     baseText_ = response->text();
@@ -74,6 +77,29 @@
   return true;
 }
 
+bool
+ApplyCommand::CheckIsFirst()
+{
+  const auto status = context_.nodes.Call(&wire::Admin::Stub::Status,
+                                          wire::StatusRequest(),
+                                          context_.options.timeout);
+  if (!status) {
+    context_.report.Fail(Failed, status.error().message);
+    return false;
+  }
+  const auto newest =
+    std::max(status->store_generation(), status->highest_generation());
+  if (newest > 0) {
+    context_.report.Fail(Failed,
+                         "node " + context_.nodes.Answered() +
+                           " has no version in force, but " +
+                           std::to_string(newest) +
+                           " exists; wait until it has, or name another "
+                           "node\nnothing was applied");
+  }
+  return newest == 0;
+}
+
 ExitCode
 ApplyCommand::Send()
 {
@@ -158,7 +184,7 @@
       }
       // A write on the base can no longer succeed, and the store would still
       // remember one that did.
-      if (later > 0 && later <= kRememberedApplies) {
+      if (base_ != 0 && later > 0 && later <= kRememberedApplies) {
         return ReportConflict(found->generation(), found->current_text());
       }
     }
@@ -191,14 +217,16 @@
   const auto winner = "version " + std::to_string(aGeneration);
   const auto& old = baseText_ ? *baseText_ : text_;
   const auto difference = LineDifference(old, aText, BaseName(), winner);
-  context_.report.Errors() << "conflict: " << winner
-                           << " was accepted after version " << base_
-                           << ", the base of this text; nothing was applied\n"
-                           << difference << "take these lines over into "
-                           << context_.options.file
-                           << ", then: teaselctl apply "
-                           << context_.options.file << " --base " << aGeneration
-                           << "\n";
+  context_.report.Errors()
+    << "conflict: " << winner << " was accepted after version " << base_
+    << ", the base of this text; nothing was applied\n"
+    << difference
+    << (baseText_ ? ""
+                  : "(compared with this file, because the text of the base is "
+                    "not known)\n")
+    << "take these lines over into " << context_.options.file
+    << ", then: teaselctl apply " << context_.options.file << " --base "
+    << aGeneration << "\n";
   context_.report.Result({ { "result", "conflict" },
                            { "generation", aGeneration },
                            { "base", base_ },
@@ -212,12 +240,15 @@
 ExitCode
 ApplyCommand::ReportUnknown(const std::string& aCause)
 {
-  context_.report.Errors()
-    << "outcome unknown: " << aCause << "\n"
-    << "to find out: teaselctl diff " << context_.options.file
-    << "; it is safe to run: teaselctl apply " << context_.options.file
-    << " --base " << base_
-    << " (of two applies on one base only one is accepted)\n";
+  context_.report.Errors() << "outcome unknown: " << aCause << "\n"
+                           << "to find out: teaselctl diff "
+                           << context_.options.file << "\n";
+  if (base_ != 0) {
+    context_.report.Errors()
+      << "it is safe to run: teaselctl apply " << context_.options.file
+      << " --base " << base_
+      << " (of two applies on one base only one is accepted)\n";
+  }
   context_.report.Result({ { "result", "unknown" },
                            { "base", base_ },
                            { "apply_id", applyId_ },
--- a/Utilities/teaselctl/ApplyCommand.h
+++ b/Utilities/teaselctl/ApplyCommand.h
@@ -18,6 +18,10 @@
   /// Reads the version in force, unless the operator named the base.
   bool ReadBase();
 
+  /// Base 0 makes a node replace whatever is in force. That is right for the
+  /// first text, and wrong if the node only does not know the version yet.
+  bool CheckIsFirst();
+
   /// Sends the apply to the first node that can be reached, once.
   ExitCode Send();
 
