--- /dev/null
+++ b/Tests/Coordination/AcceptanceTest.cpp
@@ -0,0 +1,148 @@
+#include "Coordination/Acceptance.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold;
+using namespace teaselhold::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kText = "[service a]\n";
+
+/// An Acceptance on a settled node; the test plays the store.
+struct Node
+{
+  Node()
+  {
+    distribution.OnStored({}, peers, now, commands);
+    commands.clear();
+  }
+
+  void Apply(state::Generation aBase = 0)
+  {
+    acceptance.OnApply(
+      { 1, kText, aBase, "own", now + 5s }, peers, now, commands);
+  }
+
+  /// Answers the store call that was made last.
+  void Answer(StoreResult aResult)
+  {
+    std::uint64_t call = 0;
+    for (const auto& command : commands) {
+      if (const auto* made = std::get_if<CallStore>(&command)) {
+        call = made->call;
+      }
+    }
+    CHECK(acceptance.OnStoreAnswer(
+      { call, std::move(aResult) }, peers, now, commands));
+  }
+
+  void Wait(state::Duration aTime)
+  {
+    now += aTime;
+    acceptance.Tick(peers, now, commands);
+  }
+
+  std::vector<ApplyOutcome> Outcomes() const
+  {
+    std::vector<ApplyOutcome> outcomes;
+    for (const auto& command : commands) {
+      if (const auto* finish = std::get_if<FinishApply>(&command)) {
+        outcomes.push_back(finish->outcome);
+      }
+    }
+    return outcomes;
+  }
+
+  static protocol::StoreEntry Entry(state::Generation aGeneration,
+                                    const std::string& aApplyId,
+                                    std::uint64_t aRevision)
+  {
+    wire::StoredConfiguration stored;
+    stored.set_generation(aGeneration);
+    stored.set_text("[service " + aApplyId + "]\n");
+    stored.set_digest(state::DigestOfText(stored.text()));
+    stored.set_apply_id(aApplyId);
+    return { stored.SerializeAsString(), aRevision };
+  }
+
+  PeerDirectory peers;
+  state::Instant now{ 1s };
+  CallNumbers numbers;
+  ConfigurationDistribution distribution{ { "n", 1, "a", "d", "r", "", "" },
+                                          1 };
+  Acceptance acceptance{ 2, numbers, distribution };
+  Commands commands;
+};
+
+using Outcomes = std::vector<ApplyOutcome>;
+const protocol::StoreError kUnavailable{ protocol::StoreErrorCode::Unavailable,
+                                         "down" };
+const protocol::StoreError kLost{ protocol::StoreErrorCode::Unknown, "lost" };
+
+} // namespace
+
+TEST_CASE("an apply while the store is down is certainly not applied")
+{
+  Node node;
+  node.Apply();
+  node.Answer(kUnavailable);
+  node.Wait(6s);
+  CHECK(node.Outcomes() == Outcomes{ ApplyOutcome::NotApplied });
+}
+
+TEST_CASE("a write without an answer until the deadline is unknown")
+{
+  Node node;
+  node.Apply();
+  node.Answer(protocol::StoreEntry{});
+  node.Answer(kLost);
+  node.Wait(6s);
+  CHECK(node.Outcomes() == Outcomes{ ApplyOutcome::Unknown });
+}
+
+TEST_CASE("a write that was lost and overtaken ends as a conflict, not unknown")
+{
+  Node node;
+  node.Apply();
+  node.Answer(protocol::StoreEntry{});
+  node.Answer(kLost);
+  node.Wait(200ms);
+  node.Answer(Node::Entry(1, "other", 9));
+  CHECK(node.Outcomes() == Outcomes{ ApplyOutcome::Conflict });
+}
+
+TEST_CASE("a write without an answer at an unchanged base is sent again")
+{
+  Node node;
+  node.Apply();
+  node.Answer(protocol::StoreEntry{});
+  node.Answer(kLost);
+  node.Wait(200ms);
+  node.Answer(protocol::StoreEntry{});
+  CHECK(node.Outcomes().empty());
+  node.Answer(protocol::SwapResult{ true, {} });
+  CHECK(node.Outcomes() == Outcomes{ ApplyOutcome::Accepted });
+  CHECK(node.distribution.Held().generation() == 1);
+}
+
+TEST_CASE("a node that lags behind the store takes the store's value as base")
+{
+  Node node;
+  node.Apply(4);
+  node.Answer(Node::Entry(5, "other", 9));
+  CHECK(node.Outcomes() == Outcomes{ ApplyOutcome::Conflict });
+  CHECK(node.distribution.Held().generation() == 5);
+}
+
+TEST_CASE("a node that does not know its floor applies nothing")
+{
+  Node node;
+  ConfigurationDistribution unsettled({ "n", 1, "a", "d", "r", "", "" }, 1);
+  Acceptance acceptance(2, node.numbers, unsettled);
+  acceptance.OnApply(
+    { 1, kText, 0, "own", node.now + 1s }, node.peers, node.now, node.commands);
+  acceptance.Tick(node.peers, node.now + 2s, node.commands);
+  CHECK(node.Outcomes() == Outcomes{ ApplyOutcome::NotApplied });
+}
--- /dev/null
+++ b/Tests/Coordination/FloorSearchTest.cpp
@@ -0,0 +1,97 @@
+#include "Coordination/FloorSearch.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold;
+using namespace teaselhold::coordination;
+
+namespace {
+
+constexpr std::uint64_t kQuestion = 77;
+
+/// A search of a relay in "a" among aNames; the first letter is the data
+/// centre.
+struct Search
+{
+  explicit Search(const std::vector<std::string>& aNames)
+  {
+    for (const auto& name : aNames) {
+      peers.relays.push_back({ name, 1, name, name.substr(0, 1), "north" });
+    }
+    search.Start(kQuestion, state::Instant(0));
+  }
+
+  void Answer(const std::string& aNode,
+              state::Generation aHeld,
+              bool aIsSettled,
+              std::uint32_t aCount = 0,
+              std::uint64_t aQuestion = kQuestion)
+  {
+    wire::HeadNotice notice;
+    notice.set_answer(aQuestion);
+    notice.set_relay_count(aCount);
+    notice.mutable_head()->set_held_generation(aHeld);
+    notice.mutable_head()->set_settled(aIsSettled);
+    search.OnAnswer(aNode, notice);
+  }
+
+  std::optional<state::Generation> Result(FloorSearch::Self aSelf = {}) const
+  {
+    return search.Result(aSelf, FindRelaySet("a", peers), peers);
+  }
+
+  PeerDirectory peers;
+  FloorSearch search;
+};
+
+} // namespace
+
+TEST_CASE("one lagging relay of three cannot set the floor of a restarted one")
+{
+  Search search({ "a1", "a2" });
+  search.Answer("a1", 4, true);
+  CHECK_FALSE(search.Result());
+  search.Answer("a2", 5, true);
+  CHECK(search.Result() == 5);
+}
+
+TEST_CASE("answers to an earlier question do not count")
+{
+  Search search({ "a1", "a2" });
+  search.Answer("a1", 4, true, 3, kQuestion - 1);
+  search.Answer("a2", 4, true, 3);
+  CHECK_FALSE(search.Result());
+}
+
+TEST_CASE("a relay that knows few others waits for the majority they know")
+{
+  Search search({ "a1", "a2" });
+  search.Answer("a1", 4, true, 9);
+  search.Answer("a2", 4, true, 9);
+  CHECK_FALSE(search.Result());
+}
+
+TEST_CASE("a data centre that returned as a whole asks the rest of the fleet")
+{
+  Search search({ "a1", "a2", "b1", "b2", "b3" });
+  search.Answer("a1", 0, false);
+  search.Answer("a2", 0, false);
+  search.Answer("b1", 6, true);
+  search.Answer("b2", 5, true);
+  CHECK_FALSE(search.Result());
+  search.Answer("b3", 6, true);
+  CHECK(search.Result() == 6);
+}
+
+TEST_CASE("a few survivors decide only while the store is out")
+{
+  Search search({ "a1", "a2", "b1", "b2", "b3" });
+  for (const auto* node : { "a1", "a2", "b1", "b2" }) {
+    search.Answer(node, 0, false);
+  }
+  search.Answer("b3", 6, true);
+  CHECK_FALSE(search.Result());
+  FloorSearch::Self self;
+  self.isStoreOut = true;
+  CHECK(search.Result(self) == 6);
+}
