--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -177,6 +177,12 @@
 {
   Post(StatusRequested{});
   std::this_thread::sleep_for(kStatusGatherTime);
+  return LocalStatus();
+}
+
+FleetStatus
+ControlPlane::LocalStatus()
+{
   auto promise = std::make_shared<std::promise<FleetStatus>>();
   auto future = promise->get_future();
   if (!ring_.Push(promise) ||
