Tests: Test the limits of the store readers

A leaf makes no store call, a reader has one watch open, repeated watches back off, and the number of contenders does not grow with the region.

--- a/Tests/Coordination/AcceptanceTest.cpp
+++ b/Tests/Coordination/AcceptanceTest.cpp
@@ -34,8 +34,9 @@
         call = made->call;
       }
     }
-    CHECK(acceptance.OnStoreAnswer(
-      { call, std::move(aResult) }, peers, now, commands));
+    const bool isOwn = acceptance.OnStoreAnswer(
+      { call, std::move(aResult) }, peers, now, commands);
+    CHECK(isOwn);
   }
 
   void Wait(state::Duration aTime)
--- /dev/null
+++ b/Tests/Coordination/ReaderDutyTest.cpp
@@ -0,0 +1,150 @@
+#include "Coordination/ReaderDuty.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold;
+using namespace teaselhold::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One relay's duty; the test plays the store and the time.
+struct Reader
+{
+  Reader() { peers.isRelay = true; }
+
+  void Run(state::Duration aTime)
+  {
+    for (const auto end = now + aTime; now < end;) {
+      now += 100ms;
+      duty.Tick(peers, now, commands);
+    }
+  }
+
+  template<typename Request>
+  std::vector<std::uint64_t> Calls() const
+  {
+    std::vector<std::uint64_t> calls;
+    for (const auto& command : commands) {
+      const auto* call = std::get_if<CallStore>(&command);
+      if (call != nullptr && std::holds_alternative<Request>(call->request)) {
+        calls.push_back(call->call);
+      }
+    }
+    return calls;
+  }
+
+  template<typename Request>
+  void Answer(const StoreResult& aResult)
+  {
+    const auto calls = Calls<Request>();
+    REQUIRE(!calls.empty());
+    CHECK(duty.OnStoreAnswer({ calls.back(), aResult }, peers, now, commands));
+  }
+
+  void TakeSlot()
+  {
+    Run(4500ms);
+    Answer<StoreGrant>(protocol::LeaseId{ 5 });
+    Answer<StoreSwap>(protocol::SwapResult{ true, {} });
+    REQUIRE(duty.IsReader());
+  }
+
+  PeerDirectory peers;
+  state::Instant now{ 1s };
+  CallNumbers numbers;
+  ConfigurationDistribution distribution{ { "n", 1, "a", "d", "north", "", "" },
+                                          1 };
+  ReaderDuty duty{ { "n", 1, "a", "d", "north", "", "" },
+                   2,
+                   numbers,
+                   distribution };
+  Commands commands;
+};
+
+} // namespace
+
+TEST_CASE("a leaf never calls the store for versions")
+{
+  Reader reader;
+  reader.peers.isRelay = false;
+  reader.Run(60s);
+  CHECK(reader.commands.empty());
+}
+
+TEST_CASE("a reader has one watch open and renews every 1.5 s")
+{
+  Reader reader;
+  reader.TakeSlot();
+  for (int i = 0; i < 8; ++i) {
+    reader.Run(1500ms);
+    reader.Answer<StoreKeepAlive>(true);
+  }
+  CHECK(reader.duty.IsReader());
+  CHECK(reader.Calls<StoreWatch>().size() == 1);
+  CHECK(reader.Calls<StoreKeepAlive>().size() <= 9);
+}
+
+TEST_CASE("a reader that is paused past its lease is none afterwards")
+{
+  Reader reader;
+  reader.TakeSlot();
+  reader.now += 6s;
+  reader.duty.Tick(reader.peers, reader.now, reader.commands);
+  CHECK_FALSE(reader.duty.IsReader());
+}
+
+TEST_CASE("a watch during a store outage is repeated with a growing delay")
+{
+  Reader reader;
+  reader.TakeSlot();
+  const protocol::StoreError error{ protocol::StoreErrorCode::Unavailable, "" };
+  for (int i = 0; i < 100; ++i) {
+    if (!reader.Calls<StoreKeepAlive>().empty()) {
+      reader.duty.OnStoreAnswer({ reader.Calls<StoreKeepAlive>().back(), true },
+                                reader.peers,
+                                reader.now,
+                                reader.commands);
+    }
+    reader.duty.OnStoreAnswer({ reader.Calls<StoreWatch>().back(), error },
+                              reader.peers,
+                              reader.now,
+                              reader.commands);
+    reader.Run(100ms);
+  }
+  CHECK(reader.Calls<StoreWatch>().size() < 15);
+}
+
+TEST_CASE("beacons and contenders do not grow with the region")
+{
+  Reader reader;
+  for (int i = 0; i < 200; ++i) {
+    const auto name = "r" + std::to_string(i);
+    reader.peers.relays.push_back({ name, 1, name, "d", "north" });
+  }
+  std::size_t contenders = 0;
+  for (int i = 0; i < 200; ++i) {
+    const NodeIdentity identity{
+      "r" + std::to_string(i), 1, "a", "d", "north", "", ""
+    };
+    ReaderDuty duty(identity, 3, reader.numbers, reader.distribution);
+    Commands commands;
+    auto peers = reader.peers;
+    std::erase_if(peers.relays, [&](const Peer& aPeer) {
+      return aPeer.node == identity.name;
+    });
+    for (auto now = state::Instant(1s); now < state::Instant(6s);
+         now += 500ms) {
+      duty.Tick(peers, now, commands);
+    }
+    for (const auto& command : commands) {
+      const auto* call = std::get_if<CallStore>(&command);
+      contenders +=
+        call != nullptr && std::holds_alternative<StoreGrant>(call->request)
+          ? 1
+          : 0;
+    }
+  }
+  CHECK(contenders <= ReaderDuty::kCandidates);
+  CHECK(contenders > 0);
+}
