--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -42,7 +42,7 @@
   /// Runs one apply and waits for its end.
   coordination::FinishApply Apply(coordination::ApplyRequested aRequest);
 
-  /// Takes the status on the control thread.
+  /// Asks the relays and takes the status on the control thread.
   coordination::FleetStatus Status();
 
   /// Takes the status as this node knows it, without asking other nodes. For
--- a/Tests/Coordination/ConfigurationSessionTest.cpp
+++ b/Tests/Coordination/ConfigurationSessionTest.cpp
@@ -278,7 +278,7 @@
 
 TEST_CASE("session: crossed and doubled updates end at the newest version")
 {
-  GoldenSession golden("crossed-updates");
+  GoldenSession golden("crossed-versions");
   auto& fleet = golden.fleet_;
   fleet.session.latePercent = 60;
   fleet.session.doublePercent = 50;
