--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -64,6 +64,23 @@
   SetHeader(aResponse, headers::kGeneration, std::to_string(generation));
 }
 
+/// Counts a call until the end of its scope.
+class CallCount
+{
+public:
+  explicit CallCount(std::shared_ptr<std::size_t> aCount)
+    : count_(std::move(aCount))
+  {
+    ++*count_;
+  }
+  ~CallCount() { --*count_; }
+  CallCount(const CallCount&) = delete;
+  CallCount& operator=(const CallCount&) = delete;
+
+private:
+  std::shared_ptr<std::size_t> count_;
+};
+
 } // namespace
 
 struct CallerSide::Call
@@ -80,10 +97,12 @@
                        const Settings& aSettings,
                        const Clock& aClock,
                        std::uint64_t aIncarnation,
-                       UpstreamSide& aUpstreamSide)
+                       UpstreamSide& aUpstreamSide,
+                       CallMetrics& aCallMetrics)
   : context_(aContext)
   , clock_(aClock)
   , upstreamSide_(aUpstreamSide)
+  , callMetrics_(aCallMetrics)
   , hop_(aContext, aSettings, aClock, aIncarnation, aUpstreamSide)
   , store_(aContext, aSettings.storeAddress)
   , environment_({ aSettings.nodeName,
@@ -108,14 +127,21 @@
     refused = NotRunReason::Draining;
   }
   if (refused) {
+    // Nothing has been routed yet, so the class is not known.
+    callMetrics_.Record(state::RequestClass::Lookup,
+                        ReadHeader(aRequest, headers::kTenant),
+                        NotRun{ *refused },
+                        clock_.Now() - now);
     auto response = MakeResponse(NotRun{ *refused });
     SetGeneration(response, snapshot_);
     co_return response;
   }
+  const CallCount count(inFlight_);
   RemoveHopHeaders(aRequest);
   RemoveNodeHeaders(aRequest);
   const auto depth = facts->depth;
   const auto tenantLimit = TenantLimit(facts->tenant);
+  const auto tenant = facts->tenant;
   Call call{ std::move(aRequest),
              snapshot_,
              depth,
@@ -126,7 +152,14 @@
   while (!std::holds_alternative<Respond>(step)) {
     step = co_await TakeStep(call, step, aCancellation);
   }
-  co_return Finish(call, std::get<Respond>(step));
+  const auto& respond = std::get<Respond>(step);
+  const auto* route = call.session.Route();
+  callMetrics_.Record(route == nullptr ? state::RequestClass::Lookup
+                                       : route->requestClass,
+                      tenant,
+                      respond.outcome,
+                      clock_.Now() - now);
+  co_return Finish(call, respond);
 }
 
 bool
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/CallMetrics.h"
 #include "Services/teaselholdd/NodeHop.h"
 #include "Services/teaselholdd/StoreCalls.h"
 
@@ -14,7 +15,8 @@
              const Settings& aSettings,
              const Clock& aClock,
              std::uint64_t aIncarnation,
-             UpstreamSide& aUpstreamSide);
+             UpstreamSide& aUpstreamSide,
+             coordination::CallMetrics& aCallMetrics);
 
   /// Takes a new snapshot for the calls that start from now on.
   void SetSnapshot(coordination::RoutingSnapshotPointer aSnapshot)
@@ -22,6 +24,7 @@
     snapshot_ = std::move(aSnapshot);
   }
 
+  /// Serves one call and records its outcome.
   Awaitable<Response> Serve(Request aRequest,
                             transport::CancellationPointer aCancellation);
 
@@ -29,6 +32,9 @@
   /// node makes for requests that it still runs.
   void Drain() { draining_ = true; }
 
+  /// Calls that were not refused for draining and have no answer yet.
+  std::size_t InFlight() const { return *inFlight_; }
+
   /// Ends the threads that call the store.
   void Stop() { store_.Stop(); }
 
@@ -51,11 +57,14 @@
   boost::asio::io_context& context_;
   const Clock& clock_;
   UpstreamSide& upstreamSide_;
+  coordination::CallMetrics& callMetrics_;
   NodeHop hop_;
   StoreCalls store_;
   coordination::CallEnvironment environment_;
   coordination::RoutingSnapshotPointer snapshot_;
   bool draining_ = false;
+  /// Shared with the calls, which may outlive this object at shutdown.
+  std::shared_ptr<std::size_t> inFlight_ = std::make_shared<std::size_t>(0);
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -21,7 +21,8 @@
             const Clock& aClock,
             std::uint64_t aIncarnation,
             StateSink aStateSink,
-            CrashSink aCrashSink);
+            CrashSink aCrashSink,
+            coordination::CallMetrics& aCallMetrics);
   ~DataPlane();
 
   tl::expected<void, transport::TransportError> Start();
@@ -38,9 +39,10 @@
   template<typename Function>
   auto OnDataThread(Function aFunction);
 
-  std::size_t InFlight() const;
-  bool WaitUntilIdle(Clock::Steady::time_point aDeadline);
-  void WaitUntilClosed();
+  /// Waits until a condition holds on the data thread.
+  /// @return false if it does not hold before the deadline.
+  bool WaitUntil(Clock::Steady::time_point aDeadline,
+                 const std::function<bool()>& aCondition);
 
   Settings settings_;
   StateSink stateSink_;
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "Coordination/CallMetrics.h"
 #include "Services/teaselholdd/AdmissionQueue.h"
+#include "Services/teaselholdd/KeyedRuns.h"
 #include "Services/teaselholdd/UpstreamLink.h"
+#include "State/ArrivalLog.h"
 
 namespace teaselhold::daemon {
 
@@ -13,8 +16,10 @@
   UpstreamSide(boost::asio::io_context& aContext,
                const Settings& aSettings,
                const Clock& aClock,
+               std::uint64_t aIncarnation,
                UpstreamLink::StateSink aStateSink,
-               UpstreamLink::CrashSink aCrashSink);
+               UpstreamLink::CrashSink aCrashSink,
+               coordination::CallMetrics& aCallMetrics);
 
   /// Starts to probe the upstream.
   void Start();
@@ -37,6 +42,11 @@
 private:
   Awaitable<Exchange> Serve(Request& aRequest,
                             transport::CancellationPointer aCancellation);
+  Response AnswerArrival(const Request& aRequest);
+  std::optional<coordination::Outcome> CheckArrival(const Request& aRequest);
+  Awaitable<Exchange> RunKeyed(
+    Request& aRequest,
+    const coordination::AdmissionRequest& aAdmission);
   Awaitable<Exchange> Run(Request& aRequest,
                           const coordination::AdmissionRequest& aAdmission,
                           transport::CancellationPointer aCancellation);
@@ -46,6 +56,10 @@
   boost::asio::io_context& context_;
   const Settings& settings_;
   const Clock& clock_;
+  std::uint64_t incarnation_;
+  coordination::CallMetrics& callMetrics_;
+  state::ArrivalLog arrivals_;
+  KeyedRuns keyedRuns_;
   std::shared_ptr<AdmissionQueue> admission_;
   UpstreamLink upstream_;
   std::uint64_t nextRequest_ = 1;
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -102,7 +102,8 @@
     },
     [&](std::uint64_t aFingerprint) {
       controlPlane->Post(coordination::CrashObserved{ aFingerprint });
-    });
+    },
+    callMetrics);
   controlPlane = std::make_unique<daemon::ControlPlane>(
     aSettings,
     clock,
