--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -97,10 +97,12 @@
                        const Settings& aSettings,
                        const Clock& aClock,
                        std::uint64_t aIncarnation,
-                       UpstreamSide& aUpstreamSide)
+                       UpstreamSide& aUpstreamSide,
+                       CallMetrics& aCallMetrics)
   : context_(aContext)
   , clock_(aClock)
   , upstreamSide_(aUpstreamSide)
+  , callMetrics_(aCallMetrics)
   , hop_(aContext, aSettings, aClock, aIncarnation, aUpstreamSide)
   , store_(aContext, aSettings.storeAddress)
   , environment_({ aSettings.nodeName,
@@ -125,6 +127,11 @@
     refused = NotRunReason::Draining;
   }
   if (refused) {
+    // Nothing has been routed yet, so the class is not known.
+    callMetrics_.Record(state::RequestClass::Lookup,
+                        ReadHeader(aRequest, headers::kTenant),
+                        NotRun{ *refused },
+                        clock_.Now() - now);
     auto response = MakeResponse(NotRun{ *refused });
     SetGeneration(response, snapshot_);
     co_return response;
@@ -134,6 +141,7 @@
   RemoveNodeHeaders(aRequest);
   const auto depth = facts->depth;
   const auto tenantLimit = TenantLimit(facts->tenant);
+  const auto tenant = facts->tenant;
   Call call{ std::move(aRequest),
              snapshot_,
              depth,
@@ -144,7 +152,14 @@
   while (!std::holds_alternative<Respond>(step)) {
     step = co_await TakeStep(call, step, aCancellation);
   }
-  co_return Finish(call, std::get<Respond>(step));
+  const auto& respond = std::get<Respond>(step);
+  const auto* route = call.session.Route();
+  callMetrics_.Record(route == nullptr ? state::RequestClass::Lookup
+                                       : route->requestClass,
+                      tenant,
+                      respond.outcome,
+                      clock_.Now() - now);
+  co_return Finish(call, respond);
 }
 
 bool
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/CallMetrics.h"
 #include "Services/teaselholdd/NodeHop.h"
 #include "Services/teaselholdd/StoreCalls.h"
 
@@ -14,7 +15,8 @@
              const Settings& aSettings,
              const Clock& aClock,
              std::uint64_t aIncarnation,
-             UpstreamSide& aUpstreamSide);
+             UpstreamSide& aUpstreamSide,
+             coordination::CallMetrics& aCallMetrics);
 
   /// Takes a new snapshot for the calls that start from now on.
   void SetSnapshot(coordination::RoutingSnapshotPointer aSnapshot)
@@ -22,6 +24,7 @@
     snapshot_ = std::move(aSnapshot);
   }
 
+  /// Serves one call and records its outcome.
   Awaitable<Response> Serve(Request aRequest,
                             transport::CancellationPointer aCancellation);
 
@@ -54,6 +57,7 @@
   boost::asio::io_context& context_;
   const Clock& clock_;
   UpstreamSide& upstreamSide_;
+  coordination::CallMetrics& callMetrics_;
   NodeHop hop_;
   StoreCalls store_;
   coordination::CallEnvironment environment_;
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -27,7 +27,8 @@
                      const Clock& aClock,
                      std::uint64_t aIncarnation,
                      StateSink aStateSink,
-                     CrashSink aCrashSink)
+                     CrashSink aCrashSink,
+                     coordination::CallMetrics& aCallMetrics)
   : settings_(aSettings)
   , stateSink_(std::move(aStateSink))
   , upstreamSide_(context_,
@@ -35,8 +36,14 @@
                   aClock,
                   aIncarnation,
                   stateSink_,
-                  std::move(aCrashSink))
-  , callerSide_(context_, settings_, aClock, aIncarnation, upstreamSide_)
+                  std::move(aCrashSink),
+                  aCallMetrics)
+  , callerSide_(context_,
+                settings_,
+                aClock,
+                aIncarnation,
+                upstreamSide_,
+                aCallMetrics)
 {
 }
 
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -21,7 +21,8 @@
             const Clock& aClock,
             std::uint64_t aIncarnation,
             StateSink aStateSink,
-            CrashSink aCrashSink);
+            CrashSink aCrashSink,
+            coordination::CallMetrics& aCallMetrics);
   ~DataPlane();
 
   tl::expected<void, transport::TransportError> Start();
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -69,11 +69,13 @@
                            const Clock& aClock,
                            std::uint64_t aIncarnation,
                            UpstreamLink::StateSink aStateSink,
-                           UpstreamLink::CrashSink aCrashSink)
+                           UpstreamLink::CrashSink aCrashSink,
+                           CallMetrics& aCallMetrics)
   : context_(aContext)
   , settings_(aSettings)
   , clock_(aClock)
   , incarnation_(aIncarnation)
+  , callMetrics_(aCallMetrics)
   , arrivals_(aIncarnation)
   , keyedRuns_(aContext, aClock)
   , admission_(
@@ -182,10 +184,16 @@
   if (!admission) {
     co_return Refuse(NotRunReason::BadRequest);
   }
+  Exchange exchange;
   if (aRequest.count(headers::kClaim) > 0) {
-    co_return co_await RunKeyed(aRequest, *admission);
+    exchange = co_await RunKeyed(aRequest, *admission);
+  } else {
+    exchange = co_await Run(aRequest, *admission, std::move(aCancellation));
   }
-  co_return co_await Run(aRequest, *admission, std::move(aCancellation));
+  if (const auto* notRun = std::get_if<NotRun>(&exchange.outcome)) {
+    callMetrics_.RecordRefusal(admission->requestClass, notRun->reason);
+  }
+  co_return exchange;
 }
 
 asio::awaitable<Exchange>
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/CallMetrics.h"
 #include "Services/teaselholdd/AdmissionQueue.h"
 #include "Services/teaselholdd/KeyedRuns.h"
 #include "Services/teaselholdd/UpstreamLink.h"
@@ -17,7 +18,8 @@
                const Clock& aClock,
                std::uint64_t aIncarnation,
                UpstreamLink::StateSink aStateSink,
-               UpstreamLink::CrashSink aCrashSink);
+               UpstreamLink::CrashSink aCrashSink,
+               coordination::CallMetrics& aCallMetrics);
 
   /// Starts to probe the upstream.
   void Start();
@@ -55,6 +57,7 @@
   const Settings& settings_;
   const Clock& clock_;
   std::uint64_t incarnation_;
+  coordination::CallMetrics& callMetrics_;
   state::ArrivalLog arrivals_;
   KeyedRuns keyedRuns_;
   std::shared_ptr<AdmissionQueue> admission_;
--- a/Tests/Services/OperatorsTest.cpp
+++ b/Tests/Services/OperatorsTest.cpp
@@ -73,7 +73,7 @@
       "node.ini",
       "[node]\nname = a-1\nservice = a\ndata_centre = d\n"
       "region = r\ncaller_address = " +
-        FreeAddress() + "\ndata_address = " + FreeAddress() +
+        caller_ + "\ndata_address = " + FreeAddress() +
         "\ncontrol_address = " + FreeAddress() + "\nadmin_address = " + admin_ +
         "\nmetrics_address = " + metrics_ + "\nseeds = " + FreeAddress() +
         "\ndistribution = direct\n[store]\naddress = " + store_ +
@@ -124,6 +124,7 @@
   TestFolder folder_;
   std::string store_ = FreeAddress();
   std::string admin_ = FreeAddress();
+  std::string caller_ = FreeAddress();
   std::string metrics_ = FreeAddress();
   std::optional<ChildProcess> storeProcess_;
   std::optional<ChildProcess> node_;
@@ -182,7 +183,10 @@
   const auto path = fleet.Write(kText);
   REQUIRE(fleet.Tool("apply " + path).exitCode == 0);
   SmallFleet::WaitFor([&] { return fleet.Tool("get").exitCode == 0; });
+  CHECK(HttpGet(fleet.caller_, "/nowhere").first == 404);
   const auto [status, text] = HttpGet(fleet.metrics_, "/metrics");
+  CHECK(text.find("teaselhold_not_run_total{class=\"lookup\",reason=\"no-route"
+                  "\"} 1\n") != std::string::npos);
   CHECK(status == 200);
   CHECK(text.find("teaselhold_generation{which=\"active\"} 1\n") !=
         std::string::npos);
