Tests: Check draining with half-sent requests and the limit of a tenant

A half-sent request at a draining node gets a whole answer with Connection: close instead of a reset, a running one gets its answer, and the node exits with 0. A tenant at its limit is refused with 429 while others are served.

--- a/Tests/Services/CallPathProcessTest.cpp
+++ b/Tests/Services/CallPathProcessTest.cpp
@@ -3,6 +3,7 @@
 #include "Transport/SocketAddress.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <future>
 #include <set>
 
@@ -10,17 +11,29 @@
 
 namespace {
 
-/// The caller's connection, closed before the answer.
-class AbandonedCall
+/// A caller's connection that the test controls byte by byte.
+class RawCall
 {
 public:
-  AbandonedCall(const std::string& aAddress, const std::string& aHead)
+  RawCall(const std::string& aAddress, const std::string& aBytes)
     : socket_(context_)
   {
     const auto address = *teaselhold::transport::ParseSocketAddress(aAddress);
     socket_.connect(
       { boost::asio::ip::make_address(address.host), address.port });
-    boost::asio::write(socket_, boost::asio::buffer(aHead + "\r\n\r\n"));
+    Send(aBytes);
+  }
+  void Send(const std::string& aBytes)
+  {
+    boost::asio::write(socket_, boost::asio::buffer(aBytes));
+  }
+  /// @return what comes back until the node closes; "reset" if it resets.
+  std::string ReadToEnd()
+  {
+    std::string answer;
+    boost::system::error_code error;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(answer), error);
+    return error == boost::asio::error::eof ? answer : "reset";
   }
   void Close() { socket_.close(); }
 
@@ -46,10 +59,10 @@
   Mesh mesh(2);
   for (std::size_t entry = 0; entry < 2; ++entry) {
     const auto before = SumOf(mesh, "cancelled");
-    AbandonedCall call(mesh[entry].caller,
-                       "GET /passes/hang HTTP/1.1\r\nHost: mesh\r\n"
-                       "X-Run-Id: hang-" +
-                         std::to_string(entry));
+    RawCall call(mesh[entry].caller,
+                 "GET /passes/hang HTTP/1.1\r\nHost: mesh\r\n"
+                 "X-Run-Id: hang-" +
+                   std::to_string(entry) + "\r\n\r\n");
     REQUIRE(WaitUntil([&] { return SumOf(mesh, "running") == 1; }));
     call.Close();
     CHECK(WaitUntil([&] { return SumOf(mesh, "cancelled") == before + 1; }));
@@ -188,3 +201,42 @@
     mesh[0].caller, "GET", "/passes/1", { { "Teaselhold-Deadline-Ms", "0" } });
   CHECK(late.Reason() == "deadline-exceeded");
 }
+
+TEST_CASE("A tenant over its limit cannot take the slots of the others")
+{
+  Mesh mesh(1);
+  const auto send = [&](const std::string& aPath, const std::string& aTenant) {
+    return Call(
+      mesh[0].caller, "GET", aPath, { { "Teaselhold-Tenant", aTenant } });
+  };
+  auto slow = std::async(std::launch::async, send, "/passes/slow", "small");
+  REQUIRE(WaitUntil([&] { return SumOf(mesh, "running") == 1; }));
+  const auto second = send("/passes/1", "small");
+  CHECK(second.Status() == 429);
+  CHECK(second.Reason() == "tenant-limit");
+  CHECK(send("/passes/1", "other").Outcome() == "answered");
+  CHECK(slow.get().Outcome() == "answered");
+}
+
+TEST_CASE("Draining resets neither a half-sent request nor one that runs")
+{
+  Mesh mesh(1);
+  RawCall halfSent(mesh[0].caller,
+                   "POST /visits/half HTTP/1.1\r\nHost: mesh\r\n"
+                   "Content-Length: 6\r\n\r\nabc");
+  auto slow = std::async(std::launch::async, [&] {
+    return Call(mesh[0].caller, "POST", "/visits/slow");
+  });
+  REQUIRE(WaitUntil([&] { return SumOf(mesh, "running") == 1; }));
+  mesh[0].node->Signal(SIGTERM);
+  CHECK(slow.get().Outcome() == "answered");
+  // The node refuses new calls once its announcement has spread.
+  REQUIRE(WaitUntil([&] {
+    return Call(mesh[0].caller, "GET", "/passes/1").Reason() != "no-upstream";
+  }));
+  halfSent.Send("def");
+  const auto answer = halfSent.ReadToEnd();
+  CHECK(answer.find("Teaselhold-Outcome: not-run") != std::string::npos);
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  CHECK(mesh[0].node->Wait() == 0);
+}
