--- a/Meta/measure.py
+++ b/Meta/measure.py
@@ -24,6 +24,8 @@
 SETTLE_SECONDS = 6
 RANDOM_SEED = 20261204
 SERVICES = 20
+LATENCY_CALLS = 5000
+LATENCY_RATE = 500
 DATA_CENTRES = [("dc-1", "region-1"), ("dc-2", "region-1"),
                 ("dc-3", "region-2")]
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -209,7 +211,8 @@
 
 
 def kill_reader(fleet):
-    """Kills one node that holds a reader lease, if one runs."""
+    """Kills one node that holds a reader lease and restarts the last one."""
+    restart_stopped(fleet)
     for node in fleet.running()[:-1]:
         log = (fleet.folder / f"{node.name}.node.log").read_text()
         if log.count("Slot taken.") > log.count("Slot lost."):
@@ -218,6 +221,15 @@
             return
 
 
+def restart_stopped(fleet):
+    """Restarts killed nodes and gives them time to take up their work."""
+    seeds = [other.control for other in fleet.nodes[:3]]
+    for node in fleet.nodes:
+        if node.node.poll() is not None:
+            node.start_node(seeds)
+            time.sleep(SETTLE_SECONDS)
+
+
 def restart_some(fleet):
     """Replaces one node in twenty, as in a busy day."""
     nodes = fleet.running()[3:-1]
@@ -240,9 +252,36 @@
         measure_changes(fleet, "convergence_quiet")
         measure_changes(fleet, "convergence_churn", restart_some)
         if variant == "relay":
+            time.sleep(SETTLE_SECONDS)
             measure_changes(fleet, "convergence_reader_killed", kill_reader)
 
 
+def measure_latency(build):
+    """Sends the same calls straight to the upstream and through two nodes."""
+    with Fleet(build) as fleet:
+        fleet.start_store()
+        for service in ("service-0", "service-1"):
+            fleet.add_node(service, "dc-1", "region-1")
+        fleet.wait_for_version(fleet.apply(make_text(2, 1)))
+        fleet.wait_until_ready()
+        entry, target = fleet.nodes
+        before = process_cost(entry.node.pid)[0]
+        output = subprocess.run(
+            [build / "load_generator", f"--nodes={entry.caller}",
+             "--requests=lookup GET /path-1",
+             f"--straight={target.upstream_address}",
+             f"--count={LATENCY_CALLS}", f"--rate={LATENCY_RATE}"],
+            capture_output=True, text=True, check=True).stdout
+        cost = process_cost(entry.node.pid)[0] - before
+    for line in output.splitlines():
+        words = line.split()
+        if words[0] in ("latency", "straight", "added"):
+            report(f"call_{words[0]}_{words[1]}", float(words[2]), "ms", 2,
+                   "relay")
+    report("entry_node_cpu_per_call", cost / LATENCY_CALLS * 1e6, "us", 2,
+           "relay")
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("build", type=pathlib.Path)
@@ -252,6 +291,7 @@
     sizes = [options.nodes] if options.nodes else DEFAULT_SIZES
     variants = [options.variant] if options.variant else ["direct", "relay"]
     print(f"seed {RANDOM_SEED}", file=sys.stderr)
+    measure_latency(options.build)
     for size in sizes:
         for variant in variants:
             measure_fleet(options.build, size, variant)
