Membership: Let leaves confirm that silent relays are down

A process test that killed two of three relays within a second stopped once: the change was not in force after 60 s on the four live nodes. Cause: a relay asks other relays to confirm a silent node, but skips those that are silent too, and asked leaves only if it knew no relay at all. The last relay therefore never marked the others down and never reached a majority of its relay set. Now it asks its leaves when every other relay is silent.

--- a/Libraries/Coordination/Membership.cpp
+++ b/Libraries/Coordination/Membership.cpp
@@ -11,8 +11,6 @@
 constexpr std::size_t kMaxRelaysInList = 8;
 constexpr state::Duration kRelayProbeInterval = std::chrono::seconds(1);
 constexpr state::Duration kLostProbeInterval = std::chrono::seconds(5);
-/// Relays that do not know each other meet through the seeds.
-constexpr state::Duration kIntroductionInterval = std::chrono::seconds(10);
 constexpr state::Duration kRoleCheckInterval = std::chrono::seconds(5);
 /// Prevents the role from moving back and forth.
 constexpr state::Duration kMinRelayTime = std::chrono::seconds(30);
@@ -20,7 +18,6 @@
 constexpr std::size_t kSpareLeaves = 12;
 constexpr unsigned kRelayProbeCycles = 2;
 constexpr unsigned kLeafProbeCycles = 1;
-constexpr state::Duration kTellInterval = std::chrono::seconds(1);
 
 Peer
 ToPeer(const state::EndpointRecord& aRecord)
@@ -210,10 +207,7 @@
     }
     // The list may be old and name a node that is a leaf by now, which answers
     // with a list again; without a limit the answers multiply without end.
-    const auto last = introducedAt_.find(relay.control_address());
-    if (last == introducedAt_.end() ||
-        aStep.now - last->second >= kIntroductionInterval) {
-      introducedAt_[relay.control_address()] = aStep.now;
+    if (introductions_.Allow(relay.control_address(), aStep.now)) {
       Introduce(relay.control_address(), aStep);
     }
   }
@@ -252,11 +246,9 @@
       record->incarnation != aEnvelope.from_incarnation()) {
     return;
   }
-  auto& told = toldAt_[record->node];
-  if (told != state::Instant(0) && aStep.now - told < kTellInterval) {
+  if (!refutations_.Allow(record->node, aStep.now)) {
     return;
   }
-  told = aStep.now;
   *AddMessage(aStep.commands, aEnvelope.from_address())
      .mutable_endpoint_delta()
      ->add_endpoints() = ToWire(*record);
@@ -347,6 +339,11 @@
 Membership::MarkSilent(const Step& aStep)
 {
   auto helpers = peers_.relays;
+  std::erase_if(helpers, [&](const Peer& aRelay) {
+    return prober_.IsWatching(aRelay.node);
+  });
+  // Relays that are silent themselves confirm nothing. Without the leaves, a
+  // relay that survived two others alone never marked them down.
   if (helpers.empty()) {
     helpers = peers_.leaves;
   }
--- a/Libraries/Coordination/Membership.h
+++ b/Libraries/Coordination/Membership.h
@@ -3,6 +3,7 @@
 #include "Coordination/Attachment.h"
 #include "Coordination/ControlMessages.h"
 #include "Coordination/EndpointDistribution.h"
+#include "Coordination/KeyedRateLimit.h"
 #include "Coordination/LeafRegistry.h"
 #include "Coordination/NodeEvents.h"
 #include "Coordination/ObserverCheck.h"
@@ -85,8 +86,14 @@
   std::vector<std::string> probeOrder_;
   std::string promoted_;
   std::set<std::string> probedLeaves_;
-  std::map<std::string, state::Instant> toldAt_;
-  std::map<std::string, state::Instant> introducedAt_;
+  /// Relays that do not know each other meet through the seeds.
+  static constexpr state::Duration kIntroductionInterval =
+    std::chrono::seconds(10);
+  static constexpr state::Duration kRefutationInterval =
+    std::chrono::seconds(1);
+  /// Nodes that were told that they are held for down.
+  KeyedRateLimit refutations_{ kRefutationInterval };
+  KeyedRateLimit introductions_{ kIntroductionInterval };
   state::Instant relaySince_{ 0 };
   state::Instant nextRelayProbe_{ 0 };
   state::Instant nextLostProbe_{ 0 };
--- a/Tests/Coordination/MembershipSessionTest.cpp
+++ b/Tests/Coordination/MembershipSessionTest.cpp
@@ -328,6 +328,32 @@
   CHECK(session.RunUntil([&] { return IsJoined(session); }, 20s));
 }
 
+TEST_CASE("the last relay of a fleet still puts a change in force")
+{
+  Session session(12);
+  for (int i = 0; i < 6; ++i) {
+    session.Add("n" + std::to_string(i), "lounges", "one");
+  }
+  session.SetSeeds({ "n0", "n1", "n2" });
+  session.StartAll();
+  session.Accept("[service lounges]\nentry = yes\n");
+  REQUIRE(session.RunUntil([&] { return IsJoined(session); }, 20s));
+  auto killed = session.Relays();
+  REQUIRE(killed.size() >= 3);
+  killed.pop_back();
+  for (const auto& relay : killed) {
+    session.Kill(relay);
+  }
+  session.Accept("[service lounges]\nentry = no\n");
+  session.Run(30s);
+  for (const auto& name : session.Names()) {
+    CAPTURE(name);
+    if (std::ranges::find(killed, name) == killed.end()) {
+      CHECK(session.At(name).snapshot->configuration->GetGeneration() == 2);
+    }
+  }
+}
+
 TEST_CASE("a crashing request that only some nodes know of runs elsewhere")
 {
   Session session(10);
--- a/Tests/Services/Mesh.cpp
+++ b/Tests/Services/Mesh.cpp
@@ -2,6 +2,7 @@
 
 #include "Transport/SocketAddress.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -137,7 +138,7 @@
     StartUpstream(node);
     StartNode(node);
   }
-  Apply();
+  REQUIRE(WaitUntil([&] { return Apply(nodes_[0], 1) == 0; }));
   for (const auto& node : nodes_) {
     REQUIRE(WaitUntil([&] {
       return Call(node.caller, "GET", "/passes/ready").Outcome() == "answered";
@@ -181,7 +182,7 @@
          "caller_address = " + aNode.caller + "\ndata_address = " + aNode.data +
          "\ncontrol_address = " + aNode.control +
          "\nadmin_address = " + aNode.admin + "\nseeds = " + seeds +
-         "\ndistribution = direct\n[store]\naddress = " + storeAddress_ +
+         "\n[store]\naddress = " + storeAddress_ +
          "\n[upstream]\naddress = " + aNode.upstreamAddress +
          "\nprobe_interval = 100ms\n";
 }
@@ -208,15 +209,68 @@
 }
 
 void
-Mesh::Apply()
+Mesh::RestartNode(Node& aNode)
 {
-  std::ofstream(Path("text.ini")) << kText;
-  REQUIRE(WaitUntil([&] {
-    Process apply(Program("teaselctl"),
-                  { "--node=" + nodes_[0].admin, "apply", Path("text.ini") },
-                  Path("apply.log"));
-    return apply.Wait() == 0;
-  }));
+  aNode.node.reset();
+  StartNode(aNode);
+}
+
+int
+Mesh::Apply(const Node& aNode, unsigned aVersion)
+{
+  // Each version has another tenant limit, so that the text changes.
+  std::ofstream(Path("text.ini"))
+    << kText << "\n[tenant version]\nmax_in_flight = " << aVersion << "\n";
+  Process apply(Program("teaselctl"),
+                { "--node=" + aNode.admin, "apply", Path("text.ini") },
+                Path("apply.log"));
+  return apply.Wait().value_or(-1);
+}
+
+void
+Mesh::SetStoreFaults(const std::vector<std::string>& aFlags)
+{
+  auto arguments = aFlags;
+  arguments.push_back("--address=" + storeAddress_);
+  Process control(
+    Program("store_stand_in_control"), arguments, Path("control.log"));
+  REQUIRE(control.Wait() == 0);
+}
+
+std::vector<unsigned>
+Mesh::VersionsOf(const Node& aNode) const
+{
+  static constexpr std::string_view kMark = "Version in force. generation=";
+  std::vector<unsigned> versions;
+  const auto log = Read(aNode.name + ".log");
+  auto found = log.find(kMark);
+  while (found != std::string::npos) {
+    versions.push_back(std::stoul(log.substr(found + kMark.size())));
+    found = log.find(kMark, found + 1);
+  }
+  return versions;
+}
+
+bool
+Mesh::IsReader(const Node& aNode) const
+{
+  const auto log = Read(aNode.name + ".log");
+  const auto taken = log.rfind("Slot taken.");
+  const auto lost = log.rfind("Slot lost.");
+  return taken != std::string::npos &&
+         (lost == std::string::npos || lost < taken);
+}
+
+bool
+Mesh::WaitForVersion(unsigned aVersion)
+{
+  return WaitUntil([&] {
+    return std::ranges::all_of(nodes_, [&](Node& aNode) {
+      const auto result = Call(aNode.caller, "GET", "/passes/version");
+      return !aNode.node->IsRunning() ||
+             result.Header("Teaselhold-Generation") == std::to_string(aVersion);
+    });
+  });
 }
 
 void
--- a/Tests/Services/Mesh.h
+++ b/Tests/Services/Mesh.h
@@ -56,6 +56,25 @@
 
   void StartUpstream(Node& aNode);
 
+  /// Kills the node's process if it runs and starts a new one.
+  void RestartNode(Node& aNode);
+
+  /// Applies a text that differs with aVersion.
+  /// @return the exit code of teaselctl.
+  int Apply(const Node& aNode, unsigned aVersion);
+
+  /// Sets the faults of the store's stand-in, by its control flags.
+  void SetStoreFaults(const std::vector<std::string>& aFlags);
+
+  /// The versions that the node put in force, over all its processes.
+  std::vector<unsigned> VersionsOf(const Node& aNode) const;
+
+  /// True if the node last logged that it holds a store reader slot.
+  bool IsReader(const Node& aNode) const;
+
+  /// Waits until every running node routes by exactly this version.
+  bool WaitForVersion(unsigned aVersion);
+
   /// Starts the load generator on all nodes; half of its requests are orders.
   /// At most one load runs in a test.
   void StartLoad(unsigned aCount,
@@ -82,7 +101,6 @@
 private:
   std::string SettingsOf(const Node& aNode) const;
   void StartNode(Node& aNode);
-  void Apply();
   std::string Path(const std::string& aName) const;
   std::string Read(const std::string& aName) const;
 
