--- a/Meta/measure.py
+++ b/Meta/measure.py
@@ -91,34 +91,6 @@
             r"teaselhold_control_(?:sent|received)_bytes\S* (\d+)", text)
         return sum(int(value) for value in values)
 
-    def log_times(self, node, pattern):
-        """Seconds of the day of each log line that matches."""
-        times = []
-        log = (self.folder / f"{node.name}.node.log").read_text()
-        for line in log.splitlines():
-            if pattern in line:
-                hours, minutes, seconds = re.search(
-                    r"(\d\d):(\d\d):(\d\d\.\d+)", line).groups()
-                times.append(int(hours) * 3600 + int(minutes) * 60 +
-                             float(seconds))
-        return times
-
-    def convergence(self, version):
-        """Seconds from acceptance to force on each running node."""
-        self.wait_for_version(version)
-        accepted = [t for n in self.nodes
-                    for t in self.log_times(n, f"Accepted. generation={version}")]
-        begin = min(accepted)
-        taken = []
-        for node in self.running():
-            for later in range(version, version + 3):
-                times = self.log_times(
-                    node, f"Version in force. generation={later}")
-                if times:
-                    taken.append(max(0.0, times[0] - begin))
-                    break
-        return taken
-
 
 def report(name, value, unit, nodes, variant):
     print(json.dumps({"name": name, "value": round(value, 4), "unit": unit,
--- a/Meta/run_demo.py
+++ b/Meta/run_demo.py
@@ -28,13 +28,13 @@
         text = (ROOT / "Base/budapest.mesh.ini").read_text()
         first = fleet.apply(text)
         print(f"accepted version {first} in force everywhere after "
-              f"{fleet.wait_for_version(first) * 1000:.0f} ms")
+              f"{max(fleet.convergence(first)) * 1000:.0f} ms")
         fleet.wait_until_ready()
 
         load = fleet.start_load(REQUESTS, LOAD_COUNT, LOAD_RATE)
         time.sleep(2)
         second = fleet.apply(text.replace("timeout = 800ms", "timeout = 900ms"))
-        change = fleet.wait_for_version(second)
+        change = max(fleet.convergence(second))
         time.sleep(1)
         drained = fleet.nodes[0]
         drained.stop_node()
