CrashReports: Send new reports at once

Process tests ran on the direct baseline until now. With relays, the test of a crashing request failed: 0 of 5 upstreams survived (at least 2 expected), because reports waited for the next tick of 100 ms at each of up to three hops while the caller repeated the request every millisecond. Reports now leave with the event that brought them, and only their repeat waits for the tick.

--- a/Libraries/Coordination/CrashReports.cpp
+++ b/Libraries/Coordination/CrashReports.cpp
@@ -28,7 +28,7 @@
   if (!seen_.emplace(key, aNow).second) {
     return;
   }
-  pending_[key] = kRounds;
+  pending_[key] = { kRounds, true };
   isChanged_ =
     guard_.Report(aFingerprint, aNode, aIncarnation, aNow) || isChanged_;
 }
@@ -41,28 +41,57 @@
   isChanged_ = guard_.Expire(aNow) || isChanged_;
   std::erase_if(
     seen_, [&](const auto& aSeen) { return aNow - aSeen.second >= kMemory; });
+  SendPending(aPeers, false, aCommands);
+}
+
+void
+CrashReports::Flush(const PeerDirectory& aPeers, Commands& aCommands)
+{
+  SendPending(aPeers, true, aCommands);
+}
+
+void
+CrashReports::SendPending(const PeerDirectory& aPeers,
+                          bool aOnlyNew,
+                          Commands& aCommands)
+{
   if (!aPeers.isRelay && !aPeers.relay) {
     // Kept until this node is attached.
     return;
   }
   for (auto entry = pending_.begin(); entry != pending_.end();) {
-    std::vector<Peer> receivers;
-    if (aPeers.isRelay) {
-      receivers = random_.Sample(aPeers.relays, kFanOut);
-      receivers.insert(
-        receivers.end(), aPeers.leaves.begin(), aPeers.leaves.end());
-    } else {
-      receivers.push_back(*aPeers.relay);
+    auto& [key, pending] = *entry;
+    if (aOnlyNew && !pending.isNew) {
+      ++entry;
+      continue;
     }
-    const auto& [fingerprint, node, incarnation] = entry->first;
-    for (const auto& receiver : receivers) {
-      auto& report =
-        *AddMessage(aCommands, receiver.controlAddress).mutable_crash_report();
-      report.set_fingerprint(fingerprint);
-      report.set_node(node);
-      report.set_incarnation(incarnation);
-    }
-    entry = --entry->second == 0 ? pending_.erase(entry) : std::next(entry);
+    pending.isNew = false;
+    SendOne(key, aPeers, aCommands);
+    entry =
+      --pending.roundsLeft == 0 ? pending_.erase(entry) : std::next(entry);
+  }
+}
+
+void
+CrashReports::SendOne(const Key& aKey,
+                      const PeerDirectory& aPeers,
+                      Commands& aCommands)
+{
+  std::vector<Peer> receivers;
+  if (aPeers.isRelay) {
+    receivers = random_.Sample(aPeers.relays, kFanOut);
+    receivers.insert(
+      receivers.end(), aPeers.leaves.begin(), aPeers.leaves.end());
+  } else {
+    receivers.push_back(*aPeers.relay);
+  }
+  const auto& [fingerprint, node, incarnation] = aKey;
+  for (const auto& receiver : receivers) {
+    auto& report =
+      *AddMessage(aCommands, receiver.controlAddress).mutable_crash_report();
+    report.set_fingerprint(fingerprint);
+    report.set_node(node);
+    report.set_incarnation(incarnation);
   }
 }
 
--- a/Libraries/Coordination/CrashReports.h
+++ b/Libraries/Coordination/CrashReports.h
@@ -25,7 +25,11 @@
             std::uint64_t aIncarnation,
             state::Instant aNow);
 
-  /// Sends new reports, each in two rounds, because datagrams may be lost.
+  /// Sends new reports at once: a caller that repeats the request at full speed
+  /// crashes an upstream per millisecond.
+  void Flush(const PeerDirectory& aPeers, Commands& aCommands);
+
+  /// Repeats reports, because datagrams may be lost.
   void Tick(const PeerDirectory& aPeers,
             state::Instant aNow,
             Commands& aCommands);
@@ -37,10 +41,23 @@
 private:
   using Key = std::tuple<std::uint64_t, std::string, std::uint64_t>;
 
+  struct Pending
+  {
+    unsigned roundsLeft = 0;
+    bool isNew = false;
+  };
+
+  void SendPending(const PeerDirectory& aPeers,
+                   bool aOnlyNew,
+                   Commands& aCommands);
+  void SendOne(const Key& aKey,
+               const PeerDirectory& aPeers,
+               Commands& aCommands);
+
   RandomSource random_;
   CrashGuard guard_;
   std::map<Key, state::Instant> seen_;
-  std::map<Key, unsigned> pending_;
+  std::map<Key, Pending> pending_;
   bool isChanged_ = false;
 };
 
--- a/Libraries/Coordination/NodeCore.cpp
+++ b/Libraries/Coordination/NodeCore.cpp
@@ -92,6 +92,7 @@
   }
   UseConfiguration();
   endpoints_.FlushUrgent(membership_.Peers(), commands);
+  crashes_.Flush(membership_.Peers(), commands);
   Publish(commands);
   Stamp(commands);
   return commands;
