Attachment: Leave a silent relay after 3.5 s

Repeats of a heartbeat go out each 0.5 s, so three unanswered ones show a dead relay 3.5 s after its last answer.

--- a/Libraries/Coordination/Attachment.cpp
+++ b/Libraries/Coordination/Attachment.cpp
@@ -17,8 +17,10 @@
 constexpr state::Duration kMaxRoundWait = std::chrono::milliseconds(1000);
 constexpr state::Duration kHeartbeatInterval = std::chrono::seconds(2);
 constexpr state::Duration kHeartbeatRetry = std::chrono::milliseconds(500);
-/// Three heartbeats without an answer.
-constexpr state::Duration kRelaySilence = std::chrono::seconds(6);
+/// A heartbeat and two repeats without an answer. Leaving a live relay costs
+/// one attach; staying at a dead one delays a change, which 6 s did by up
+/// to 6.3 s.
+constexpr state::Duration kRelaySilence = std::chrono::milliseconds(3500);
 constexpr state::Duration kMaxRejoinJitter = std::chrono::milliseconds(500);
 constexpr state::Duration kPullInterval = std::chrono::seconds(1);
 constexpr std::size_t kMaxCandidates = 24;
