Tests: Choose ports outside the ephemeral range

The demonstration failed twice in relay mode with "not every upstream became ready", and passed in all other runs. Likely cause, not proven: ports came from the ephemeral range and were released before their owner started, so an outgoing connection of an earlier process could take one. Scripts and tests now take ports from 10000 to 29999 that are free for TCP and UDP.

--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -1,5 +1,7 @@
 """Starts and stops a fleet of real processes on loopback."""
 import collections
+import itertools
+import os
 import pathlib
 import re
 import shutil
@@ -12,24 +14,28 @@
 STARTUP_LIMIT_SECONDS = 30
 
 
-def free_ports(count):
-    """Returns ports that are free for both TCP and UDP."""
-    sockets, ports = [], []
-    while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+def is_free(port):
+    """Tells whether a port is free for both TCP and UDP."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
         try:
+            tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
         except OSError:
-            tcp.close()
-            continue
-        sockets += [tcp, udp]
-        ports.append(port)
-    for item in sockets:
-        item.close()
-    return ports
+            return False
+    return True
+
+
+# Below the kernel's ephemeral range; otherwise an outgoing connection of a
+# process that already runs can take the port before its owner starts.
+PORTS = itertools.cycle(range(10000, 30000))
+for _ in range(os.getpid() * 251 % 20000):
+    next(PORTS)
+
+
+def free_ports(count):
+    """Returns ports that no process uses and that were not returned lately."""
+    return list(itertools.islice(filter(is_free, PORTS), count))
 
 
 class Node:
--- a/Tests/Services/Mesh.cpp
+++ b/Tests/Services/Mesh.cpp
@@ -1,5 +1,6 @@
 #include "Tests/Services/Mesh.h"
 
+#include "Tests/Support/FreePort.h"
 #include "Transport/SocketAddress.h"
 
 #include <algorithm>
@@ -41,29 +42,6 @@
 max_in_flight = 1
 )";
 
-/// Returns loopback addresses whose ports the kernel chose as free for TCP and
-/// UDP.
-std::vector<std::string>
-FreeAddresses(std::size_t aCount)
-{
-  asio::io_context context;
-  std::vector<asio::ip::tcp::acceptor> streams;
-  std::vector<asio::ip::udp::socket> datagrams;
-  std::vector<std::string> addresses;
-  const auto loopback = asio::ip::address_v4::loopback();
-  while (addresses.size() < aCount) {
-    streams.emplace_back(context, asio::ip::tcp::endpoint(loopback, 0));
-    const auto port = streams.back().local_endpoint().port();
-    boost::system::error_code error;
-    datagrams.emplace_back(context, asio::ip::udp::v4());
-    datagrams.back().bind({ loopback, port }, error);
-    if (!error) {
-      addresses.push_back("127.0.0.1:" + std::to_string(port));
-    }
-  }
-  return addresses;
-}
-
 std::string
 Program(const std::string& aName)
 {
@@ -117,7 +95,10 @@
   auto folder =
     (std::filesystem::temp_directory_path() / "teaselhold-XXXXXX").string();
   folder_ = mkdtemp(folder.data());
-  const auto addresses = FreeAddresses(1 + 5 * aNodes);
+  std::vector<std::string> addresses;
+  std::generate_n(std::back_inserter(addresses), 1 + 5 * aNodes, [] {
+    return FreeAddress();
+  });
   storeAddress_ = addresses[0];
   store_ = std::make_unique<Process>(
     Program("store_stand_in"),
