Protocol: Express hosts, weighted targets, objectives and limits in the text

Cause: the users' platform routes by host and longest prefix, splits routes by weight, and gives each route an objective, attempts and client limits. The operators' text could express none of these. Ruled out: a second configuration format inside the product. The adapter writes the operators' text instead, so acceptance, deltas and teaselctl get see one form only. The store interface can list and watch a prefix and end a lease.

--- a/Libraries/Protocol/ConfigurationText.cpp
+++ b/Libraries/Protocol/ConfigurationText.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxServices = 2000;
 constexpr std::size_t kMaxRoutes = 10000;
 constexpr std::size_t kMaxNameLength = 63;
+constexpr std::uint32_t kMaxAttempts = 16;
+constexpr std::uint32_t kMaxWeight = 1000000;
 constexpr std::chrono::milliseconds kMaxTimeout = std::chrono::minutes(10);
 
 bool
@@ -24,7 +26,9 @@
   return !aText.empty() && aText.size() <= kMaxNameLength &&
          std::ranges::all_of(aText, [](char aCharacter) {
            return (aCharacter >= 'a' && aCharacter <= 'z') ||
-                  (aCharacter >= '0' && aCharacter <= '9') || aCharacter == '-';
+                  (aCharacter >= 'A' && aCharacter <= 'Z') ||
+                  (aCharacter >= '0' && aCharacter <= '9') ||
+                  aCharacter == '-' || aCharacter == '_' || aCharacter == '.';
          });
 }
 
@@ -90,20 +94,27 @@
       ReadMesh(aSection);
       return;
     }
+    if (aSection.name == "limits") {
+      ReadLimits(aSection);
+      return;
+    }
     if (kind != "service" && kind != "route" && kind != "tenant") {
-      Fail(ProtocolErrorCode::UnknownName,
-           aSection.line,
-           "unknown section [" + aSection.name +
-             "]; expected [service NAME], [route NAME], [tenant NAME] or "
-             "[mesh]" +
-             SuggestName(kind, { "service", "route", "tenant", "mesh" }));
+      Fail(
+        ProtocolErrorCode::UnknownName,
+        aSection.line,
+        "unknown section [" + aSection.name +
+          "]; expected [service NAME], [route NAME], [tenant NAME], [limits] "
+          "or [mesh]" +
+          SuggestName(kind,
+                      { "service", "route", "tenant", "limits", "mesh" }));
       return;
     }
     if (!IsName(name)) {
       Fail(ProtocolErrorCode::InvalidValue,
            aSection.line,
            "bad " + kind + " name \"" + name +
-             "\"; expected 1 to 63 of a-z, 0-9 and \"-\"");
+             "\"; expected 1 to 63 of letters, digits, \"-\", \"_\" and "
+             "\".\"");
       return;
     }
     if (kind == "service") {
@@ -140,6 +151,44 @@
     }
   }
 
+  void ReadLimits(const IniSection& aSection)
+  {
+    CheckKeys(aSection,
+              { "max_header_bytes",
+                "max_body_bytes",
+                "header_timeout",
+                "idle_timeout" });
+    state::ClientLimits limits;
+    limits.maxHeaderBytes =
+      ReadBytes(aSection, "max_header_bytes", limits.maxHeaderBytes);
+    limits.maxBodyBytes =
+      ReadBytes(aSection,
+                "max_body_bytes",
+                static_cast<std::uint32_t>(limits.maxBodyBytes));
+    if (const auto* entry = aSection.Find("header_timeout")) {
+      limits.headerTimeout = ReadTimeout(*entry);
+    }
+    if (const auto* entry = aSection.Find("idle_timeout")) {
+      limits.idleTimeout = ReadTimeout(*entry);
+    }
+    limits_ = limits;
+  }
+
+  std::uint32_t ReadBytes(const IniSection& aSection,
+                          std::string_view aKey,
+                          std::uint32_t aDefault)
+  {
+    const auto* entry = aSection.Find(aKey);
+    if (entry == nullptr) {
+      return aDefault;
+    }
+    const auto value = ReadNumber(entry->value);
+    if (!value || *value == 0) {
+      BadValue(*entry, "a whole number of bytes above 0");
+    }
+    return value.value_or(aDefault);
+  }
+
   void ReadService(const IniSection& aSection, const std::string& aName)
   {
     CheckKeys(aSection, { "depends", "entry" });
@@ -159,15 +208,33 @@
   void ReadRoute(const IniSection& aSection, const std::string& aName)
   {
     CheckKeys(aSection,
-              { "match", "service", "class", "idempotent", "timeout" });
+              { "match",
+                "host",
+                "service",
+                "targets",
+                "class",
+                "idempotent",
+                "timeout",
+                "latency_objective",
+                "max_attempts" });
     state::RouteSpec route;
     route.name = aName;
+    if (const auto* entry = aSection.Find("host")) {
+      ReadHost(*entry, route);
+    }
     if (const auto* entry = Require(aSection, "match")) {
       ReadMatch(*entry, route);
     }
-    if (const auto* entry = Require(aSection, "service")) {
-      route.service = entry->value;
-      routeLines_[aName] = entry->line;
+    ReadServices(aSection, route);
+    if (const auto* entry = aSection.Find("latency_objective")) {
+      route.latencyObjective = ReadTimeout(*entry);
+    }
+    if (const auto* entry = aSection.Find("max_attempts")) {
+      const auto value = ReadNumber(entry->value);
+      if (!value || *value == 0 || *value > kMaxAttempts) {
+        BadValue(*entry, "a whole number from 1 to 16");
+      }
+      route.maxAttempts = value.value_or(1);
     }
     if (const auto* entry = Require(aSection, "class")) {
       const auto value =
@@ -186,6 +253,59 @@
     routes_.push_back(std::move(route));
   }
 
+  void ReadHost(const IniEntry& aEntry, state::RouteSpec& aRoute)
+  {
+    aRoute.host = aEntry.value;
+    const bool valid =
+      !aEntry.value.empty() &&
+      std::ranges::all_of(aEntry.value, [](unsigned char aCharacter) {
+        return std::isalnum(aCharacter) != 0 || aCharacter == '.' ||
+               aCharacter == '-' || aCharacter == '_';
+      });
+    if (!valid) {
+      BadValue(aEntry, "a host name without a port");
+    }
+  }
+
+  /// Reads `service = NAME` or `targets = NAME:WEIGHT, NAME:WEIGHT`.
+  void ReadServices(const IniSection& aSection, state::RouteSpec& aRoute)
+  {
+    const auto* targets = aSection.Find("targets");
+    if (targets == nullptr) {
+      if (const auto* entry = Require(aSection, "service")) {
+        aRoute.service = entry->value;
+        routeLines_[aRoute.name] = entry->line;
+      }
+      return;
+    }
+    routeLines_[aRoute.name] = targets->line;
+    for (const auto& part : SplitList(targets->value)) {
+      const auto colon = part.rfind(':');
+      const auto weight =
+        colon == std::string::npos
+          ? std::nullopt
+          : ReadNumber(std::string_view(part).substr(colon + 1));
+      if (!weight || *weight > kMaxWeight) {
+        BadValue(*targets,
+                 "\"NAME:WEIGHT, NAME:WEIGHT\" with weights up to "
+                 "1000000");
+        return;
+      }
+      aRoute.targets.push_back({ part.substr(0, colon), *weight });
+    }
+    const bool hasWeight = std::ranges::any_of(
+      aRoute.targets,
+      [](const state::RouteTarget& aTarget) { return aTarget.weight > 0; });
+    if (!hasWeight) {
+      BadValue(*targets, "at least one target with a weight above 0");
+    }
+    if (aSection.Find("service") != nullptr) {
+      Fail(ProtocolErrorCode::InvalidValue,
+           targets->line,
+           "[" + aSection.name + "] has both \"service\" and \"targets\"");
+    }
+  }
+
   void ReadTenant(const IniSection& aSection, const std::string& aName)
   {
     CheckKeys(aSection, { "max_in_flight" });
@@ -263,9 +383,10 @@
 
   void ReadMatch(const IniEntry& aEntry, state::RouteSpec& aRoute)
   {
-    static const std::set<std::string> kMethods{ "GET",    "HEAD",  "POST",
-                                                 "PUT",    "PATCH", "DELETE",
-                                                 "OPTIONS" };
+    static const std::set<std::string> kMethods{ "GET",     "HEAD",
+                                                 "POST",    "PUT",
+                                                 "PATCH",   "DELETE",
+                                                 "OPTIONS", state::kAnyMethod };
     const auto space = aEntry.value.find(' ');
     aRoute.method = aEntry.value.substr(0, space);
     aRoute.pathPrefix =
@@ -278,7 +399,8 @@
       return;
     }
     const auto [other, added] =
-      matches_.emplace(aEntry.value, std::make_pair(aRoute.name, aEntry.line));
+      matches_.emplace(aRoute.host + " " + aEntry.value,
+                       std::make_pair(aRoute.name, aEntry.line));
     if (!added) {
       Fail(ProtocolErrorCode::InvalidValue,
            aEntry.line,
@@ -321,10 +443,15 @@
       }
     }
     for (const auto& route : routes_) {
-      if (routeLines_.contains(route.name)) {
-        CheckService(route.service,
-                     routeLines_[route.name],
-                     "route \"" + route.name + "\" names service \"");
+      if (!routeLines_.contains(route.name)) {
+        continue;
+      }
+      const auto prefix = "route \"" + route.name + "\" names service \"";
+      if (route.targets.empty()) {
+        CheckService(route.service, routeLines_[route.name], prefix);
+      }
+      for (const auto& target : route.targets) {
+        CheckService(target.service, routeLines_[route.name], prefix);
       }
     }
   }
@@ -408,6 +535,9 @@
     for (auto& tenant : tenants_) {
       builder.AddTenant(std::move(tenant));
     }
+    if (limits_) {
+      builder.SetLimits(*limits_);
+    }
     return builder.Build().map_error([](const state::StateError& aError) {
       return std::vector<ProtocolError>{
         { ProtocolErrorCode::InvalidValue, 0, aError.message }
@@ -419,6 +549,7 @@
   std::vector<state::ServiceSpec> services_;
   std::vector<state::RouteSpec> routes_;
   std::vector<state::TenantSpec> tenants_;
+  std::optional<state::ClientLimits> limits_;
   std::set<std::string> serviceNames_;
   std::map<std::string, std::size_t> dependencyLines_;
   std::map<std::string, std::size_t> routeLines_;
--- a/Libraries/Protocol/StoreClient.h
+++ b/Libraries/Protocol/StoreClient.h
@@ -4,8 +4,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace teaselhold::protocol {
 
@@ -18,14 +22,20 @@
   /// The store's rates are used up; the call did not take effect.
   RateLimited,
   TooLarge,
+  /// The store no longer has the changes that a watch asked for; list again.
+  HistoryLost,
+  /// The lease of a write has lapsed; the write did not take effect.
+  LeaseLapsed,
 };
 
-inline constexpr std::array<state::EnumName<StoreErrorCode>, 4>
+inline constexpr std::array<state::EnumName<StoreErrorCode>, 6>
   kStoreErrorNames{ {
     { StoreErrorCode::Unavailable, "unavailable" },
     { StoreErrorCode::Unknown, "unknown outcome" },
     { StoreErrorCode::RateLimited, "rate limited" },
     { StoreErrorCode::TooLarge, "too large" },
+    { StoreErrorCode::HistoryLost, "history lost" },
+    { StoreErrorCode::LeaseLapsed, "lease lapsed" },
   } };
 
 struct StoreError
@@ -48,6 +58,36 @@
   StoreEntry current;
 };
 
+struct StoreItem
+{
+  std::string key;
+  std::string value;
+  std::uint64_t revision = 0;
+};
+
+/// The keys under a prefix. Several pages may have been read, so the items are
+/// not a snapshot; a watch after the revision brings what was missed.
+struct StoreListing
+{
+  std::vector<StoreItem> items;
+  std::uint64_t revision = 0;
+};
+
+/// One change of a key; without a value the key was removed.
+struct StoreChange
+{
+  std::string key;
+  std::optional<std::string> value;
+  std::uint64_t revision = 0;
+};
+
+struct StoreChanges
+{
+  std::vector<StoreChange> changes;
+  /// The next watch continues after this revision.
+  std::uint64_t revision = 0;
+};
+
 /// Names a lease; 0 means none.
 using LeaseId = std::uint64_t;
 
@@ -85,10 +125,33 @@
     std::uint64_t aKnownRevision,
     std::chrono::milliseconds aWait) = 0;
 
+  /// Reads every key that starts with the prefix.
+  virtual tl::expected<StoreListing, StoreError> List(
+    const std::string& aPrefix,
+    std::chrono::milliseconds aTimeout) = 0;
+
+  /// Waits for changes of keys that start with the prefix after a revision of
+  /// the store, for aWait at the longest.
+  virtual tl::expected<StoreChanges, StoreError> WatchPrefix(
+    const std::string& aPrefix,
+    std::uint64_t aAfterRevision,
+    std::chrono::milliseconds aWait) = 0;
+
+  /// Ends a lease and removes its keys. A lease that has lapsed is no error.
+  virtual tl::expected<bool, StoreError> EndLease(
+    LeaseId aLease,
+    std::chrono::milliseconds aTimeout) = 0;
+
   /// Ends waiting calls early and fails all later ones. Safe on any thread.
   virtual void Close() {}
 };
 
+/// Makes one more client; each part that calls the store has its own.
+using StoreClientFactory = std::function<std::unique_ptr<StoreClient>()>;
+
+/// The nodes that carry requests, one record each under a lease of its own.
+inline constexpr const char* kNodePrefix = "teaselhold/nodes/";
+
 /// The key of the accepted configuration, a wire::StoredConfiguration.
 inline constexpr const char* kConfigurationKey = "teaselhold/configuration";
 
--- a/Libraries/State/Configuration.cpp
+++ b/Libraries/State/Configuration.cpp
@@ -26,6 +26,19 @@
   return aPath;
 }
 
+std::vector<std::string>
+ServicesOf(const RouteSpec& aRoute)
+{
+  if (aRoute.targets.empty()) {
+    return { aRoute.service };
+  }
+  std::vector<std::string> services;
+  for (const auto& target : aRoute.targets) {
+    services.push_back(target.service);
+  }
+  return services;
+}
+
 tl::unexpected<StateError>
 Invalid(std::string aMessage)
 {
@@ -49,15 +62,39 @@
   return found == tenantIndex_.end() ? nullptr : &tenants_[found->second];
 }
 
+const RouteSpec*
+Configuration::FindExact(const RouteIndex& aIndex,
+                         std::string_view aMethod,
+                         std::string_view aPrefix) const
+{
+  for (const auto method : { aMethod, std::string_view(kAnyMethod) }) {
+    const auto found = aIndex.find(RouteKey(method, aPrefix));
+    if (found != aIndex.end()) {
+      return &routes_[found->second];
+    }
+  }
+  return nullptr;
+}
+
 const RouteSpec*
 Configuration::FindRoute(std::string_view aMethod,
-                         std::string_view aTarget) const
+                         std::string_view aTarget,
+                         std::string_view aHost) const
 {
-  auto path = WithoutTrailingSlash(aTarget.substr(0, aTarget.find('?')));
+  auto index = routeIndex_.find(aHost.substr(0, aHost.find(':')));
+  if (index == routeIndex_.end()) {
+    index = routeIndex_.find("");
+  }
+  if (index == routeIndex_.end()) {
+    return nullptr;
+  }
+  const auto whole = aTarget.substr(0, aTarget.find('?'));
+  auto path = WithoutTrailingSlash(whole);
   while (!path.empty()) {
-    const auto found = routeIndex_.find(RouteKey(aMethod, path));
-    if (found != routeIndex_.end()) {
-      return &routes_[found->second];
+    const auto* route = FindExact(index->second, aMethod, path);
+    const bool isWholePath = path.size() == whole.size();
+    if (route != nullptr && !(route->isSubtreeOnly && isWholePath)) {
+      return route;
     }
     if (path == "/") {
       return nullptr;
@@ -111,6 +148,8 @@
 ConfigurationBuilder&
 ConfigurationBuilder::AddRoute(RouteSpec aRoute)
 {
+  aRoute.isSubtreeOnly =
+    aRoute.pathPrefix.size() > 1 && aRoute.pathPrefix.ends_with('/');
   aRoute.pathPrefix = WithoutTrailingSlash(aRoute.pathPrefix);
   configuration_->routes_.push_back(std::move(aRoute));
   return *this;
@@ -123,6 +162,13 @@
   return *this;
 }
 
+ConfigurationBuilder&
+ConfigurationBuilder::SetLimits(ClientLimits aLimits)
+{
+  configuration_->limits_ = aLimits;
+  return *this;
+}
+
 tl::expected<ConfigurationPointer, StateError>
 ConfigurationBuilder::Build()
 {
@@ -144,12 +190,14 @@
   }
   for (std::size_t i = 0; i < built->routes_.size(); ++i) {
     const auto& route = built->routes_[i];
-    if (built->FindService(route.service) == nullptr) {
-      return Invalid("route \"" + route.name + "\" names service \"" +
-                     route.service + "\", which does not exist");
+    for (const auto& service : ServicesOf(route)) {
+      if (built->FindService(service) == nullptr) {
+        return Invalid("route \"" + route.name + "\" names service \"" +
+                       service + "\", which does not exist");
+      }
     }
     const auto key = RouteKey(route.method, route.pathPrefix);
-    if (!built->routeIndex_.emplace(key, i).second) {
+    if (!built->routeIndex_[route.host].emplace(key, i).second) {
       return Invalid("two routes match \"" + key + "\"");
     }
   }
--- a/Libraries/State/Configuration.h
+++ b/Libraries/State/Configuration.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -27,15 +28,54 @@
   bool isEntry = false;
 };
 
+/// A service that gets a share of a route's requests.
+struct RouteTarget
+{
+  std::string service;
+  std::uint32_t weight = 1;
+};
+
+/// The method of a route that takes every method.
+inline constexpr const char* kAnyMethod = "ANY";
+
 struct RouteSpec
 {
   std::string name;
+  /// kAnyMethod matches every method.
   std::string method;
+  /// Without a trailing slash once it is built.
   std::string pathPrefix;
+  /// Empty if the route has targets.
   std::string service;
   RequestClass requestClass = RequestClass::Lookup;
   bool isIdempotent = false;
   std::chrono::milliseconds timeout{ 1000 };
+  /// The Host that the route belongs to; empty matches every host that has no
+  /// routes of its own.
+  std::string host = {};
+  /// Two or more services that share the requests by weight.
+  std::vector<RouteTarget> targets = {};
+  /// An answer within this time has its full worth; 0 if the operator named
+  /// none.
+  std::chrono::milliseconds latencyObjective{ 0 };
+  /// Upstreams to which one request may be delivered; 0 leaves it to the
+  /// retry policy.
+  std::uint32_t maxAttempts = 0;
+  /// The prefix was written with a trailing slash: the path that equals it
+  /// without the slash does not match.
+  bool isSubtreeOnly = false;
+};
+
+/// What a client may send, and how long it may take or stay idle. Applies to
+/// the connections of callers.
+struct ClientLimits
+{
+  std::uint32_t maxHeaderBytes = 16 * 1024;
+  std::uint64_t maxBodyBytes = 16ULL * 1024 * 1024;
+  std::chrono::milliseconds headerTimeout{ 5000 };
+  std::chrono::milliseconds idleTimeout{ 60000 };
+
+  bool operator==(const ClientLimits&) const = default;
 };
 
 struct TenantSpec
@@ -60,16 +100,23 @@
   const std::vector<RouteSpec>& Routes() const { return routes_; }
   const std::vector<TenantSpec>& Tenants() const { return tenants_; }
 
+  /// @return nothing if the text names no limits.
+  const std::optional<ClientLimits>& Limits() const { return limits_; }
+
   /// @return nullptr if there is no such service.
   const ServiceSpec* FindService(std::string_view aName) const;
 
   /// @return nullptr if the tenant has no limit of its own.
   const TenantSpec* FindTenant(std::string_view aName) const;
 
-  /// Returns the route with the longest matching path prefix. A prefix matches
-  /// whole path segments; the query is ignored.
+  /// Returns the route with the longest matching path prefix among the routes
+  /// of the host, or among those without a host if the host has none. A prefix
+  /// matches whole path segments; the query and the port of the host are
+  /// ignored.
+  /// @return nullptr if no route matches.
   const RouteSpec* FindRoute(std::string_view aMethod,
-                             std::string_view aTarget) const;
+                             std::string_view aTarget,
+                             std::string_view aHost = {}) const;
 
   /// Names the services that a node beside aService may call: its direct
   /// dependencies and every entry service, sorted.
@@ -87,8 +134,15 @@
   std::vector<TenantSpec> tenants_;
   std::map<std::string, std::size_t, std::less<>> serviceIndex_;
   std::map<std::string, std::size_t, std::less<>> tenantIndex_;
-  /// Keyed by "METHOD /prefix".
-  std::unordered_map<std::string, std::size_t> routeIndex_;
+  /// Routes of one host, keyed by "METHOD /prefix".
+  using RouteIndex = std::unordered_map<std::string, std::size_t>;
+
+  const RouteSpec* FindExact(const RouteIndex& aIndex,
+                             std::string_view aMethod,
+                             std::string_view aPrefix) const;
+
+  std::map<std::string, RouteIndex, std::less<>> routeIndex_;
+  std::optional<ClientLimits> limits_;
 };
 
 using ConfigurationPointer = std::shared_ptr<const Configuration>;
@@ -102,6 +156,7 @@
   ConfigurationBuilder& AddService(ServiceSpec aService);
   ConfigurationBuilder& AddRoute(RouteSpec aRoute);
   ConfigurationBuilder& AddTenant(TenantSpec aTenant);
+  ConfigurationBuilder& SetLimits(ClientLimits aLimits);
 
   /// Fails if a name stands twice or a route or dependency names a service
   /// that does not exist. Leaves the builder empty.
--- a/Libraries/State/EndpointRecord.h
+++ b/Libraries/State/EndpointRecord.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace teaselhold::state {
 
@@ -24,6 +25,25 @@
   { EndpointState::Down, "down" },
 } };
 
+/// Tells one run of an upstream's process from every other one.
+struct UpstreamIdentity
+{
+  std::string id;
+  /// The wall clock of the upstream's start in milliseconds. A process that
+  /// starts again may keep its id but not this.
+  std::uint64_t bornMilliseconds = 0;
+  /// Number of the announcement that the state comes from.
+  std::uint64_t sequence = 0;
+  std::uint32_t slots = 0;
+
+  bool IsSameRun(const UpstreamIdentity& aOther) const
+  {
+    return id == aOther.id && bornMilliseconds == aOther.bornMilliseconds;
+  }
+
+  bool operator==(const UpstreamIdentity&) const = default;
+};
+
 /// What is known of one upstream and the node beside it. The node is the only
 /// author, except that an observer may add Down at an unchanged
 /// (incarnation, sequence).
@@ -45,6 +65,10 @@
   /// The relay that the node is attached to; empty for a relay.
   std::string relay;
   bool isRelay = false;
+  /// Empty id: the upstream does not announce itself.
+  UpstreamIdentity upstream;
+  /// Fingerprints of the requests that ran when the upstream crashed lately.
+  std::vector<std::uint64_t> crashSuspects;
 
   bool operator==(const EndpointRecord&) const = default;
 };
--- /dev/null
+++ b/Libraries/State/UpstreamAnnouncement.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "State/EndpointRecord.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace teaselhold::state {
+
+/// What an upstream says of itself to the node beside it.
+struct UpstreamAnnouncement
+{
+  UpstreamIdentity upstream;
+  std::string service;
+  /// IP:port where it takes requests.
+  std::string address;
+  std::string dataCentre;
+  /// Ready or Draining.
+  EndpointState state = EndpointState::Ready;
+  /// How much longer it works slowly after its start.
+  std::chrono::milliseconds coldLeft{ 0 };
+};
+
+/// The last message of an upstream; it may still serve for a moment.
+struct UpstreamDeparture
+{
+  std::string id;
+  /// Not set if the upstream did not say when it started.
+  std::optional<std::uint64_t> bornMilliseconds;
+};
+
+} // namespace teaselhold::state
