Transport: Handle pipelined requests together and skip foreign answers

Cause: a connection carried one request at a time, so a request that a client sent early waited for the one before it, and bytes that a client sent early hid its close. Upstreams send second answers, answers without a length, and answers before the body is read; each was lost or delayed. Change: a server connection reads all the time and answers in order. A client connection writes a large body while it reads, skips answers with another identity, and accepts an unframed answer if its contract says so.

--- a/Libraries/Transport/BoundedRing.h
+++ b/Libraries/Transport/BoundedRing.h
@@ -47,6 +47,21 @@
     return PopLocked();
   }
 
+  /// Waits for an item for a while. @return nothing if none came.
+  template<typename Duration>
+  std::optional<Item> PopFor(Duration aWait)
+  {
+    std::unique_lock lock(mutex_);
+    ready_.wait_for(lock, aWait, [this] { return closed_ || !items_.empty(); });
+    return PopLocked();
+  }
+
+  bool IsClosed() const
+  {
+    const std::lock_guard lock(mutex_);
+    return closed_;
+  }
+
   void Close()
   {
     {
@@ -67,7 +82,7 @@
     return item;
   }
 
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::condition_variable ready_;
   boost::circular_buffer<Item> items_;
   bool closed_ = false;
--- a/Libraries/Transport/HttpClientConnection.cpp
+++ b/Libraries/Transport/HttpClientConnection.cpp
@@ -1,9 +1,7 @@
 #include "Transport/HttpClientConnection.h"
 
 #include "Transport/SocketAddress.h"
-
-#include <netinet/tcp.h>
-#include <optional>
+#include "Transport/SocketOptions.h"
 
 namespace teaselhold::transport {
 
@@ -11,12 +9,17 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using UserTimeout =
-  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 /// An unreachable host is given up early, while there is time to send the
 /// request to another one. Regions are at most about 100 ms apart.
-constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
+constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
+
+/// A smaller request fits into the socket's buffer, so it is written before the
+/// answer is read.
+constexpr std::size_t kSmallBodyBytes = std::size_t{ 8 } * 1024;
+
+/// Late answers that are skipped before a connection is given up.
+constexpr int kMaxSkippedAnswers = 4;
 
 TransportError
 ToTransportError(const boost::system::error_code& aError,
@@ -76,33 +79,73 @@
   }
   stream_.socket().set_option(asio::ip::tcp::no_delay(true), error);
   if (aSilenceLimit.count() > 0) {
-    stream_.socket().set_option(
-      UserTimeout(static_cast<int>(aSilenceLimit.count())), error);
+    SetRequestOptions(stream_.socket());
   }
   address_ = std::move(aAddress);
   co_return tl::expected<void, TransportError>();
 }
 
+/// The sending half of an exchange, which may outlast the answer.
+struct HttpClientConnection::WriteState
+{
+  explicit WriteState(const asio::any_io_executor& aExecutor)
+    : finished(aExecutor, asio::steady_timer::time_point::max())
+  {
+  }
+
+  bool isDone = false;
+  boost::system::error_code error;
+  asio::steady_timer finished;
+};
+
+asio::awaitable<void>
+HttpClientConnection::Write(const HttpRequest& aRequest,
+                            std::shared_ptr<WriteState> aState)
+{
+  co_await http::async_write(
+    stream_,
+    aRequest,
+    asio::redirect_error(asio::use_awaitable, aState->error));
+  aState->isDone = true;
+  aState->finished.cancel();
+}
+
 asio::awaitable<tl::expected<HttpResponse, TransportError>>
 HttpClientConnection::Exchange(const HttpRequest& aRequest,
                                TimePoint aDeadline,
-                               CancellationPointer aCancellation)
+                               CancellationPointer aCancellation,
+                               const AnswerRules& aRules)
 {
   const Cancellation::Scope scope(aCancellation, [this] { stream_.close(); });
   stream_.expires_at(aDeadline);
-  boost::system::error_code error;
-  co_await http::async_write(
-    stream_, aRequest, asio::redirect_error(asio::use_awaitable, error));
-  // A server may answer before it has read the whole request and then close:
-  // the answer is read even if the write failed.
-  const bool timedOut = error == boost::beast::error::timeout;
-  if (timedOut || IsCancelled(aCancellation)) {
-    co_return tl::make_unexpected(ToTransportError(error, aCancellation));
+  const auto writing = std::make_shared<WriteState>(stream_.get_executor());
+  if (aRequest.body().size() <= kSmallBodyBytes) {
+    co_await Write(aRequest, writing);
+    // A server may answer before it has read the whole request and then close:
+    // the answer is read even if the write failed.
+    const bool timedOut = writing->error == boost::beast::error::timeout;
+    if (timedOut || IsCancelled(aCancellation)) {
+      co_return tl::make_unexpected(
+        ToTransportError(writing->error, aCancellation));
+    }
+  } else {
+    asio::co_spawn(
+      stream_.get_executor(), Write(aRequest, writing), asio::detached);
   }
-  const bool wholeRequestSent = !error;
-  auto answer = co_await ReadAnswer(aRequest.method() == http::verb::head);
+  auto answer = co_await ReadAnswer(aRequest, aRules);
   if (!answer && IsCancelled(aCancellation)) {
-    answer = tl::make_unexpected(ToTransportError(error, aCancellation));
+    answer = tl::make_unexpected(
+      TransportError{ TransportErrorCode::Cancelled, "the caller is gone" });
+  }
+  const bool wholeRequestSent = writing->isDone && !writing->error;
+  if (!writing->isDone) {
+    // The rest of the body must not be taken for another request.
+    stream_.close();
+  }
+  while (!writing->isDone) {
+    boost::system::error_code error;
+    co_await writing->finished.async_wait(
+      asio::redirect_error(asio::use_awaitable, error));
   }
   keepAlive_ = wholeRequestSent && answer && answer->keep_alive();
   stream_.expires_never();
@@ -111,7 +154,36 @@
 }
 
 asio::awaitable<tl::expected<HttpResponse, TransportError>>
-HttpClientConnection::ReadAnswer(bool aIsHead)
+HttpClientConnection::ReadAnswer(const HttpRequest& aRequest,
+                                 const AnswerRules& aRules)
+{
+  const auto& header = aRules.identityHeader;
+  const bool isHead = aRequest.method() == http::verb::head;
+  for (int skipped = 0; skipped <= kMaxSkippedAnswers; ++skipped) {
+    auto answer = co_await ReadMessage(isHead, aRules);
+    if (!answer || header.empty()) {
+      co_return answer;
+    }
+    const auto identity = (*answer)[header];
+    if (identity == aRequest[header]) {
+      co_return answer;
+    }
+    // A refusal may come from before the server read the identity.
+    const bool isRefusal =
+      to_status_class(answer->result()) != http::status_class::successful;
+    if (identity.empty() && isRefusal) {
+      co_return answer;
+    }
+    if (identity.empty() || !answer->keep_alive()) {
+      break;
+    }
+  }
+  co_return tl::make_unexpected(TransportError{
+    TransportErrorCode::ForeignAnswer, "the answer has another identity" });
+}
+
+asio::awaitable<tl::expected<HttpResponse, TransportError>>
+HttpClientConnection::ReadMessage(bool aIsHead, const AnswerRules& aRules)
 {
   while (true) {
     http::response_parser<http::string_body> parser;
@@ -130,8 +202,7 @@
     if (IsInterim(parser.get())) {
       continue;
     }
-    // The end of such an answer cannot be told from a lost connection.
-    if (parser.need_eof()) {
+    if (parser.need_eof() && !aRules.acceptsUnframed) {
       co_return tl::make_unexpected(TransportError{
         TransportErrorCode::PartialAnswer, "the answer has no length" });
     }
@@ -143,7 +214,10 @@
         asio::redirect_error(asio::use_awaitable, error));
     }
     if (!error) {
-      co_return parser.release();
+      auto answer = parser.release();
+      // Its length is known now; the connection ends with it.
+      answer.keep_alive(answer.keep_alive() && !parser.need_eof());
+      co_return answer;
     }
     auto failure = ToTransportError(error, nullptr);
     if (failure.code == TransportErrorCode::ConnectionLost) {
--- a/Libraries/Transport/HttpClientConnection.h
+++ b/Libraries/Transport/HttpClientConnection.h
@@ -5,11 +5,24 @@
 #include "Transport/TransportError.h"
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <tl/expected.hpp>
 
 namespace teaselhold::transport {
 
+/// What a server's contract says of its answers.
+struct AnswerRules
+{
+  /// The header in which the server echoes the identity of a request. An answer
+  /// with another identity is skipped: it is a late one to an earlier request.
+  /// Empty checks nothing.
+  std::string identityHeader;
+  /// An answer without a length is whole if its connection ends without a
+  /// reset.
+  bool acceptsUnframed = false;
+};
+
 /// One HTTP/1.1 connection to a server; carries one request at a time.
 class HttpClientConnection
 {
@@ -28,11 +41,13 @@
     std::chrono::milliseconds aSilenceLimit);
 
   /// Sends a request and reads its whole answer. After a failure the
-  /// connection cannot be used again. The request must outlive the call.
+  /// connection cannot be used again. The request must outlive the call. The
+  /// answer may come before the whole request is sent.
   boost::asio::awaitable<tl::expected<HttpResponse, TransportError>> Exchange(
     const HttpRequest& aRequest,
     TimePoint aDeadline,
-    CancellationPointer aCancellation);
+    CancellationPointer aCancellation,
+    const AnswerRules& aRules);
 
   /// @return false if the peer closed the idle connection or sent bytes that
   /// belong to no request.
@@ -48,8 +63,15 @@
   void MarkUsed() { lastUse_ = std::chrono::steady_clock::now(); }
 
 private:
-  boost::asio::awaitable<tl::expected<HttpResponse, TransportError>> ReadAnswer(
-    bool aIsHead);
+  using Result = tl::expected<HttpResponse, TransportError>;
+  struct WriteState;
+
+  boost::asio::awaitable<Result> ReadAnswer(const HttpRequest& aRequest,
+                                            const AnswerRules& aRules);
+  boost::asio::awaitable<Result> ReadMessage(bool aIsHead,
+                                             const AnswerRules& aRules);
+  boost::asio::awaitable<void> Write(const HttpRequest& aRequest,
+                                     std::shared_ptr<WriteState> aState);
 
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
--- a/Libraries/Transport/HttpClientPool.cpp
+++ b/Libraries/Transport/HttpClientPool.cpp
@@ -53,8 +53,10 @@
 {
   HttpRequest request(http::verb::get, aPath, 11);
   request.set(http::field::host, "node");
+  // Not a default argument: GCC 12 frees such a temporary of a coroutine twice.
+  const AnswerRules rules;
   const auto answer = co_await aConnection->Exchange(
-    request, Steady::now() + kProbeTimeout, nullptr);
+    request, Steady::now() + kProbeTimeout, nullptr, rules);
   const auto pool = aPool.lock();
   if (answer && pool != nullptr) {
     pool->Keep(std::move(aConnection));
@@ -138,9 +140,12 @@
     if (!connected) {
       co_return tl::make_unexpected(std::move(connected.error()));
     }
+    if (shared->options.opened != nullptr) {
+      ++*shared->options.opened;
+    }
   }
-  auto answer =
-    co_await connection->Exchange(aRequest, aDeadline, aCancellation);
+  auto answer = co_await connection->Exchange(
+    aRequest, aDeadline, aCancellation, shared->options.rules);
   if (answer) {
     connection->MarkUsed();
     shared->Keep(std::move(connection));
--- a/Libraries/Transport/HttpClientPool.h
+++ b/Libraries/Transport/HttpClientPool.h
@@ -2,6 +2,7 @@
 
 #include "Transport/HttpClientConnection.h"
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -18,9 +19,12 @@
   std::chrono::milliseconds maxIdleTime{ 20000 };
   /// Path that probes of idle connections ask for; empty sends no probes.
   std::string probePath;
-  /// Time after which sent bytes without an acknowledgement end a connection;
-  /// 0 leaves it to the system.
+  /// Not 0: a peer that went silent without a reset ends the connection after
+  /// a few seconds.
   std::chrono::milliseconds silenceLimit{ 0 };
+  AnswerRules rules;
+  /// Connections that were opened, counted for the metrics; may be nullptr.
+  std::shared_ptr<std::atomic<std::uint64_t>> opened;
 };
 
 enum class ConnectionChoice : std::uint8_t
--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -13,6 +13,9 @@
 /// would otherwise fail again at once.
 constexpr std::chrono::milliseconds kAcceptPause{ 10 };
 
+/// Precision of the time limits on clients.
+constexpr std::chrono::milliseconds kSweepInterval{ 250 };
+
 /// Connections above the bound that are told so; further ones are reset.
 constexpr std::size_t kMaxRefusing = 256;
 
@@ -76,9 +79,41 @@
                                                  ": " + error.message() });
   }
   asio::co_spawn(aContext, server->Accept(), asio::detached);
+  asio::co_spawn(aContext, Sweep(server->shared_), asio::detached);
   return server;
 }
 
+asio::awaitable<void>
+HttpServer::Sweep(std::weak_ptr<Shared> aShared)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    timer.expires_after(kSweepInterval);
+    boost::system::error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    const auto shared = aShared.lock();
+    if (shared == nullptr) {
+      co_return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& connection : shared->connections) {
+      connection.EndIfOverdue(now);
+    }
+  }
+}
+
+void
+HttpServer::SetLimits(std::uint32_t aMaxHeaderBytes,
+                      std::uint64_t aMaxBodyBytes,
+                      std::chrono::milliseconds aHeaderTimeout,
+                      std::chrono::milliseconds aIdleTimeout)
+{
+  shared_->options.maxHeaderBytes = aMaxHeaderBytes;
+  shared_->options.maxBodyBytes = aMaxBodyBytes;
+  shared_->options.headerTimeout = aHeaderTimeout;
+  shared_->options.idleTimeout = aIdleTimeout;
+}
+
 void
 HttpServer::CloseAfterAnswers()
 {
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -28,17 +28,19 @@
   /// closes them and no request crosses with the close.
   std::chrono::milliseconds idleTimeout{ 60000 };
   std::chrono::milliseconds writeTimeout{ 20000 };
+  /// The server puts the client's IP address into this header of each request;
+  /// empty adds none.
+  std::string peerHeader;
 };
 
-/// Serves HTTP/1.1. Each connection carries one request at a time, so that
-/// answers cannot cross on it. Runs on the io_context it is given.
+/// Serves HTTP/1.1. Runs on the io_context it is given.
 class HttpServer
 {
 public:
   using Handler =
     std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
   /// The cancellation fires when the client closes its connection before it
-  /// has the answer. Bytes that a client sends early hide a later close.
+  /// has the answer.
   using CancellableHandler =
     std::function<boost::asio::awaitable<HttpResponse>(HttpRequest,
                                                        CancellationPointer)>;
@@ -55,6 +57,12 @@
     Handler aHandler,
     HttpServerOptions aOptions = {});
 
+  /// Bounds what clients may send from now on.
+  void SetLimits(std::uint32_t aMaxHeaderBytes,
+                 std::uint64_t aMaxBodyBytes,
+                 std::chrono::milliseconds aHeaderTimeout,
+                 std::chrono::milliseconds aIdleTimeout);
+
   /// Ends each connection after its next answer; still accepts new ones.
   void CloseAfterAnswers();
 
@@ -77,6 +85,8 @@
              CancellableHandler aHandler,
              const HttpServerOptions& aOptions);
   boost::asio::awaitable<void> Accept();
+  /// Ends connections whose clients take too long.
+  static boost::asio::awaitable<void> Sweep(std::weak_ptr<Shared> aShared);
   void Serve(boost::asio::ip::tcp::socket aSocket);
 
   boost::asio::io_context& context_;
--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -1,6 +1,7 @@
 #include "Transport/HttpServerConnection.h"
 
 #include "Protocol/Headers.h"
+#include "Transport/SocketOptions.h"
 
 #include <spdlog/spdlog.h>
 
@@ -11,9 +12,14 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 namespace headers = protocol::headers;
+using Steady = std::chrono::steady_clock;
 
 constexpr std::size_t kFirstReadBytes = 4096;
 
+/// Requests of one connection that are handled at the same time; the next one
+/// stays in the socket.
+constexpr std::size_t kMaxExchanges = 16;
+
 /// Time and bytes for which a closed connection is still read. Closing it with
 /// unread bytes resets it, and a reset can destroy the answer on its way.
 constexpr std::chrono::seconds kLingerTime{ 2 };
@@ -90,17 +96,49 @@
   std::uint64_t bytes_ = 0;
 };
 
+struct HttpServerConnection::Exchange
+{
+  explicit Exchange(std::shared_ptr<HttpServer::Shared> aShared)
+    : reservation(std::move(aShared))
+  {
+  }
+
+  Reservation reservation;
+  HttpRequest request;
+  CancellationPointer cancellation = std::make_shared<Cancellation>();
+  bool keepAlive = true;
+  bool isHead = false;
+  unsigned version = 11;
+  std::optional<HttpResponse> response;
+};
+
 HttpServerConnection::HttpServerConnection(
   asio::ip::tcp::socket aSocket,
   std::shared_ptr<HttpServer::Shared> aShared)
-  : stream_(std::move(aSocket))
+  : socket_(std::move(aSocket))
   , shared_(std::move(aShared))
+  , wake_(socket_.get_executor())
 {
-  boost::system::error_code error;
-  stream_.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  SetRequestOptions(socket_);
   shared_->connections.push_back(*this);
 }
 
+void
+HttpServerConnection::SetDeadline(std::chrono::milliseconds aTime)
+{
+  deadline_ = Steady::now() + aTime;
+}
+
+void
+HttpServerConnection::EndIfOverdue(Steady::time_point aNow)
+{
+  if (aNow >= deadline_) {
+    deadline_ = Steady::time_point::max();
+    boost::system::error_code error;
+    socket_.cancel(error);
+  }
+}
+
 asio::awaitable<void>
 HttpServerConnection::Run()
 {
@@ -108,12 +146,41 @@
   ++shared_->open;
   bool open = true;
   while (open) {
-    open = co_await WaitForRequest();
-    if (open) {
-      open = co_await ServeRequest();
+    co_await WaitForRoom();
+    if (isClosing_ || isBroken_) {
+      break;
+    }
+    const bool isReceived = co_await WaitForRequest();
+    if (!isReceived) {
+      break;
+    }
+    const auto exchange = co_await ReadExchange();
+    if (exchange == nullptr || isClosing_) {
+      break;
+    }
+    // A process that was paused finds requests whose clients gave up long ago.
+    if (IsClosedByClient()) {
+      isBroken_ = true;
+      CancelExchanges();
+      break;
     }
+    open = exchange->keepAlive;
+    exchanges_.push_back(exchange);
+    asio::co_spawn(
+      socket_.get_executor(),
+      [self, exchange]() -> Awaitable<void> {
+        co_await self->Handle(exchange);
+      },
+      asio::detached);
   }
-  co_await LingeringClose();
+  if (!isBroken_) {
+    co_await WaitForAnswers();
+  }
+  if (!isBroken_) {
+    co_await LingeringClose();
+  }
+  boost::system::error_code error;
+  socket_.close(error);
   --shared_->open;
 }
 
@@ -130,9 +197,68 @@
 void
 HttpServerConnection::EndIfIdle()
 {
-  if (idle_) {
+  if (idle_ && exchanges_.empty()) {
+    boost::system::error_code error;
+    socket_.cancel(error);
+  }
+}
+
+bool
+HttpServerConnection::MayReadMore() const
+{
+  if (exchanges_.empty()) {
+    return true;
+  }
+  return exchanges_.size() < kMaxExchanges && !shared_->closeAfterAnswers;
+}
+
+asio::awaitable<void>
+HttpServerConnection::WaitForRoom()
+{
+  while (!MayReadMore() && !isClosing_ && !isBroken_) {
+    wake_.expires_at(Steady::time_point::max());
+    boost::system::error_code error;
+    co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+asio::awaitable<void>
+HttpServerConnection::WaitForAnswers()
+{
+  // The client may close while the last answers are made.
+  if (!exchanges_.empty()) {
+    socket_.async_wait(
+      asio::socket_base::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& aError) {
+        if (!aError && self->IsClosedByClient()) {
+          self->isBroken_ = true;
+          self->CancelExchanges();
+          self->WakeReader();
+        }
+      });
+  }
+  while (!exchanges_.empty() && !isBroken_) {
+    wake_.expires_at(Steady::time_point::max());
     boost::system::error_code error;
-    stream_.socket().cancel(error);
+    co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  }
+  boost::system::error_code error;
+  socket_.cancel(error);
+}
+
+void
+HttpServerConnection::WakeReader()
+{
+  wake_.cancel();
+}
+
+void
+HttpServerConnection::CancelExchanges()
+{
+  // A cancelled handler may end at once and change the list.
+  const auto exchanges = exchanges_;
+  for (const auto& exchange : exchanges) {
+    exchange->cancellation->Cancel();
   }
 }
 
@@ -143,101 +269,104 @@
     co_return true;
   }
   // A connection from the backlog of a draining server is still answered.
-  stream_.expires_after(shared_->draining ? shared_->options.headerTimeout
-                                          : shared_->options.idleTimeout);
+  if (exchanges_.empty()) {
+    SetDeadline(shared_->draining ? shared_->options.headerTimeout
+                                  : shared_->options.idleTimeout);
+  }
   boost::system::error_code error;
   idle_ = true;
-  const auto size = co_await stream_.async_read_some(
+  const auto size = co_await socket_.async_read_some(
     buffer_.prepare(kFirstReadBytes),
     asio::redirect_error(asio::use_awaitable, error));
   idle_ = false;
   buffer_.commit(size);
-  co_return !error && size > 0;
-}
-
-asio::awaitable<bool>
-HttpServerConnection::ServeRequest()
-{
-  Reservation reservation(shared_);
-  auto request = co_await ReadRequest(reservation);
-  if (!request) {
-    co_return false;
-  }
-  const bool keepAlive = request->keep_alive();
-  const bool isHead = request->method() == http::verb::head;
-  const auto version = request->version();
-  // A process that was paused finds requests whose clients gave up long ago.
-  if (IsClosedByClient()) {
-    co_return false;
-  }
-  auto cancellation = std::make_shared<Cancellation>();
-  WatchForClose(cancellation);
-  auto response = co_await Handle(std::move(*request), cancellation);
-  boost::system::error_code error;
-  stream_.socket().cancel(error);
-  if (cancellation->IsCancelled()) {
-    co_return false;
-  }
-  response.version(version);
-  PrepareAnswer(response, isHead);
-  response.keep_alive(keepAlive && response.keep_alive() &&
-                      !shared_->closeAfterAnswers);
-  const bool written = co_await Write(response);
-  co_return written&& response.keep_alive();
+  const bool isReceived = !error && size > 0;
+  if (!isReceived && error != asio::error::operation_aborted) {
+    isBroken_ = !exchanges_.empty();
+    CancelExchanges();
+  }
+  co_return isReceived;
 }
 
-asio::awaitable<std::optional<HttpRequest>>
-HttpServerConnection::ReadRequest(Reservation& aReservation)
+asio::awaitable<HttpServerConnection::ExchangePointer>
+HttpServerConnection::ReadExchange()
 {
+  auto exchange = std::make_shared<Exchange>(shared_);
   Parser parser;
   parser.header_limit(shared_->options.maxHeaderBytes);
   parser.body_limit(shared_->options.maxBodyBytes);
   boost::system::error_code error;
-  stream_.expires_after(shared_->options.headerTimeout);
+  SetDeadline(shared_->options.headerTimeout);
   co_await http::async_read_header(
-    stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
+    co_await WaitForAnswers();
     co_await Reject(error);
-    co_return std::nullopt;
+    co_return nullptr;
   }
   if (parser.content_length() &&
-      !aReservation.GrowTo(*parser.content_length())) {
+      !exchange->reservation.GrowTo(*parser.content_length())) {
+    co_await WaitForAnswers();
     co_await WriteError(http::status::service_unavailable, "full");
-    co_return std::nullopt;
+    co_return nullptr;
   }
-  stream_.expires_after(shared_->options.bodyTimeout);
+  SetDeadline(shared_->options.bodyTimeout);
   if (!parser.is_done() &&
       boost::beast::iequals(parser.get()[http::field::expect],
                             "100-continue")) {
     static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n"
                                                   "\r\n";
+    co_await WaitForAnswers();
     co_await asio::async_write(
-      stream_,
+      socket_,
       asio::buffer(kContinue.data(), kContinue.size()),
       asio::redirect_error(asio::use_awaitable, error));
   }
-  const bool complete = co_await ReadBody(parser, aReservation);
+  const bool complete = co_await ReadBody(parser, *exchange);
+  deadline_ = Steady::time_point::max();
   if (!complete) {
-    co_return std::nullopt;
+    co_return nullptr;
+  }
+  exchange->request = parser.release();
+  exchange->keepAlive = exchange->request.keep_alive();
+  exchange->isHead = exchange->request.method() == http::verb::head;
+  exchange->version = exchange->request.version();
+  AddPeerHeader(exchange->request);
+  co_return exchange;
+}
+
+void
+HttpServerConnection::AddPeerHeader(HttpRequest& aRequest) const
+{
+  const auto& name = shared_->options.peerHeader;
+  if (name.empty()) {
+    return;
+  }
+  aRequest.erase(name);
+  boost::system::error_code error;
+  const auto peer = socket_.remote_endpoint(error);
+  if (!error) {
+    aRequest.set(name, peer.address().to_string());
   }
-  co_return parser.release();
 }
 
 asio::awaitable<bool>
-HttpServerConnection::ReadBody(Parser& aParser, Reservation& aReservation)
+HttpServerConnection::ReadBody(Parser& aParser, Exchange& aExchange)
 {
   boost::system::error_code error;
   while (!aParser.is_done()) {
     co_await http::async_read_some(
-      stream_,
+      socket_,
       buffer_,
       aParser,
       asio::redirect_error(asio::use_awaitable, error));
     if (error) {
+      co_await WaitForAnswers();
       co_await Reject(error);
       co_return false;
     }
-    if (!aReservation.GrowTo(aParser.get().body().size())) {
+    if (!aExchange.reservation.GrowTo(aParser.get().body().size())) {
+      co_await WaitForAnswers();
       co_await WriteError(http::status::service_unavailable, "full");
       co_return false;
     }
@@ -245,14 +374,13 @@
   co_return true;
 }
 
-asio::awaitable<HttpResponse>
-HttpServerConnection::Handle(HttpRequest aRequest,
-                             CancellationPointer aCancellation)
+asio::awaitable<void>
+HttpServerConnection::Handle(ExchangePointer aExchange)
 {
   HttpResponse response;
   try {
-    response =
-      co_await shared_->handler(std::move(aRequest), std::move(aCancellation));
+    response = co_await shared_->handler(std::move(aExchange->request),
+                                         aExchange->cancellation);
   } catch (const std::exception& exception) {
     spdlog::error("[http] Request handler failed. reason=\"{}\"",
                   exception.what());
@@ -261,30 +389,60 @@
     response.set(headers::kOutcome, "unknown");
     response.keep_alive(false);
   }
-  co_return response;
+  aExchange->response = std::move(response);
+  if (!isWriting_ && !isBroken_) {
+    co_await WriteAnswers();
+  }
 }
 
-void
-HttpServerConnection::WatchForClose(CancellationPointer aCancellation)
+bool
+HttpServerConnection::PrepareNextAnswer(Exchange& aExchange)
 {
-  stream_.socket().async_wait(
-    asio::socket_base::wait_read,
-    [self = shared_from_this(), cancellation = std::move(aCancellation)](
-      const boost::system::error_code& aError) {
-      if (!aError && self->IsClosedByClient()) {
-        cancellation->Cancel();
-      }
-    });
+  auto& response = *aExchange.response;
+  response.version(aExchange.version);
+  PrepareAnswer(response, aExchange.isHead);
+  // Later requests of this connection were handed on already, so only the last
+  // answer may end it.
+  const bool isLast = exchanges_.size() == 1;
+  const bool endsHere = !response.keep_alive() || shared_->closeAfterAnswers;
+  response.keep_alive(aExchange.keepAlive && !(isLast && endsHere));
+  return response.keep_alive();
+}
+
+asio::awaitable<void>
+HttpServerConnection::WriteAnswers()
+{
+  const auto self = shared_from_this();
+  isWriting_ = true;
+  while (!exchanges_.empty() && exchanges_.front()->response && !isBroken_) {
+    const auto exchange = exchanges_.front();
+    const bool keepAlive = PrepareNextAnswer(*exchange);
+    isClosing_ = isClosing_ || !keepAlive;
+    const bool written = co_await Write(*exchange->response);
+    exchanges_.pop_front();
+    if (!written) {
+      isBroken_ = true;
+      CancelExchanges();
+    }
+  }
+  isWriting_ = false;
+  boost::system::error_code error;
+  if (isClosing_ || isBroken_) {
+    // Ends the reader's wait for the next request.
+    socket_.cancel(error);
+  } else if (exchanges_.empty()) {
+    SetDeadline(shared_->options.idleTimeout);
+  }
+  WakeReader();
 }
 
 bool
 HttpServerConnection::IsClosedByClient()
 {
-  auto& socket = stream_.socket();
   boost::system::error_code error;
   char byte = 0;
-  socket.non_blocking(true, error);
-  socket.receive(
+  socket_.non_blocking(true, error);
+  socket_.receive(
     asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
   return error && error != asio::error::would_block;
 }
@@ -292,16 +450,21 @@
 asio::awaitable<bool>
 HttpServerConnection::Write(HttpResponse& aResponse)
 {
-  stream_.expires_after(shared_->options.writeTimeout);
+  SetDeadline(shared_->options.writeTimeout);
   boost::system::error_code error;
   co_await http::async_write(
-    stream_, aResponse, asio::redirect_error(asio::use_awaitable, error));
+    socket_, aResponse, asio::redirect_error(asio::use_awaitable, error));
+  deadline_ = Steady::time_point::max();
   co_return !error;
 }
 
 asio::awaitable<void>
 HttpServerConnection::WriteError(http::status aStatus, const char* aReason)
 {
+  if (isBroken_) {
+    co_return;
+  }
+  isClosing_ = true;
   HttpResponse response;
   response.result(aStatus);
   response.set(headers::kOutcome, "not-run");
@@ -315,11 +478,16 @@
 asio::awaitable<void>
 HttpServerConnection::Reject(const boost::system::error_code& aError)
 {
+  if (isClosing_) {
+    co_return;
+  }
   if (aError == http::error::header_limit) {
     co_await WriteError(http::status::request_header_fields_too_large,
                         "bad-request");
   } else if (aError == http::error::body_limit) {
     co_await WriteError(http::status::payload_too_large, "bad-request");
+  } else if (aError == asio::error::operation_aborted) {
+    co_await WriteError(http::status::request_timeout, "timeout");
   } else if (aError.category() ==
                make_error_code(http::error::bad_method).category() &&
              aError != http::error::end_of_stream &&
@@ -332,16 +500,16 @@
 HttpServerConnection::LingeringClose()
 {
   boost::system::error_code error;
-  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-  stream_.expires_after(kLingerTime);
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  SetDeadline(kLingerTime);
   std::size_t total = 0;
   while (!error && total < kMaxLingerBytes) {
     buffer_.clear();
-    total += co_await stream_.async_read_some(
+    total += co_await socket_.async_read_some(
       buffer_.prepare(kFirstReadBytes),
       asio::redirect_error(asio::use_awaitable, error));
   }
-  stream_.close();
+  socket_.close(error);
 }
 
 } // namespace teaselhold::transport
--- a/Libraries/Transport/HttpServerConnection.h
+++ b/Libraries/Transport/HttpServerConnection.h
@@ -3,11 +3,15 @@
 #include "Transport/HttpServer.h"
 
 #include <boost/intrusive/list.hpp>
+#include <deque>
 #include <optional>
 
 namespace teaselhold::transport {
 
-/// One accepted connection of an HttpServer.
+/// One accepted connection of an HttpServer. Requests that a client sends
+/// before it has the answer to the first one are handled at the same time and
+/// answered in the order in which they came. The connection is read all the
+/// while, so that the client's close is noticed at once.
 class HttpServerConnection
   : public std::enable_shared_from_this<HttpServerConnection>
   , public boost::intrusive::list_base_hook<
@@ -26,6 +30,9 @@
   /// Ends the connection if no request is in progress.
   void EndIfIdle();
 
+  /// Ends the connection if the client took too long.
+  void EndIfOverdue(std::chrono::steady_clock::time_point aNow);
+
 private:
   using Parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -34,24 +41,44 @@
 
   /// Counts one request and its body against the server's bounds.
   class Reservation;
+  /// A request that was read and not answered yet.
+  struct Exchange;
+  using ExchangePointer = std::shared_ptr<Exchange>;
 
   Awaitable<bool> WaitForRequest();
-  Awaitable<bool> ServeRequest();
-  Awaitable<std::optional<HttpRequest>> ReadRequest(Reservation& aReservation);
-  Awaitable<bool> ReadBody(Parser& aParser, Reservation& aReservation);
-  Awaitable<HttpResponse> Handle(HttpRequest aRequest,
-                                 CancellationPointer aCancellation);
+  Awaitable<ExchangePointer> ReadExchange();
+  Awaitable<bool> ReadBody(Parser& aParser, Exchange& aExchange);
+  Awaitable<void> Handle(ExchangePointer aExchange);
+  Awaitable<void> WriteAnswers();
+  bool PrepareNextAnswer(Exchange& aExchange);
+  bool MayReadMore() const;
+  Awaitable<void> WaitForRoom();
+  Awaitable<void> WaitForAnswers();
+  void WakeReader();
+  void CancelExchanges();
   Awaitable<bool> Write(HttpResponse& aResponse);
   Awaitable<void> WriteError(boost::beast::http::status aStatus,
                              const char* aReason);
   Awaitable<void> Reject(const boost::system::error_code& aError);
   Awaitable<void> LingeringClose();
   bool IsClosedByClient();
-  void WatchForClose(CancellationPointer aCancellation);
+  void AddPeerHeader(HttpRequest& aRequest) const;
+  void SetDeadline(std::chrono::milliseconds aTime);
 
-  boost::beast::tcp_stream stream_;
+  boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
   std::shared_ptr<HttpServer::Shared> shared_;
+  /// Oldest first.
+  std::deque<ExchangePointer> exchanges_;
+  /// Wakes the reader while it waits for answers to leave.
+  boost::asio::steady_timer wake_;
+  /// When the current wait for the client ends.
+  std::chrono::steady_clock::time_point deadline_ =
+    std::chrono::steady_clock::time_point::max();
+  bool isWriting_ = false;
+  /// The last answer told the client that the connection ends.
+  bool isClosing_ = false;
+  bool isBroken_ = false;
   bool idle_ = false;
 };
 
--- a/Libraries/Transport/TransportError.h
+++ b/Libraries/Transport/TransportError.h
@@ -18,11 +18,13 @@
   Timeout,
   /// The answer ended before its announced length.
   PartialAnswer,
+  /// The answer belongs to another request.
+  ForeignAnswer,
   /// The caller went away; the request may have been sent.
   Cancelled,
 };
 
-inline constexpr std::array<state::EnumName<TransportErrorCode>, 7>
+inline constexpr std::array<state::EnumName<TransportErrorCode>, 8>
   kTransportErrorNames{ {
     { TransportErrorCode::InvalidAddress, "invalid address" },
     { TransportErrorCode::BindFailed, "bind failed" },
@@ -30,6 +32,7 @@
     { TransportErrorCode::ConnectionLost, "connection lost" },
     { TransportErrorCode::Timeout, "timeout" },
     { TransportErrorCode::PartialAnswer, "partial answer" },
+    { TransportErrorCode::ForeignAnswer, "foreign answer" },
     { TransportErrorCode::Cancelled, "cancelled" },
   } };
 
