--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -10,7 +10,6 @@
 using state::EndpointState;
 using state::RequestClass;
 
-constexpr state::Duration kColdStart = std::chrono::seconds(10);
 constexpr std::uint32_t kColdSlots = 2;
 /// The answer of an upstream that takes longer than this after a wait is lost.
 constexpr state::Duration kDeadlineMargin = std::chrono::milliseconds(10);
@@ -20,6 +19,15 @@
 /// One slot in four, rounded up, is kept from uploads and batches.
 constexpr std::uint32_t kReservedShare = 4;
 constexpr unsigned kShedStatus = 503;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kBadRequest = 400;
+/// Weight of the newest request in the smoothed figures.
+constexpr double kNewWeight = 0.08;
+/// Until a request has ended.
+constexpr state::Duration kFirstServiceTime = std::chrono::milliseconds(100);
+/// A wait that turns out longer than predicted goes on for this much more
+/// before it is given up.
+constexpr state::Duration kWaitSlack = std::chrono::milliseconds(50);
 
 bool
 IsBulk(RequestClass aClass)
@@ -33,15 +41,13 @@
   return aClass <= RequestClass::Check;
 }
 
-std::size_t
-IndexOf(RequestClass aClass)
-{
-  return static_cast<std::size_t>(aClass);
-}
-
 state::Instant
 LatestStart(const AdmissionRequest& aRequest, state::Instant aNow)
 {
+  if (aRequest.maxWait) {
+    const auto wait = *aRequest.maxWait + *aRequest.maxWait / 2 + kWaitSlack;
+    return std::min(aRequest.deadline - kDeadlineMargin, aNow + wait);
+  }
   const auto wait = IsUrgent(aRequest.requestClass) ? kLongWait : kShortWait;
   return std::min(aRequest.deadline - kDeadlineMargin, aNow + wait);
 }
@@ -62,17 +68,37 @@
 Admission::UsableSlots(state::Instant aNow) const
 {
   const auto age = aNow - readySince_;
-  if (options_.slots <= kColdSlots || age >= kColdStart) {
+  if (options_.slots <= kColdSlots || age >= options_.coldStart) {
     return options_.slots;
   }
   const auto gained = (options_.slots - kColdSlots) *
                       std::max<state::Duration::rep>(age.count(), 0) /
-                      kColdStart.count();
+                      options_.coldStart.count();
   return kColdSlots + static_cast<std::uint32_t>(gained);
 }
 
+std::size_t
+Admission::QueueOf(const AdmissionRequest& aRequest)
+{
+  return aRequest.isNested
+           ? 0
+           : 1 + static_cast<std::size_t>(aRequest.requestClass);
+}
+
+state::Duration
+Admission::PredictedWait(std::size_t aQueue, state::Instant aNow) const
+{
+  std::size_t ahead = 0;
+  for (std::size_t queue = 0; queue <= aQueue; ++queue) {
+    ahead += queues_[queue].size();
+  }
+  const auto service =
+    serviceTime_.count() > 0 ? serviceTime_ : kFirstServiceTime;
+  return service * (ahead + 1) / std::max(UsableSlots(aNow), 1U);
+}
+
 bool
-Admission::HasRoom(RequestClass aClass, state::Instant aNow) const
+Admission::HasRoom(const AdmissionRequest& aRequest, state::Instant aNow) const
 {
   const auto slots = UsableSlots(aNow);
   if (running_ >= slots) {
@@ -80,14 +106,15 @@
   }
   const auto reserved =
     slots > 1 ? (slots + kReservedShare - 1) / kReservedShare : 0;
-  return !IsBulk(aClass) || bulkRunning_ < slots - reserved;
+  return aRequest.isNested || !IsBulk(aRequest.requestClass) ||
+         bulkRunning_ < slots - reserved;
 }
 
 bool
-Admission::IsOvertaking(RequestClass aClass) const
+Admission::IsOvertaking(std::size_t aQueue) const
 {
   return std::any_of(queues_.begin(),
-                     queues_.begin() + IndexOf(aClass) + 1,
+                     queues_.begin() + static_cast<long>(aQueue) + 1,
                      [](const Queue& aQueue) { return !aQueue.empty(); });
 }
 
@@ -117,8 +144,7 @@
   if (const auto reason = Refusal(aRequest, aNow)) {
     return NotRun{ *reason };
   }
-  if (HasRoom(aRequest.requestClass, aNow) &&
-      !IsOvertaking(aRequest.requestClass)) {
+  if (HasRoom(aRequest, aNow) && !IsOvertaking(QueueOf(aRequest))) {
     Run(Add(aRequest));
     return Admit{};
   }
@@ -129,27 +155,28 @@
 Admission::Enqueue(const AdmissionRequest& aRequest, state::Instant aNow)
 {
   const auto until = LatestStart(aRequest, aNow);
-  if (until <= aNow) {
-    return NotRun{ NotRunReason::Full };
+  const auto predicted = PredictedWait(QueueOf(aRequest), aNow);
+  if (until <= aNow || (aRequest.maxWait && predicted > *aRequest.maxWait)) {
+    return NotRun{ NotRunReason::Full, predicted };
   }
   Wait decision{ until, std::nullopt };
   if (waiting_ >= options_.queueLimit) {
-    decision.displaced = Displace(aRequest.requestClass);
+    decision.displaced = Displace(QueueOf(aRequest));
     if (!decision.displaced) {
-      return NotRun{ NotRunReason::Full };
+      return NotRun{ NotRunReason::Full, predicted };
     }
   }
   auto& entry = Add(aRequest);
   entry.until = until;
-  queues_[IndexOf(aRequest.requestClass)].push_back(entry);
+  queues_[QueueOf(aRequest)].push_back(entry);
   ++waiting_;
   return decision;
 }
 
 std::optional<std::uint64_t>
-Admission::Displace(RequestClass aClass)
+Admission::Displace(std::size_t aQueue)
 {
-  for (auto index = queues_.size() - 1; index > IndexOf(aClass); --index) {
+  for (auto index = queues_.size() - 1; index > aQueue; --index) {
     if (!queues_[index].empty()) {
       // The newest one has waited least.
       const auto id = queues_[index].back().request.id;
@@ -180,7 +207,7 @@
 void
 Admission::Unqueue(Entry& aEntry)
 {
-  auto& queue = queues_[IndexOf(aEntry.request.requestClass)];
+  auto& queue = queues_[QueueOf(aEntry.request)];
   queue.erase(queue.iterator_to(aEntry));
   --waiting_;
 }
@@ -248,8 +275,7 @@
 Admission::Promote(state::Instant aNow, Releases& aReleases)
 {
   for (auto& queue : queues_) {
-    while (!queue.empty() &&
-           HasRoom(queue.front().request.requestClass, aNow)) {
+    while (!queue.empty() && HasRoom(queue.front().request, aNow)) {
       auto& entry = queue.front();
       Unqueue(entry);
       Run(entry);
@@ -290,10 +316,58 @@
   return releases;
 }
 
+std::vector<AdmissionRelease>
+Admission::SetSlots(std::uint32_t aSlots, state::Instant aNow)
+{
+  Releases releases;
+  options_.slots = std::max(aSlots, 1U);
+  Promote(aNow, releases);
+  return releases;
+}
+
+void
+Admission::Learn(state::Duration aServiceTime, bool aIsServed)
+{
+  failureShare_ += kNewWeight * ((aIsServed ? 0 : 1) - failureShare_);
+  if (!aIsServed) {
+    return;
+  }
+  if (serviceTime_.count() == 0) {
+    serviceTime_ = aServiceTime;
+  }
+  const auto difference =
+    static_cast<double>((aServiceTime - serviceTime_).count());
+  serviceTime_ +=
+    state::Duration(static_cast<state::Duration::rep>(difference * kNewWeight));
+}
+
+LoadReport
+Admission::Report(state::Instant aNow) const
+{
+  return { static_cast<std::uint32_t>(running_ + waiting_),
+           UsableSlots(aNow),
+           serviceTime_,
+           failureShare_ };
+}
+
+state::Instant
+Admission::NextExpiry() const
+{
+  auto next = state::Instant::max();
+  for (const auto& queue : queues_) {
+    for (const auto& entry : queue) {
+      next = std::min({ next, entry.until, entry.request.deadline });
+    }
+  }
+  return next;
+}
+
 Outcome
 Admission::ClassifyAnswer(unsigned aStatus, bool aSaysShed) const
 {
-  if (options_.shedAnswerIsNotRun && aSaysShed && aStatus == kShedStatus) {
+  const bool isRefusal = aStatus == kShedStatus ||
+                         aStatus == kTooManyRequests || aStatus == kBadRequest;
+  if (options_.shedAnswerIsNotRun && aSaysShed && isRefusal) {
     return NotRun{ NotRunReason::Shed };
   }
   return Answered{ aStatus };
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/CallTypes.h"
+#include "Coordination/LoadReport.h"
 
 #include <array>
 #include <boost/intrusive/list.hpp>
@@ -23,6 +24,10 @@
   /// 0 means that the tenant has no limit of its own.
   std::uint32_t tenantLimit = 0;
   state::Instant deadline = state::Instant::max();
+  /// A running request waits for this one, so it goes before all others.
+  bool isNested = false;
+  /// Refuse at once rather than wait for longer. If not set, the class decides.
+  std::optional<state::Duration> maxWait = std::nullopt;
 };
 
 /// Deliver the request now.
@@ -57,6 +62,8 @@
   std::uint32_t queueLimit = 0;
   /// The upstream's contract says that a 503 marked as shed ran nothing.
   bool shedAnswerIsNotRun = false;
+  /// Time in which a ready upstream gets all its slots; 0 for at once.
+  state::Duration coldStart = std::chrono::seconds(10);
 };
 
 /// Decides beside the upstream, before delivery, so that every refusal is
@@ -86,6 +93,21 @@
   std::vector<AdmissionRelease> SetState(state::EndpointState aState,
                                          state::Instant aNow);
 
+  /// Takes the number of slots that the upstream announced.
+  std::vector<AdmissionRelease> SetSlots(std::uint32_t aSlots,
+                                         state::Instant aNow);
+
+  /// Learns from the end of a delivered request.
+  /// @param aIsServed false if the upstream refused, failed or lost it.
+  void Learn(state::Duration aServiceTime, bool aIsServed);
+
+  /// What other nodes should know of the upstream's load.
+  LoadReport Report(state::Instant aNow) const;
+
+  /// The earliest time at which a waiting request is refused; Instant::max()
+  /// if none waits.
+  state::Instant NextExpiry() const;
+
   /// Reads an answer of the upstream.
   /// @param aSaysShed the answer is marked as shed by the upstream.
   Outcome ClassifyAnswer(unsigned aStatus, bool aSaysShed) const;
@@ -106,13 +128,15 @@
   using Queue = boost::intrusive::list<Entry>;
   using Releases = std::vector<AdmissionRelease>;
 
+  static std::size_t QueueOf(const AdmissionRequest& aRequest);
+  state::Duration PredictedWait(std::size_t aQueue, state::Instant aNow) const;
   std::optional<NotRunReason> Refusal(const AdmissionRequest& aRequest,
                                       state::Instant aNow) const;
-  bool HasRoom(state::RequestClass aClass, state::Instant aNow) const;
-  bool IsOvertaking(state::RequestClass aClass) const;
+  bool HasRoom(const AdmissionRequest& aRequest, state::Instant aNow) const;
+  bool IsOvertaking(std::size_t aQueue) const;
   AdmissionDecision Enqueue(const AdmissionRequest& aRequest,
                             state::Instant aNow);
-  std::optional<std::uint64_t> Displace(state::RequestClass aClass);
+  std::optional<std::uint64_t> Displace(std::size_t aQueue);
   Entry& Add(const AdmissionRequest& aRequest);
   void Run(Entry& aEntry);
   void Unqueue(Entry& aEntry);
@@ -125,14 +149,16 @@
   state::EndpointState state_ = state::EndpointState::Starting;
   state::Instant readySince_{ 0 };
   std::unordered_map<std::uint64_t, Entry> entries_;
-  /// One queue for each class, in order of arrival; destroyed before the
-  /// entries.
-  std::array<Queue, state::kRequestClassNames.size()> queues_;
+  /// One queue for nested requests, then one for each class, in order of
+  /// arrival; destroyed before the entries.
+  std::array<Queue, state::kRequestClassNames.size() + 1> queues_;
   std::unordered_map<std::string, std::uint32_t> perTenant_;
   std::size_t running_ = 0;
   /// Uploads and batches among the running ones.
   std::size_t bulkRunning_ = 0;
   std::size_t waiting_ = 0;
+  state::Duration serviceTime_{ 0 };
+  double failureShare_ = 0;
 };
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/Backoff.h
+++ b/Libraries/Coordination/Backoff.h
@@ -6,6 +6,10 @@
 
 namespace teaselhold::coordination {
 
+/// Between two calls of the store that failed. Refused calls are paid for too.
+constexpr state::Duration kFirstStorePause = std::chrono::milliseconds(300);
+constexpr state::Duration kLongestStorePause = std::chrono::milliseconds(1500);
+
 /// A delay that doubles with each failure. The jitter of up to half the delay
 /// spreads nodes that failed at the same time.
 class Backoff
--- a/Libraries/Coordination/CallEnvironment.h
+++ b/Libraries/Coordination/CallEnvironment.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "Coordination/CallPolicy.h"
+#include "Coordination/CallerDeadlines.h"
 #include "Coordination/ClaimKeeper.h"
 #include "Coordination/RetryBudget.h"
 #include "Coordination/Router.h"
+#include "Coordination/TargetPicker.h"
 
 namespace teaselhold::coordination {
 
@@ -16,6 +19,7 @@
     , service(std::move(aService))
     , random(
         static_cast<std::minstd_rand::result_type>(aOptions.randomSeed + 1))
+    , targets(aOptions.randomSeed + 2)
     , router(std::move(aOptions))
   {
   }
@@ -26,6 +30,9 @@
   /// calls; empty for none, so that only entry services are reached.
   std::string service;
   std::minstd_rand random;
+  TargetPicker targets;
+  CallPolicy policy;
+  CallerDeadlines callerDeadlines;
   Router router;
 };
 
--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -9,6 +9,10 @@
 /// Travel time of an answer between regions within a data centre group; longer
 /// ones only lose the peer's explanation of a timeout.
 constexpr state::Duration kDeadlineMargin = std::chrono::milliseconds(1);
+/// Stands for upstreams that have told nothing of their load.
+constexpr state::Duration kUnknownServiceTime = std::chrono::milliseconds(120);
+/// The longest wait for a slot of a request that misses its objective anyway.
+constexpr state::Duration kLateWait = std::chrono::milliseconds(150);
 /// Longer keys would not fit into the store's and the ledger's budgets.
 constexpr std::size_t kMaxKeySize = 256;
 
@@ -56,7 +60,7 @@
   if (facts_.depth > RetryPolicy::kMaxDepth) {
     return NotRunReason::DepthExceeded;
   }
-  if (!IsReachable(route_->service)) {
+  if (!IsReachable(service_)) {
     return NotRunReason::ServiceNotReachable;
   }
   if (snapshot_->quarantined.contains(facts_.fingerprint)) {
@@ -80,17 +84,25 @@
   if (snapshot_ == nullptr || snapshot_->configuration == nullptr) {
     return Respond{ NotRun{ NotRunReason::NotReady }, facts_.retriesLeft };
   }
-  route_ = snapshot_->configuration->FindRoute(facts_.method, facts_.target);
+  route_ = snapshot_->configuration->FindRoute(
+    facts_.method, facts_.target, facts_.host);
   if (route_ == nullptr) {
     return Respond{ NotRun{ NotRunReason::NoRoute }, facts_.retriesLeft };
   }
+  service_ = environment_.targets.Pick(*route_);
   if (const auto reason = Refusal()) {
     return Respond{ NotRun{ *reason }, facts_.retriesLeft };
   }
   deadline_ =
     std::min(facts_.deadline, aNow + state::Duration(route_->timeout));
+  if (route_->latencyObjective.count() > 0 &&
+      facts_.deadline != state::Instant::max()) {
+    const auto elapsed = environment_.callerDeadlines.Elapsed(
+      route_->name, facts_.deadline - aNow);
+    objective_ = aNow + route_->latencyObjective - elapsed;
+  }
   environment_.router.Use(snapshot_->endpoints, aNow);
-  environment_.budget.OnCall(route_->service, aNow);
+  environment_.budget.OnCall(service_, aNow);
   if (IsKeyed()) {
     return StartKeyed(aNow);
   }
@@ -108,8 +120,13 @@
   current_.reset();
   ReturnRetries(aOutcome, aRetriesHandedBack);
   lastOutcome_ = aOutcome;
-  if (std::holds_alternative<Answered>(aOutcome)) {
-    return Respond{ aOutcome, facts_.retriesLeft };
+  NoteRefusal(aOutcome);
+  if (const auto* answered = std::get_if<Answered>(&aOutcome)) {
+    if (!IsWorthRepeating(*answered)) {
+      return Respond{ aOutcome, facts_.retriesLeft };
+    }
+    earlierAnswer_ = *answered;
+    return Retry(aNow);
   }
   const auto* notRun = std::get_if<NotRun>(&aOutcome);
   onlyLoad_ =
@@ -137,27 +154,98 @@
   retriesPassed_ = 0;
 }
 
+void
+CallSession::NoteRefusal(const Outcome& aOutcome)
+{
+  const auto* notRun = std::get_if<NotRun>(&aOutcome);
+  isRefusedByNode_ =
+    notRun != nullptr && RetryPolicy::IsBeforeDelivery(notRun->reason);
+  if (IsFree()) {
+    // The attempt reached no upstream.
+    --attempts_;
+  }
+  if (notRun != nullptr && notRun->retryAfter.count() > 0) {
+    retryAfter_ =
+      std::min(retryAfter_.value_or(notRun->retryAfter), notRun->retryAfter);
+  }
+}
+
+bool
+CallSession::IsFree() const
+{
+  return environment_.policy.refusalsAreFree && isRefusedByNode_;
+}
+
+bool
+CallSession::IsWorthRepeating(const Answered& aAnswer) const
+{
+  constexpr unsigned kFirstServerError = 500;
+  return environment_.policy.repeatsServerErrors && route_->isIdempotent &&
+         aAnswer.status >= kFirstServerError;
+}
+
+unsigned
+CallSession::MaxAttempts() const
+{
+  return route_->maxAttempts > 0 ? route_->maxAttempts
+                                 : RetryPolicy::kMaxAttempts;
+}
+
+state::Duration
+CallSession::ServiceTime()
+{
+  const auto known = environment_.router.ServiceTime(*current_);
+  return known.count() > 0 ? known : kUnknownServiceTime;
+}
+
+std::optional<state::Duration>
+CallSession::MaxWait(state::Instant aNow)
+{
+  if (!environment_.policy.boundsWait) {
+    return std::nullopt;
+  }
+  const auto service = ServiceTime();
+  if (objective_ != state::Instant::max()) {
+    const auto wait = objective_ - aNow - service - service / 4;
+    if (wait > kLateWait) {
+      return wait;
+    }
+  }
+  // The objective is out of reach, so a short wait keeps room for requests
+  // that can still make theirs.
+  const auto left = deadline_ - aNow - service - service / 2;
+  return std::clamp(left, state::Duration{ 0 }, kLateWait);
+}
+
 bool
 CallSession::MayRetry(state::Instant aNow)
 {
-  return facts_.retriesLeft > 0 && attempts_ < RetryPolicy::kMaxAttempts &&
-         aNow < deadline_ &&
-         environment_.budget.HasToken(route_->service, aNow);
+  if (aNow >= deadline_) {
+    return false;
+  }
+  if (IsFree()) {
+    return placements_ < environment_.policy.maxPlacements;
+  }
+  return facts_.retriesLeft > 0 && attempts_ < MaxAttempts() &&
+         environment_.budget.HasToken(service_, aNow);
 }
 
 void
 CallSession::SpendRetry(state::Instant aNow)
 {
+  if (IsFree()) {
+    return;
+  }
   --facts_.retriesLeft;
-  environment_.budget.Spend(route_->service, aNow);
+  environment_.budget.Spend(service_, aNow);
 }
 
 EndpointPointer
 CallSession::PickNext(state::Instant aNow)
 {
   auto& router = environment_.router;
-  return keyed_ ? router.PickExecutor(route_->service, keyHash_, tried_, aNow)
-                : router.Pick(route_->service, tried_, aNow);
+  return keyed_ ? router.PickExecutor(service_, keyHash_, tried_, aNow)
+                : router.Pick(service_, tried_, aNow);
 }
 
 CallStep
@@ -181,7 +269,7 @@
 CallStep
 CallSession::WaitOrEnd(state::Instant aNow)
 {
-  if (!onlyLoad_ || tried_.empty()) {
+  if (!onlyLoad_ || tried_.empty() || environment_.policy.boundsWait) {
     return End();
   }
   constexpr double kRange = std::minstd_rand::max();
@@ -213,11 +301,14 @@
     return End();
   }
   ++attempts_;
+  ++placements_;
   const unsigned kept = std::min(1U, facts_.retriesLeft);
   retriesPassed_ = facts_.retriesLeft - kept;
   facts_.retriesLeft = kept;
   const auto carried = std::max(aNow, deadline_ - kDeadlineMargin);
   Attempt attempt{ current_, deadline_, carried, retriesPassed_, {} };
+  attempt.maxWait = MaxWait(aNow);
+  attempt.isNested = facts_.isNested;
   if (keyed_) {
     attempt.claim =
       ClaimTicket{ binding_.incarnation, binding_.epoch, mayStart_ };
@@ -228,7 +319,17 @@
 Respond
 CallSession::End() const
 {
-  return { doubt_ ? Outcome(*doubt_) : lastOutcome_, facts_.retriesLeft };
+  if (earlierAnswer_) {
+    return { *earlierAnswer_, facts_.retriesLeft, true };
+  }
+  if (doubt_) {
+    return { *doubt_, facts_.retriesLeft };
+  }
+  auto outcome = lastOutcome_;
+  if (auto* notRun = std::get_if<NotRun>(&outcome)) {
+    notRun->retryAfter = retryAfter_.value_or(state::Duration{ 0 });
+  }
+  return { std::move(outcome), facts_.retriesLeft };
 }
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -16,6 +16,7 @@
 {
   std::string method;
   std::string target;
+  std::string host;
   std::string tenant;
   /// Empty if the caller gave none. Ignored on idempotent routes.
   std::string idempotencyKey;
@@ -25,6 +26,8 @@
   unsigned depth = 0;
   /// Retries that the whole chain of calls below this one may still make.
   unsigned retriesLeft = 2;
+  /// A running request of the upstream beside this node waits for this one.
+  bool isNested = false;
 };
 
 /// What an attempt tells the executor of a keyed request.
@@ -52,6 +55,10 @@
   unsigned retriesLeft = 0;
   /// Set for keyed requests.
   std::optional<ClaimTicket> claim;
+  /// How long the request may wait for a slot; not set leaves it to the node
+  /// beside the upstream.
+  std::optional<state::Duration> maxWait = std::nullopt;
+  bool isNested = false;
 };
 
 /// Answer the caller.
@@ -60,6 +67,8 @@
   Outcome outcome;
   /// What the answer hands back in Teaselhold-Retries-Left.
   unsigned retriesLeft = 0;
+  /// The outcome is that of an earlier attempt than the last one.
+  bool isEarlierAnswer = false;
 };
 
 /// Call Resume() at this time.
@@ -112,6 +121,12 @@
   /// @return nullptr before a route was found.
   const state::RouteSpec* Route() const { return route_; }
 
+  /// The service that the call goes to; empty before a route was found.
+  const std::string& Service() const { return service_; }
+
+  unsigned Attempts() const { return attempts_; }
+  unsigned Placements() const { return placements_; }
+
 private:
   std::optional<NotRunReason> Refusal() const;
   bool IsReachable(const std::string& aService) const;
@@ -128,6 +143,12 @@
   CallStep RetryAt(EndpointPointer aEndpoint, state::Instant aNow);
   CallStep WaitOrEnd(state::Instant aNow);
   bool MayRetry(state::Instant aNow);
+  bool IsFree() const;
+  bool IsWorthRepeating(const Answered& aAnswer) const;
+  unsigned MaxAttempts() const;
+  std::optional<state::Duration> MaxWait(state::Instant aNow);
+  state::Duration ServiceTime();
+  void NoteRefusal(const Outcome& aOutcome);
   void SpendRetry(state::Instant aNow);
   EndpointPointer PickNext(state::Instant aNow);
   CallStep Send(state::Instant aNow);
@@ -139,13 +160,26 @@
   RoutingSnapshotPointer snapshot_;
   CallEnvironment& environment_;
   const state::RouteSpec* route_ = nullptr;
+  std::string service_;
+  /// When an answer loses part of its worth; max() if the route has no
+  /// objective.
+  state::Instant objective_ = state::Instant::max();
   state::Instant deadline_{ 0 };
   /// The endpoint that the router counts for this call.
   EndpointPointer current_;
   std::vector<EndpointPointer> tried_;
   /// Every refusal since the last back-off was for load.
   bool onlyLoad_ = true;
+  /// Deliveries that may have reached an upstream.
   unsigned attempts_ = 0;
+  /// Nodes that were asked.
+  unsigned placements_ = 0;
+  /// The last refusal came from a node, before any delivery.
+  bool isRefusedByNode_ = false;
+  /// The shortest time after which a refusing node expects to have room.
+  std::optional<state::Duration> retryAfter_;
+  /// An answer of 500 or above that another attempt may better.
+  std::optional<Answered> earlierAnswer_;
   unsigned backoffs_ = 0;
   unsigned retriesPassed_ = 0;
   /// Set while the request may have run without this call knowing its answer.
--- a/Libraries/Coordination/CallTypes.h
+++ b/Libraries/Coordination/CallTypes.h
@@ -102,6 +102,8 @@
 struct NotRun
 {
   NotRunReason reason;
+  /// After this time another try may be accepted; 0 if nothing is known.
+  state::Duration retryAfter{ 0 };
 };
 
 /// The request may have run, may be running or may not have run.
--- /dev/null
+++ b/Libraries/Coordination/CallerDeadlines.cpp
@@ -0,0 +1,32 @@
+#include "Coordination/CallerDeadlines.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr std::size_t kMaxRoutes = 1024;
+/// A longer deadline is that of another kind of caller, not of a first send.
+constexpr state::Duration kLongestDeadline = std::chrono::seconds(60);
+
+} // namespace
+
+state::Duration
+CallerDeadlines::Elapsed(std::string_view aRoute, state::Duration aRemaining)
+{
+  if (aRemaining > kLongestDeadline) {
+    return state::Duration{ 0 };
+  }
+  auto found = longest_.find(aRoute);
+  if (found == longest_.end()) {
+    if (longest_.size() >= kMaxRoutes) {
+      longest_.clear();
+    }
+    found = longest_.try_emplace(std::string(aRoute), aRemaining).first;
+  }
+  found->second = std::max(found->second, aRemaining);
+  return found->second - aRemaining;
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -0,0 +1,132 @@
+#include "Coordination/ConfigurationWatch.h"
+
+#include "Protocol/ConfigurationText.h"
+#include "admin.pb.h"
+
+namespace teaselhold::coordination {
+
+namespace {
+
+/// A waiting watch counts as one call, so long waits are cheap.
+constexpr std::chrono::milliseconds kWatchWait{ 25000 };
+/// Changes that follow each other closely are fetched by one call; each is
+/// still in force well within 2 s.
+constexpr state::Duration kPauseAfterChange = std::chrono::milliseconds(500);
+} // namespace
+
+void
+ConfigurationWatch::Tick(state::Instant aNow, Commands& aCommands)
+{
+  if (isRefreshDue_ && readCall_ == 0) {
+    isRefreshDue_ = false;
+    readCall_ = numbers_.Next();
+    aCommands.push_back(
+      CallStore{ readCall_, StoreGet{ protocol::kConfigurationKey } });
+  }
+  if (call_ != 0 || aNow < next_) {
+    return;
+  }
+  call_ = numbers_.Next();
+  aCommands.push_back(CallStore{
+    call_, StoreWatch{ protocol::kConfigurationKey, revision_, kWatchWait } });
+}
+
+bool
+ConfigurationWatch::OnStoreAnswer(const StoreAnswered& aAnswer,
+                                  state::Instant aNow,
+                                  Commands& aCommands)
+{
+  if (readCall_ != 0 && aAnswer.call == readCall_) {
+    readCall_ = 0;
+    OnRead(aAnswer.result, aCommands);
+    return true;
+  }
+  if (aAnswer.call != call_) {
+    return false;
+  }
+  call_ = 0;
+  const auto* entry = std::get_if<protocol::StoreEntry>(&aAnswer.result);
+  isStoreReachable_ = entry != nullptr;
+  if (entry == nullptr) {
+    next_ = aNow + backoff_.Next(random_);
+    return true;
+  }
+  backoff_.Reset();
+  const bool isFirst = revision_ == 0;
+  const bool isChanged = entry->revision != revision_;
+  // The first answer is a read; the watch starts at once.
+  next_ =
+    aNow + (isChanged && !isFirst ? kPauseAfterChange : state::Duration{ 0 });
+  if (isChanged) {
+    Take(*entry, aCommands);
+  } else if (entry->revision == 0) {
+    next_ = aNow + kFirstStorePause;
+  }
+  return true;
+}
+
+void
+ConfigurationWatch::OnRead(const StoreResult& aResult, Commands& aCommands)
+{
+  const auto* entry = std::get_if<protocol::StoreEntry>(&aResult);
+  if (entry != nullptr && entry->revision > revision_) {
+    Take(*entry, aCommands);
+  }
+}
+
+void
+ConfigurationWatch::Take(const protocol::StoreEntry& aEntry,
+                         Commands& aCommands)
+{
+  revision_ = aEntry.revision;
+  wire::StoredConfiguration stored;
+  if (aEntry.value.empty()) {
+    return;
+  }
+  if (!stored.ParseFromString(aEntry.value)) {
+    Refuse(0, "the stored value cannot be read", aCommands);
+    return;
+  }
+  const auto generation = stored.generation();
+  if (!stored.defect().empty()) {
+    Refuse(generation, stored.defect(), aCommands);
+    return;
+  }
+  if (active_ != nullptr && generation <= active_->GetGeneration()) {
+    if (generation < active_->GetGeneration()) {
+      Refuse(generation, "older than the version in force", aCommands);
+    }
+    return;
+  }
+  auto compiled = protocol::CompileConfiguration(stored.text(), generation);
+  if (!compiled) {
+    Refuse(
+      generation, protocol::FormatErrors("text", compiled.error()), aCommands);
+    return;
+  }
+  active_ = std::move(*compiled);
+  refusedGeneration_ = 0;
+  refusedReason_.clear();
+  aCommands.push_back(
+    WriteLog{ LogLevel::Info,
+              "config",
+              "Version in force. generation=" + std::to_string(generation) +
+                " revision=" + std::to_string(revision_) +
+                " routes=" + std::to_string(active_->Routes().size()) });
+}
+
+void
+ConfigurationWatch::Refuse(state::Generation aGeneration,
+                           std::string aReason,
+                           Commands& aCommands)
+{
+  refusedGeneration_ = aGeneration;
+  refusedReason_ = std::move(aReason);
+  aCommands.push_back(WriteLog{
+    LogLevel::Warning,
+    "config",
+    "Version refused. generation=" + std::to_string(aGeneration) +
+      " revision=" + std::to_string(revision_) + " reason=" + refusedReason_ });
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Coordination/Backoff.h"
+#include "Coordination/CallNumbers.h"
+#include "Coordination/NodeEvents.h"
+
+namespace teaselhold::coordination {
+
+/// Keeps the newest configuration by watching the store. A version takes
+/// effect whole or not at all, and never after a newer one.
+class ConfigurationWatch
+{
+public:
+  ConfigurationWatch(CallNumbers& aNumbers, RandomSource& aRandom)
+    : numbers_(aNumbers)
+    , random_(aRandom)
+  {
+  }
+
+  /// Starts a watch if none is waiting.
+  void Tick(state::Instant aNow, Commands& aCommands);
+
+  /// @return false if the answer belongs to another part.
+  bool OnStoreAnswer(const StoreAnswered& aAnswer,
+                     state::Instant aNow,
+                     Commands& aCommands);
+
+  /// Reads the key again although a watch waits: the store dropped history or
+  /// cut watches, so the waiting one may never hear of a change.
+  void Refresh() { isRefreshDue_ = true; }
+
+  /// Takes a value of the configuration's key.
+  void Take(const protocol::StoreEntry& aEntry, Commands& aCommands);
+
+  /// @return nullptr until a version is in force.
+  const state::ConfigurationPointer& Active() const { return active_; }
+
+  std::uint64_t Revision() const { return revision_; }
+  bool IsStoreReachable() const { return isStoreReachable_; }
+  state::Generation RefusedGeneration() const { return refusedGeneration_; }
+  const std::string& RefusedReason() const { return refusedReason_; }
+
+private:
+  void Refuse(state::Generation aGeneration,
+              std::string aReason,
+              Commands& aCommands);
+
+  CallNumbers& numbers_;
+  void OnRead(const StoreResult& aResult, Commands& aCommands);
+
+  std::uint64_t call_ = 0;
+  std::uint64_t readCall_ = 0;
+  bool isRefreshDue_ = false;
+  RandomSource& random_;
+  Backoff backoff_{ kFirstStorePause, kLongestStorePause };
+  state::Instant next_{ 0 };
+  std::uint64_t revision_ = 0;
+  bool isStoreReachable_ = false;
+  state::ConfigurationPointer active_;
+  state::Generation refusedGeneration_ = 0;
+  std::string refusedReason_;
+};
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -1,22 +1,28 @@
 #include "Coordination/DirectCore.h"
 
-#include "Coordination/EndpointCodec.h"
 #include "Protocol/ConfigurationText.h"
 #include "admin.pb.h"
 
+#include <algorithm>
+
 namespace teaselhold::coordination {
 
 namespace {
 
-constexpr state::Duration kAnnounceInterval = std::chrono::milliseconds(500);
-constexpr state::Duration kSilenceLimit = std::chrono::seconds(3);
-constexpr state::Duration kWatchRetryDelay = std::chrono::milliseconds(500);
-constexpr std::chrono::milliseconds kWatchWait{ 10000 };
+/// A node whose store is out serves without the memory of its earlier process
+/// after this time.
+constexpr state::Duration kRestoreWait = std::chrono::seconds(3);
+/// A crash suspects the requests of one upstream, about a dozen.
+constexpr std::size_t kMaxCrashSuspects = 32;
 
 } // namespace
 
 DirectCore::DirectCore(NodeOptions aOptions)
   : options_(std::move(aOptions))
+  , random_(options_.randomSeed)
+  , configuration_(numbers_, random_)
+  , directory_(options_.identity.name, numbers_, random_)
+  , registration_(options_.identity.name, numbers_, random_)
 {
   const auto& identity = options_.identity;
   self_.node = identity.name;
@@ -28,156 +34,140 @@
   self_.dataAddress = identity.dataAddress;
   self_.controlAddress = identity.controlAddress;
   self_.slots = identity.slots;
-  table_.Merge(self_);
+  directory_.SetSelf(self_);
 }
 
 Commands
 DirectCore::Handle(const Event& aEvent, state::Instant aNow)
 {
   Commands commands;
-  if (const auto* message = std::get_if<MessageReceived>(&aEvent)) {
-    OnMessage(message->envelope, aNow);
-  } else if (const auto* answer = std::get_if<StoreAnswered>(&aEvent)) {
-    OnStoreAnswer(*answer, commands);
-    nextWatch_ =
-      aNow + (storeReachable_ ? state::Duration{ 0 } : kWatchRetryDelay);
+  started_ = started_.value_or(aNow);
+  if (const auto* answer = std::get_if<StoreAnswered>(&aEvent)) {
+    OnStoreAnswer(*answer, aNow, commands);
   } else if (const auto* change = std::get_if<UpstreamChanged>(&aEvent)) {
-    self_.state = change->state;
-    ++self_.sequence;
-    dirty_ = table_.Merge(self_) || dirty_;
-    Announce(commands);
+    OnUpstreamChanged(*change);
   } else if (const auto* crash = std::get_if<CrashObserved>(&aEvent)) {
-    OnCrash(crash->fingerprint, aNow, commands);
+    OnCrash(crash->fingerprint);
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
     OnApply(*apply, commands);
+  } else if (const auto* stopping = std::get_if<Stopping>(&aEvent)) {
+    if (stopping->isUpstreamGone) {
+      registration_.End(commands);
+    }
+  }
+  if (directory_.TakeDoubt()) {
+    configuration_.Refresh();
   }
-  OnTick(aNow, commands);
-  if (dirty_) {
+  configuration_.Tick(aNow, commands);
+  directory_.Tick(aNow, commands);
+  registration_.Tick(directory_, aNow, commands);
+  RestoreOnce(aNow, commands);
+  if (directory_.TakeChanged()) {
+    CollectCrashes(aNow);
+    isPublishDue_ = true;
+  }
+  isPublishDue_ = crashGuard_.Expire(aNow) || isPublishDue_ ||
+                  configuration_.Active() != published_;
+  if (isPublishDue_) {
     Publish(commands);
   }
   return commands;
 }
 
 void
-DirectCore::OnTick(state::Instant aNow, Commands& aCommands)
+DirectCore::OnUpstreamChanged(const UpstreamChanged& aChange)
 {
-  if (watchCall_ == 0 && aNow >= nextWatch_) {
-    Watch(aCommands);
-  }
-  if (aNow >= nextAnnouncement_) {
-    nextAnnouncement_ = aNow + kAnnounceInterval;
-    Announce(aCommands);
+  self_.state = aChange.state;
+  ++self_.sequence;
+  if (aChange.upstream) {
+    self_.upstream = *aChange.upstream;
+    self_.slots = aChange.upstream->slots;
   }
-  dirty_ = crashGuard_.Expire(aNow) || dirty_;
-  for (const auto& [node, heard] : lastHeard_) {
-    const auto* record = table_.Find(node);
-    if (aNow - heard > kSilenceLimit && record != nullptr &&
-        record->state != state::EndpointState::Down) {
-      auto down = *record;
-      down.state = state::EndpointState::Down;
-      dirty_ = table_.Merge(down) || dirty_;
-    }
+  directory_.SetSelf(self_);
+  // Short outages are told by the refusals of this node; only what lasts is
+  // written.
+  const bool isLasting = aChange.state == state::EndpointState::Ready ||
+                         aChange.state == state::EndpointState::Draining ||
+                         aChange.state == state::EndpointState::Gone;
+  if (isLasting) {
+    Register(aChange.saveNumber);
   }
 }
 
 void
-DirectCore::OnCrash(std::uint64_t aFingerprint,
-                    state::Instant aNow,
-                    Commands& aCommands)
+DirectCore::Register(std::uint64_t aSaveNumber)
 {
-  dirty_ =
-    crashGuard_.Report(aFingerprint, self_.node, self_.incarnation, aNow) ||
-    dirty_;
-  wire::Envelope envelope;
-  auto& report = *envelope.mutable_crash_report();
-  report.set_fingerprint(aFingerprint);
-  report.set_node(self_.node);
-  report.set_incarnation(self_.incarnation);
-  SendToSeeds(std::move(envelope), aCommands);
+  auto record = self_;
+  // The sequence would make equal records differ.
+  record.sequence = 1;
+  registration_.Set(record, aSaveNumber);
 }
 
 void
-DirectCore::OnMessage(const wire::Envelope& aEnvelope, state::Instant aNow)
+DirectCore::OnCrash(std::uint64_t aFingerprint)
 {
-  if (aEnvelope.has_crash_report()) {
-    const auto& report = aEnvelope.crash_report();
-    dirty_ =
-      crashGuard_.Report(
-        report.fingerprint(), report.node(), report.incarnation(), aNow) ||
-      dirty_;
+  auto& suspects = self_.crashSuspects;
+  suspects.push_back(aFingerprint);
+  if (suspects.size() > kMaxCrashSuspects) {
+    suspects.erase(suspects.begin());
   }
-  for (const auto& endpoint : aEnvelope.endpoint_delta().endpoints()) {
-    auto record = FromWire(endpoint);
-    if (record.node == self_.node) {
-      continue;
-    }
-    lastHeard_[record.node] = aNow;
-    const auto* known = table_.Find(record.node);
-    // A node that was marked down and still announces itself is up again.
-    if (known != nullptr && known->state == state::EndpointState::Down &&
-        record.state != state::EndpointState::Down &&
-        record.incarnation >= known->incarnation) {
-      table_.Erase(record.node);
+  ++self_.sequence;
+  directory_.SetSelf(self_);
+  Register(0);
+}
+
+void
+DirectCore::CollectCrashes(state::Instant aNow)
+{
+  for (const auto* record : directory_.Table().All()) {
+    for (const auto fingerprint : record->crashSuspects) {
+      isPublishDue_ =
+        crashGuard_.Report(
+          fingerprint, record->node, record->upstream.bornMilliseconds, aNow) ||
+        isPublishDue_;
     }
-    dirty_ = table_.Merge(record) || dirty_;
   }
 }
 
 void
-DirectCore::OnStoreAnswer(const StoreAnswered& aAnswer, Commands& aCommands)
+DirectCore::RestoreOnce(state::Instant aNow, Commands& aCommands)
 {
-  if (aAnswer.call == applyCall_) {
-    applyCall_ = 0;
-    OnSwapAnswer(aAnswer.result, aCommands);
+  const bool isDue = directory_.IsListed() || aNow - *started_ >= kRestoreWait;
+  if (isRestored_ || !isDue) {
     return;
   }
-  if (aAnswer.call != watchCall_) {
-    return;
-  }
-  watchCall_ = 0;
-  const auto* entry = std::get_if<protocol::StoreEntry>(&aAnswer.result);
-  storeReachable_ = entry != nullptr;
-  if (entry != nullptr) {
-    OnConfiguration(*entry, aCommands);
+  isRestored_ = true;
+  RestoreUpstream restore;
+  const auto& earlier = directory_.EarlierSelf();
+  if (earlier && earlier->state != state::EndpointState::Ready &&
+      !earlier->upstream.id.empty()) {
+    restore.leaving = earlier->upstream;
   }
+  aCommands.push_back(std::move(restore));
 }
 
 void
-DirectCore::OnConfiguration(const protocol::StoreEntry& aEntry,
-                            Commands& aCommands)
+DirectCore::OnStoreAnswer(const StoreAnswered& aAnswer,
+                          state::Instant aNow,
+                          Commands& aCommands)
 {
-  revision_ = aEntry.revision;
-  wire::StoredConfiguration stored;
-  if (aEntry.value.empty() || !stored.ParseFromString(aEntry.value)) {
-    return;
-  }
-  if (configuration_ != nullptr &&
-      stored.generation() <= configuration_->GetGeneration()) {
+  if (aAnswer.call == applyCall_) {
+    applyCall_ = 0;
+    OnSwapAnswer(aAnswer.result, aCommands);
     return;
   }
-  auto compiled =
-    protocol::CompileConfiguration(stored.text(), stored.generation());
-  if (!compiled) {
-    aCommands.push_back(WriteLog{
-      LogLevel::Warning,
-      "config",
-      "Version refused. generation=" + std::to_string(stored.generation()) +
-        " reason=" + protocol::FormatErrors("text", compiled.error()) });
+  if (configuration_.OnStoreAnswer(aAnswer, aNow, aCommands) ||
+      directory_.OnStoreAnswer(aAnswer, aNow, aCommands)) {
     return;
   }
-  configuration_ = std::move(*compiled);
-  dirty_ = true;
-  aCommands.push_back(WriteLog{ LogLevel::Info,
-                                "config",
-                                "Version in force. generation=" +
-                                  std::to_string(stored.generation()) });
+  registration_.OnStoreAnswer(aAnswer, aNow, aCommands);
 }
 
 void
 DirectCore::OnApply(const ApplyRequested& aRequest, Commands& aCommands)
 {
-  const auto current =
-    configuration_ == nullptr ? 0 : configuration_->GetGeneration();
+  const auto& active = configuration_.Active();
+  const auto current = active == nullptr ? 0 : active->GetGeneration();
   auto compiled = protocol::CompileConfiguration(aRequest.text, current + 1);
   if (!compiled) {
     aCommands.push_back(
@@ -197,7 +187,7 @@
     return;
   }
   apply_ = aRequest;
-  applyCall_ = nextCall_++;
+  applyCall_ = numbers_.Next();
   wire::StoredConfiguration stored;
   stored.set_generation(current + 1);
   stored.set_digest((*compiled)->Digest());
@@ -205,7 +195,7 @@
   stored.set_apply_id(aRequest.applyId);
   aCommands.push_back(CallStore{ applyCall_,
                                  StoreSwap{ protocol::kConfigurationKey,
-                                            revision_,
+                                            configuration_.Revision(),
                                             stored.SerializeAsString(),
                                             0 } });
 }
@@ -227,7 +217,7 @@
                                     "Accepted. generation=" +
                                       std::to_string(stored.generation()) });
     }
-    OnConfiguration(swap->current, aCommands);
+    configuration_.Take(swap->current, aCommands);
   } else if (const auto* error = std::get_if<protocol::StoreError>(&aResult)) {
     finish.outcome = error->code == protocol::StoreErrorCode::Unknown
                        ? ApplyOutcome::Unknown
@@ -237,43 +227,15 @@
   aCommands.push_back(std::move(finish));
 }
 
-void
-DirectCore::Watch(Commands& aCommands)
-{
-  watchCall_ = nextCall_++;
-  aCommands.push_back(CallStore{
-    watchCall_,
-    StoreWatch{ protocol::kConfigurationKey, revision_, kWatchWait } });
-}
-
-void
-DirectCore::Announce(Commands& aCommands) const
-{
-  wire::Envelope envelope;
-  *envelope.mutable_endpoint_delta()->add_endpoints() = ToWire(self_);
-  SendToSeeds(std::move(envelope), aCommands);
-}
-
-void
-DirectCore::SendToSeeds(wire::Envelope aEnvelope, Commands& aCommands) const
-{
-  aEnvelope.set_from_node(self_.node);
-  aEnvelope.set_from_incarnation(self_.incarnation);
-  aEnvelope.set_from_address(self_.controlAddress);
-  for (const auto& seed : options_.seeds) {
-    if (seed != self_.controlAddress) {
-      aCommands.push_back(SendMessage{ seed, aEnvelope });
-    }
-  }
-}
-
 void
 DirectCore::Publish(Commands& aCommands)
 {
-  dirty_ = false;
+  isPublishDue_ = false;
+  published_ = configuration_.Active();
   auto snapshot = std::make_shared<RoutingSnapshot>();
-  snapshot->configuration = configuration_;
-  snapshot->endpoints = std::make_shared<state::EndpointTable>(table_);
+  snapshot->configuration = published_;
+  snapshot->endpoints =
+    std::make_shared<state::EndpointTable>(directory_.Table());
   snapshot->quarantined = crashGuard_.Quarantined();
   aCommands.push_back(PublishSnapshot{ std::move(snapshot) });
 }
@@ -282,19 +244,23 @@
 DirectCore::Status() const
 {
   FleetStatus status;
-  status.storeReachable = storeReachable_;
-  const auto generation =
-    configuration_ == nullptr ? 0 : configuration_->GetGeneration();
+  status.storeReachable = configuration_.IsStoreReachable();
+  const auto& active = configuration_.Active();
+  const auto generation = active == nullptr ? 0 : active->GetGeneration();
   status.storeGeneration = generation;
-  status.highestGeneration = generation;
-  status.nodes.push_back({ self_.node,
-                           self_.service,
-                           self_.dataCentre,
-                           self_.state,
-                           "direct",
-                           generation,
-                           0,
-                           "" });
+  status.highestGeneration =
+    std::max(generation, configuration_.RefusedGeneration());
+  for (const auto* record : directory_.Table().All()) {
+    const bool isSelf = record->node == self_.node;
+    status.nodes.push_back({ record->node,
+                             record->service,
+                             record->dataCentre,
+                             record->state,
+                             "direct",
+                             isSelf ? generation : 0,
+                             isSelf ? configuration_.RefusedGeneration() : 0,
+                             isSelf ? configuration_.RefusedReason() : "" });
+  }
   return status;
 }
 
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -1,54 +1,54 @@
 #pragma once
 
+#include "Coordination/ConfigurationWatch.h"
 #include "Coordination/CrashGuard.h"
-#include "Coordination/NodeEvents.h"
-
-#include <map>
+#include "Coordination/NodeDirectory.h"
+#include "Coordination/NodeRegistration.h"
 
 namespace teaselhold::coordination {
 
-/// The baseline that measurements compare against: every node watches the
-/// store for the whole text and announces itself to every seed. It does not
-/// scale and is not meant for production.
+/// The decision logic of a node in a fleet without relays: every node watches
+/// the store for the configuration and for the records of the other nodes.
+/// Calls of the store grow with the fleet and its changes; docs/platform.md
+/// says up to which size that holds.
 class DirectCore
 {
 public:
   explicit DirectCore(NodeOptions aOptions);
+  DirectCore(const DirectCore&) = delete;
+  DirectCore& operator=(const DirectCore&) = delete;
 
   Commands Handle(const Event& aEvent, state::Instant aNow);
 
   FleetStatus Status() const;
 
 private:
-  void OnTick(state::Instant aNow, Commands& aCommands);
-  void OnMessage(const wire::Envelope& aEnvelope, state::Instant aNow);
-  void OnCrash(std::uint64_t aFingerprint,
-               state::Instant aNow,
-               Commands& aCommands);
-  void OnStoreAnswer(const StoreAnswered& aAnswer, Commands& aCommands);
-  void OnConfiguration(const protocol::StoreEntry& aEntry, Commands& aCommands);
+  void OnUpstreamChanged(const UpstreamChanged& aChange);
+  void OnCrash(std::uint64_t aFingerprint);
+  void OnStoreAnswer(const StoreAnswered& aAnswer,
+                     state::Instant aNow,
+                     Commands& aCommands);
   void OnApply(const ApplyRequested& aRequest, Commands& aCommands);
   void OnSwapAnswer(const StoreResult& aResult, Commands& aCommands);
-  void Watch(Commands& aCommands);
-  void Announce(Commands& aCommands) const;
-  void SendToSeeds(wire::Envelope aEnvelope, Commands& aCommands) const;
+  void RestoreOnce(state::Instant aNow, Commands& aCommands);
+  void Register(std::uint64_t aSaveNumber);
+  void CollectCrashes(state::Instant aNow);
   void Publish(Commands& aCommands);
 
   NodeOptions options_;
   state::EndpointRecord self_;
-  state::EndpointTable table_;
+  CallNumbers numbers_;
+  RandomSource random_;
+  ConfigurationWatch configuration_;
+  NodeDirectory directory_;
+  NodeRegistration registration_;
   CrashGuard crashGuard_;
-  std::map<std::string, state::Instant> lastHeard_;
-  state::ConfigurationPointer configuration_;
-  std::uint64_t revision_ = 0;
-  std::uint64_t nextCall_ = 1;
-  std::uint64_t watchCall_ = 0;
+  state::ConfigurationPointer published_;
+  std::optional<state::Instant> started_;
+  bool isRestored_ = false;
+  bool isPublishDue_ = true;
   std::uint64_t applyCall_ = 0;
-  ApplyRequested apply_{};
-  state::Instant nextWatch_{ 0 };
-  state::Instant nextAnnouncement_{ 0 };
-  bool storeReachable_ = false;
-  bool dirty_ = true;
+  ApplyRequested apply_;
 };
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/EndpointCodec.cpp
+++ b/Libraries/Coordination/EndpointCodec.cpp
@@ -18,6 +18,11 @@
   endpoint.set_slots(aRecord.slots);
   endpoint.set_relay(aRecord.relay);
   endpoint.set_is_relay(aRecord.isRelay);
+  endpoint.set_upstream_id(aRecord.upstream.id);
+  endpoint.set_upstream_born_milliseconds(aRecord.upstream.bornMilliseconds);
+  endpoint.set_upstream_sequence(aRecord.upstream.sequence);
+  endpoint.mutable_crash_suspects()->Add(aRecord.crashSuspects.begin(),
+                                         aRecord.crashSuspects.end());
   return endpoint;
 }
 
@@ -73,6 +78,14 @@
   record.slots = aEndpoint.slots();
   record.relay = aEndpoint.relay();
   record.isRelay = aEndpoint.is_relay();
+  if (!aEndpoint.upstream_id().empty()) {
+    record.upstream = { aEndpoint.upstream_id(),
+                        aEndpoint.upstream_born_milliseconds(),
+                        aEndpoint.upstream_sequence(),
+                        aEndpoint.slots() };
+  }
+  record.crashSuspects = { aEndpoint.crash_suspects().begin(),
+                           aEndpoint.crash_suspects().end() };
   return record;
 }
 
--- a/Libraries/Coordination/KeyedCall.cpp
+++ b/Libraries/Coordination/KeyedCall.cpp
@@ -142,7 +142,12 @@
       return StopWriting();
     case protocol::StoreErrorCode::TooLarge:
       return Failed{ NotRunReason::BadRequest };
+    case protocol::StoreErrorCode::LeaseLapsed:
+      // Nothing was written, so the next read finds the key as it was.
+      keeper_.DropLease(lease_);
+      return Read();
     case protocol::StoreErrorCode::Unavailable:
+    case protocol::StoreErrorCode::HistoryLost:
       break;
   }
   return Failed{ NotRunReason::ClaimUnavailable };
--- a/Libraries/Coordination/KeyedCallSession.cpp
+++ b/Libraries/Coordination/KeyedCallSession.cpp
@@ -7,7 +7,7 @@
 CallSession::StartKeyed(state::Instant aNow)
 {
   const auto name =
-    NameOfKeyedRequest(route_->service, facts_.tenant, facts_.idempotencyKey);
+    NameOfKeyedRequest(service_, facts_.tenant, facts_.idempotencyKey);
   keyHash_ = state::DigestOfText(name);
   keyed_.emplace(environment_.claims, name, facts_.fingerprint);
   current_ = PickNext(aNow);
@@ -89,7 +89,7 @@
   record->node = aBinding.node;
   record->incarnation = aBinding.incarnation;
   record->dataAddress = aBinding.dataAddress;
-  record->service = route_->service;
+  record->service = service_;
   return record;
 }
 
--- /dev/null
+++ b/Libraries/Coordination/LoadReport.cpp
@@ -0,0 +1,49 @@
+#include "Coordination/LoadReport.h"
+
+#include <array>
+#include <charconv>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr double kPerMille = 1000;
+constexpr std::size_t kFields = 4;
+
+} // namespace
+
+std::string
+FormatLoadReport(const LoadReport& aReport)
+{
+  const auto failures = static_cast<unsigned>(aReport.failureShare * kPerMille);
+  return std::to_string(aReport.occupied) + ";" +
+         std::to_string(aReport.slots) + ";" +
+         std::to_string(aReport.serviceTime.count()) + ";" +
+         std::to_string(failures);
+}
+
+std::optional<LoadReport>
+ParseLoadReport(std::string_view aText)
+{
+  std::array<std::uint32_t, kFields> values{};
+  const auto* next = aText.data();
+  const auto* end = next + aText.size();
+  for (std::size_t i = 0; i < kFields; ++i) {
+    const auto parsed = std::from_chars(next, end, values[i]);
+    const bool isLast = i + 1 == kFields;
+    const bool isComplete =
+      isLast ? parsed.ptr == end : parsed.ptr != end && *parsed.ptr == ';';
+    if (parsed.ec != std::errc() || !isComplete) {
+      return std::nullopt;
+    }
+    next = parsed.ptr + (isLast ? 0 : 1);
+  }
+  LoadReport report;
+  report.occupied = values[0];
+  report.slots = values[1];
+  report.serviceTime = state::Duration(values[2]);
+  report.failureShare = values[3] / kPerMille;
+  return report;
+}
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <variant>
@@ -35,7 +36,9 @@
                                  protocol::StoreEntry,
                                  protocol::SwapResult,
                                  /* lease */ protocol::LeaseId,
-                                 /* lease is alive */ bool>;
+                                 /* lease is alive */ bool,
+                                 protocol::StoreListing,
+                                 protocol::StoreChanges>;
 
 struct StoreAnswered
 {
@@ -43,10 +46,23 @@
   StoreResult result;
 };
 
-/// The state of the upstream beside this node, as its prober sees it.
+/// The state of the upstream beside this node, as its prober or its own
+/// announcements say it.
 struct UpstreamChanged
 {
   state::EndpointState state;
+  /// Set if the upstream announces itself.
+  std::optional<state::UpstreamIdentity> upstream = std::nullopt;
+  /// If not 0, a LeavingSaved command with this number follows once the state
+  /// is in the store.
+  std::uint64_t saveNumber = 0;
+};
+
+/// The node is about to end.
+struct Stopping
+{
+  /// The upstream has left for good, so the node's record goes too.
+  bool isUpstreamGone = false;
 };
 
 /// The upstream crashed while it ran a request with this fingerprint.
@@ -75,7 +91,8 @@
                            UpstreamChanged,
                            CrashObserved,
                            ApplyRequested,
-                           StatusRequested>;
+                           StatusRequested,
+                           Stopping>;
 
 // Commands.
 
@@ -116,14 +133,52 @@
   std::chrono::milliseconds wait;
 };
 
+struct StoreList
+{
+  std::string prefix;
+};
+
+struct StoreWatchPrefix
+{
+  std::string prefix;
+  std::uint64_t afterRevision;
+  std::chrono::milliseconds wait;
+};
+
+struct StoreEndLease
+{
+  protocol::LeaseId lease;
+};
+
 /// A call of the store; its StoreAnswered event carries the same number.
 struct CallStore
 {
   std::uint64_t call;
-  std::variant<StoreGet, StoreSwap, StoreGrant, StoreKeepAlive, StoreWatch>
+  std::variant<StoreGet,
+               StoreSwap,
+               StoreGrant,
+               StoreKeepAlive,
+               StoreWatch,
+               StoreList,
+               StoreWatchPrefix,
+               StoreEndLease>
     request;
 };
 
+/// The state that the upstream announced is in the store, so a restart of this
+/// node does not forget it.
+struct LeavingSaved
+{
+  std::uint64_t saveNumber;
+};
+
+/// An earlier process of this node knew that this upstream is leaving; nothing
+/// if no earlier process left such a record.
+struct RestoreUpstream
+{
+  std::optional<state::UpstreamIdentity> leaving;
+};
+
 struct PublishSnapshot
 {
   RoutingSnapshotPointer snapshot;
@@ -174,8 +229,13 @@
   std::string message;
 };
 
-using Command =
-  std::variant<SendMessage, CallStore, PublishSnapshot, FinishApply, WriteLog>;
+using Command = std::variant<SendMessage,
+                             CallStore,
+                             PublishSnapshot,
+                             FinishApply,
+                             WriteLog,
+                             LeavingSaved,
+                             RestoreUpstream>;
 using Commands = std::vector<Command>;
 
 /// Who and where this node is, from its settings.
--- /dev/null
+++ b/Libraries/Coordination/NodeRegistration.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Coordination/CallNumbers.h"
+#include "Coordination/NodeDirectory.h"
+
+namespace teaselhold::coordination {
+
+/// Keeps this node's record in the store under a lease, and writes it again
+/// when the lease lapsed or the record was taken away.
+class NodeRegistration
+{
+public:
+  NodeRegistration(const std::string& aNode,
+                   CallNumbers& aNumbers,
+                   RandomSource& aRandom);
+
+  /// Takes what the store shall hold from now on.
+  /// @param aSaveNumber if not 0, LeavingSaved follows once it is stored.
+  void Set(const state::EndpointRecord& aRecord, std::uint64_t aSaveNumber);
+
+  /// @param aDirectory tells what the store holds of this node.
+  void Tick(const NodeDirectory& aDirectory,
+            state::Instant aNow,
+            Commands& aCommands);
+
+  /// @return false if the answer belongs to another part.
+  bool OnStoreAnswer(const StoreAnswered& aAnswer,
+                     state::Instant aNow,
+                     Commands& aCommands);
+
+  /// Takes the record away at once.
+  void End(Commands& aCommands);
+
+private:
+  void OnGranted(const StoreResult& aResult, state::Instant aNow);
+  void OnSwapped(const StoreResult& aResult,
+                 state::Instant aNow,
+                 Commands& aCommands);
+  void OnRenewed(const StoreResult& aResult,
+                 state::Instant aNow,
+                 Commands& aCommands);
+  void Forget();
+  void Call(Commands& aCommands, decltype(CallStore::request) aRequest);
+
+  enum class Pending : std::uint8_t
+  {
+    None,
+    Grant,
+    Swap,
+    Renew,
+  };
+
+  std::string key_;
+  CallNumbers& numbers_;
+  /// What the store shall hold; empty until there is something to announce.
+  std::string wanted_;
+  std::uint64_t saveNumber_ = 0;
+  std::string written_;
+  std::uint64_t revision_ = 0;
+  protocol::LeaseId lease_ = 0;
+  Pending pending_ = Pending::None;
+  std::uint64_t call_ = 0;
+  std::string swapping_;
+  state::Instant next_{ 0 };
+  state::Instant nextRenewal_{ 0 };
+  RandomSource& random_;
+  Backoff backoff_{ kFirstStorePause, kLongestStorePause };
+  bool isEnded_ = false;
+};
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/RetryBudget.cpp
+++ b/Libraries/Coordination/RetryBudget.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-constexpr double kTokensPerCall = 0.1;
-/// The floor: lets a service with few calls retry at all.
-constexpr double kTokensPerSecond = 1;
-constexpr double kFirstTokens = 10;
-/// Bounds the burst after a quiet time.
-constexpr double kMaxTokens = 100;
 /// Twice the services of the design size; services that left are dropped.
 constexpr std::size_t kMaxAccounts = 1024;
 
@@ -28,15 +22,17 @@
         accounts_, {}, [](const auto& aRow) { return aRow.second.refilled; }));
     }
     found =
-      accounts_.emplace(std::string(aService), Account{ kFirstTokens, aNow })
+      accounts_
+        .emplace(std::string(aService), Account{ options_.firstTokens, aNow })
         .first;
   }
   auto& account = found->second;
   const std::chrono::duration<double> elapsed = aNow - account.refilled;
   // The floor fills no more than it grants at first.
-  if (account.tokens < kFirstTokens) {
-    account.tokens = std::min(
-      kFirstTokens, account.tokens + elapsed.count() * kTokensPerSecond);
+  if (account.tokens < options_.firstTokens) {
+    account.tokens =
+      std::min(options_.firstTokens,
+               account.tokens + elapsed.count() * options_.tokensPerSecond);
   }
   account.refilled = aNow;
   return account;
@@ -46,7 +42,8 @@
 RetryBudget::OnCall(std::string_view aService, state::Instant aNow)
 {
   auto& account = AccountOf(aService, aNow);
-  account.tokens = std::min(kMaxTokens, account.tokens + kTokensPerCall);
+  account.tokens =
+    std::min(options_.maxTokens, account.tokens + options_.tokensPerCall);
 }
 
 bool
--- a/Libraries/Coordination/RetryBudget.h
+++ b/Libraries/Coordination/RetryBudget.h
@@ -9,11 +9,24 @@
 
 namespace teaselhold::coordination {
 
+/// What a service's retries may use. The defaults let a service with few calls
+/// retry at all and bound the burst after a quiet time.
+struct RetryBudgetOptions
+{
+  double tokensPerCall = 0.1;
+  double tokensPerSecond = 1;
+  double firstTokens = 10;
+  double maxTokens = 100;
+};
+
 /// Limits the retries of this node to a share of its calls, for each service,
 /// so that retries never multiply an overload.
 class RetryBudget
 {
 public:
+  /// Takes effect for the tokens that are earned from now on.
+  void SetOptions(const RetryBudgetOptions& aOptions) { options_ = aOptions; }
+
   /// Counts a first attempt.
   void OnCall(std::string_view aService, state::Instant aNow);
 
@@ -32,6 +45,7 @@
 
   Account& AccountOf(std::string_view aService, state::Instant aNow);
 
+  RetryBudgetOptions options_;
   std::map<std::string, Account, std::less<>> accounts_;
 };
 
--- a/Libraries/Coordination/RetryPolicy.cpp
+++ b/Libraries/Coordination/RetryPolicy.cpp
@@ -61,6 +61,13 @@
   return aReason == NotRunReason::Full || aReason == NotRunReason::Shed;
 }
 
+bool
+RetryPolicy::IsBeforeDelivery(NotRunReason aReason)
+{
+  return aReason != NotRunReason::Shed &&
+         aReason != NotRunReason::WrongExecutor;
+}
+
 bool
 RetryPolicy::IsCertainForKey(NotRunReason aReason, bool aMayStart)
 {
--- a/Libraries/Coordination/RetryPolicy.h
+++ b/Libraries/Coordination/RetryPolicy.h
@@ -23,6 +23,10 @@
   /// @return true if the upstream refused because of its load.
   static bool IsLoad(NotRunReason aReason);
 
+  /// @return true if a node refused before it delivered anything to its
+  /// upstream.
+  static bool IsBeforeDelivery(NotRunReason aReason);
+
   /// @return true if a refusal proves that no send of the key has run.
   /// @param aMayStart the refused send was the one that may start the run, so
   ///        that no other send can have started it.
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -60,13 +60,14 @@
 
   bool HasFreeSlot(state::Instant aNow) const
   {
-    return health->InFlight() < health->UsableSlots(record->slots, aNow) &&
-           !health->IsLoaded(aNow);
+    return health->Occupied(aNow) < health->UsableSlots(record->slots, aNow) &&
+           !health->IsLoaded(aNow) && !health->IsFailing(aNow);
   }
 
   double LoadWithOneMore(state::Instant aNow) const
   {
-    return (health->InFlight() + 1) / health->UsableSlots(record->slots, aNow);
+    return (health->Occupied(aNow) + 1) /
+           health->UsableSlots(record->slots, aNow) * health->Cost(aNow);
   }
 };
 
@@ -146,7 +147,7 @@
                 state::Instant aNow)
 {
   // Upstreams that are there when the service is first called are not new.
-  const bool warm = aList.tableVersion == 0;
+  const bool warm = aList.tableVersion == 0 || !options_.growsNewIncarnations;
   aList.candidates.clear();
   for (const auto* record : endpoints_->OfService(aService)) {
     if (record->state != state::EndpointState::Ready) {
@@ -155,7 +156,8 @@
     const auto [view, isNew] =
       views_.try_emplace(record->node, record->incarnation, warm, aNow);
     if (!isNew && view->second.Incarnation() != record->incarnation) {
-      view->second = UpstreamHealth(record->incarnation, false, aNow);
+      view->second = UpstreamHealth(
+        record->incarnation, !options_.growsNewIncarnations, aNow);
     }
     aList.candidates.push_back(
       { record, &view->second, Distance(*record), HashOfNode(record->node) });
@@ -349,6 +351,23 @@
   }
 }
 
+void
+Router::TakeReport(const state::EndpointRecord& aEndpoint,
+                   const LoadReport& aReport,
+                   state::Instant aNow)
+{
+  if (auto* view = ViewOf(aEndpoint)) {
+    view->TakeReport(aReport, aNow);
+  }
+}
+
+state::Duration
+Router::ServiceTime(const state::EndpointRecord& aEndpoint)
+{
+  const auto* view = ViewOf(aEndpoint);
+  return view == nullptr ? state::Duration{ 0 } : view->ServiceTime();
+}
+
 void
 Router::Abandoned(const state::EndpointRecord& aEndpoint)
 {
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -25,6 +25,9 @@
   std::string dataCentre;
   std::string region;
   std::uint64_t randomSeed = 0;
+  /// A new incarnation gets a growing share of the requests. Not where the
+  /// node beside the upstream tells its load.
+  bool growsNewIncarnations = true;
 };
 
 /// Picks the upstream for a request from the newest endpoints and from what
@@ -67,6 +70,14 @@
                 const Outcome& aOutcome,
                 state::Instant aNow);
 
+  /// Takes the load that came with an answer, after Finished().
+  void TakeReport(const state::EndpointRecord& aEndpoint,
+                  const LoadReport& aReport,
+                  state::Instant aNow);
+
+  /// @return the time that a request holds a slot there; 0 if not known.
+  state::Duration ServiceTime(const state::EndpointRecord& aEndpoint);
+
   /// A request that was picked was given up by this node.
   void Abandoned(const state::EndpointRecord& aEndpoint);
 
--- a/Libraries/Coordination/UpstreamHealth.cpp
+++ b/Libraries/Coordination/UpstreamHealth.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/UpstreamHealth.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace teaselhold::coordination {
 
@@ -20,6 +21,16 @@
 /// Answers of 500 and above in a row.
 constexpr unsigned kServerErrorLimit = 5;
 constexpr unsigned kFirstServerError = 500;
+/// After this time a report says nothing of the load of other nodes.
+constexpr state::Duration kReportLife = std::chrono::milliseconds(1500);
+/// The known share of failures halves in this time, so that an upstream that
+/// gets no requests is tried again.
+constexpr double kFailureHalfLifeSeconds = 1.5;
+constexpr double kFailingShare = 0.2;
+/// Weight of a failure against the time that a request takes.
+constexpr double kFailureCost = 4;
+/// Stands for an upstream that has told nothing yet.
+constexpr double kUnknownServiceSeconds = 0.1;
 /// Longest part of an ejection that is added at random.
 constexpr double kJitterShare = 0.25;
 
@@ -59,6 +70,50 @@
   return kColdSlots + (full - kColdSlots) * share;
 }
 
+void
+UpstreamHealth::TakeReport(const LoadReport& aReport, state::Instant aNow)
+{
+  report_ = aReport;
+  reported_ = aNow;
+  others_ = aReport.occupied > inFlight_ ? aReport.occupied - inFlight_ : 0;
+}
+
+double
+UpstreamHealth::Occupied(state::Instant aNow) const
+{
+  const auto age = aNow - reported_;
+  if (others_ == 0 || age >= kReportLife) {
+    return inFlight_;
+  }
+  const double fresh = 1 - static_cast<double>(age.count()) /
+                             static_cast<double>(kReportLife.count());
+  return inFlight_ + others_ * fresh;
+}
+
+double
+UpstreamHealth::FailureShare(state::Instant aNow) const
+{
+  const std::chrono::duration<double> age = aNow - reported_;
+  return report_.failureShare *
+         std::exp2(-age.count() / kFailureHalfLifeSeconds);
+}
+
+bool
+UpstreamHealth::IsFailing(state::Instant aNow) const
+{
+  return report_.failureShare > kFailingShare &&
+         FailureShare(aNow) > kFailingShare;
+}
+
+double
+UpstreamHealth::Cost(state::Instant aNow) const
+{
+  const std::chrono::duration<double> service = report_.serviceTime;
+  const double time =
+    service.count() > 0 ? service.count() / kUnknownServiceSeconds : 1;
+  return time * (1 + kFailureCost * FailureShare(aNow));
+}
+
 void
 UpstreamHealth::Begin(state::Instant aNow)
 {
--- a/Libraries/Coordination/UpstreamHealth.h
+++ b/Libraries/Coordination/UpstreamHealth.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/CallTypes.h"
+#include "Coordination/LoadReport.h"
 
 namespace teaselhold::coordination {
 
@@ -28,6 +29,23 @@
   /// incarnation is new.
   double UsableSlots(std::uint32_t aSlots, state::Instant aNow) const;
 
+  /// Takes what the node beside the upstream says of its load. Call it after
+  /// End() of the request that brought the report.
+  void TakeReport(const LoadReport& aReport, state::Instant aNow);
+
+  /// Requests that run or wait there, as far as this node knows.
+  double Occupied(state::Instant aNow) const;
+
+  /// Relative cost of one more request: how long it holds a slot, and how
+  /// likely it fails. 1 if nothing is known.
+  double Cost(state::Instant aNow) const;
+
+  /// The upstream fails so many requests that others are better.
+  bool IsFailing(state::Instant aNow) const;
+
+  /// Smoothed time that a request holds a slot; 0 if nothing is known.
+  state::Duration ServiceTime() const { return report_.serviceTime; }
+
   void Begin(state::Instant aNow);
 
   /// @param aJitter between 0 and 1; spreads the retries of many nodes.
@@ -38,6 +56,7 @@
   void Abandon();
 
 private:
+  double FailureShare(state::Instant aNow) const;
   bool Eject(state::Duration aTime, state::Instant aNow);
   bool EjectLonger(double aJitter, state::Instant aNow);
   bool Recover();
@@ -52,6 +71,10 @@
   state::Instant ejectedUntil_{ 0 };
   state::Instant loadedUntil_{ 0 };
   unsigned inFlight_ = 0;
+  LoadReport report_;
+  state::Instant reported_{ 0 };
+  /// Requests of other nodes when the report was made.
+  unsigned others_ = 0;
   /// Ejections since the last success; doubles the next one.
   unsigned ejections_ = 0;
   unsigned slowFailures_ = 0;
