--- a/Services/teaselholdd/AdminServer.cpp
+++ b/Services/teaselholdd/AdminServer.cpp
@@ -1,6 +1,5 @@
 #include "Services/teaselholdd/AdminServer.h"
 
-#include "Transport/GrpcStoreClient.h"
 #include "admin.grpc.pb.h"
 
 #include <algorithm>
@@ -77,6 +76,7 @@
 {
 public:
   Implementation(const Settings& aSettings,
+                 const Adapters& aAdapters,
                  ControlPlane& aControlPlane,
                  const MetricsSource& aMetrics,
                  const Clock& aClock)
@@ -84,7 +84,7 @@
     , metrics_(aMetrics)
     , clock_(aClock)
     , nodeName_(aSettings.nodeName)
-    , store_(aSettings.storeAddress)
+    , store_(aAdapters.store())
   {
   }
 
@@ -199,7 +199,7 @@
                          wire::FindApplyResponse* aResponse) override
   {
     // Read from the store, because nodes forget and lag.
-    const auto entry = store_.Get(protocol::kConfigurationKey, kFindTimeout);
+    const auto entry = store_->Get(protocol::kConfigurationKey, kFindTimeout);
     wire::StoredConfiguration stored;
     if (!entry || !stored.ParseFromString(entry->value)) {
       aResponse->set_result(wire::FindApplyResponse::UNAVAILABLE);
@@ -230,19 +230,20 @@
   const MetricsSource& metrics_;
   const Clock& clock_;
   std::string nodeName_;
-  transport::GrpcStoreClient store_;
+  std::unique_ptr<protocol::StoreClient> store_;
   std::unique_ptr<grpc::Server> server_;
 };
 
 tl::expected<std::unique_ptr<AdminServer>, transport::TransportError>
 AdminServer::Listen(const Settings& aSettings,
+                    const Adapters& aAdapters,
                     ControlPlane& aControlPlane,
                     const MetricsSource& aMetrics,
                     const Clock& aClock)
 {
   const auto& address = aSettings.adminAddress;
   auto implementation = std::make_unique<Implementation>(
-    aSettings, aControlPlane, aMetrics, aClock);
+    aSettings, aAdapters, aControlPlane, aMetrics, aClock);
   if (!implementation->Listen(address)) {
     return tl::make_unexpected(transport::TransportError{
       transport::TransportErrorCode::BindFailed,
--- a/Services/teaselholdd/AdminServer.h
+++ b/Services/teaselholdd/AdminServer.h
@@ -15,6 +15,7 @@
   /// All arguments must outlive the server.
   static tl::expected<std::unique_ptr<AdminServer>, transport::TransportError>
   Listen(const Settings& aSettings,
+         const Adapters& aAdapters,
          ControlPlane& aControlPlane,
          const MetricsSource& aMetrics,
          const Clock& aClock);
--- a/Services/teaselholdd/AdmissionQueue.cpp
+++ b/Services/teaselholdd/AdmissionQueue.cpp
@@ -7,8 +7,10 @@
 using namespace coordination;
 namespace asio = boost::asio;
 
-/// Time between two looks for requests that waited for too long.
-constexpr std::chrono::milliseconds kExpireInterval{ 5 };
+/// Bounds of the time between two looks for requests that waited too long and
+/// for slots that a cold upstream gained.
+constexpr std::chrono::milliseconds kMinExpireInterval{ 5 };
+constexpr std::chrono::milliseconds kMaxExpireInterval{ 100 };
 
 } // namespace
 
@@ -68,7 +70,8 @@
     co_return NotRun{ NotRunReason::DeadlineExceeded };
   }
   if (waiter->decision->refused) {
-    co_return NotRun{ *waiter->decision->refused };
+    const auto report = admission_.Report(clock_.Now());
+    co_return NotRun{ *waiter->decision->refused, report.serviceTime };
   }
   co_return std::nullopt;
 }
@@ -78,7 +81,9 @@
 {
   asio::steady_timer timer(context_);
   while (!waiting_.empty()) {
-    timer.expires_after(kExpireInterval);
+    const auto next = admission_.NextExpiry() - clock_.Now();
+    timer.expires_after(std::clamp<state::Duration>(
+      next, kMinExpireInterval, kMaxExpireInterval));
     boost::system::error_code error;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     Release(admission_.Expire(clock_.Now()));
@@ -105,6 +110,12 @@
   }
 }
 
+void
+AdmissionQueue::SetSlots(std::uint32_t aSlots)
+{
+  Release(admission_.SetSlots(aSlots, clock_.Now()));
+}
+
 void
 AdmissionQueue::SetState(state::EndpointState aState)
 {
--- a/Services/teaselholdd/AdmissionQueue.h
+++ b/Services/teaselholdd/AdmissionQueue.h
@@ -45,6 +45,20 @@
 
   void SetState(state::EndpointState aState);
 
+  /// Takes the number of slots that the upstream announced.
+  void SetSlots(std::uint32_t aSlots);
+
+  /// Learns from the end of a delivered request; see Admission::Learn().
+  void Learn(state::Duration aServiceTime, bool aIsServed)
+  {
+    admission_.Learn(aServiceTime, aIsServed);
+  }
+
+  coordination::LoadReport Report() const
+  {
+    return admission_.Report(clock_.Now());
+  }
+
   /// Requests that wait or run.
   std::size_t InFlight() const
   {
--- /dev/null
+++ b/Services/teaselholdd/AnnouncedUpstream.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Coordination/NodeEvents.h"
+#include "Coordination/UpstreamRegistry.h"
+#include "Protocol/UpstreamMessages.h"
+#include "Services/teaselholdd/AdmissionQueue.h"
+#include "Services/teaselholdd/Settings.h"
+
+#include <functional>
+#include <map>
+
+namespace teaselhold::daemon {
+
+/// Takes the messages of the upstream beside this node and opens or closes
+/// admission accordingly. The message that the upstream leaves is acknowledged
+/// once the store holds it, so that a restart of this node does not forget it.
+class AnnouncedUpstream
+{
+public:
+  using ChangeSink = std::function<void(coordination::UpstreamChanged)>;
+
+  AnnouncedUpstream(boost::asio::io_context& aContext,
+                    const Settings& aSettings,
+                    const Clock& aClock,
+                    protocol::UpstreamMessageReader aReader,
+                    std::shared_ptr<AdmissionQueue> aAdmission,
+                    ChangeSink aChangeSink);
+
+  /// Serves one message of the upstream.
+  Awaitable<Response> Serve(Request aRequest);
+
+  /// Starts to move the registry's time on.
+  void Start();
+
+  void OnSaved(std::uint64_t aSaveNumber);
+  void Restore(const std::optional<state::UpstreamIdentity>& aLeaving);
+
+  /// A connection to the upstream was refused, or another upstream answered.
+  void NoteUnreachable();
+
+  const state::UpstreamIdentity& Upstream() const
+  {
+    return registry_.Upstream();
+  }
+
+  /// The upstream said that it leaves.
+  bool IsLeaving() const;
+
+  /// The node ends: its upstream gets no new work from now on.
+  void Close();
+
+private:
+  Awaitable<void> SaveLeaving();
+  Awaitable<void> TickUntilStopped();
+  void Apply(std::uint64_t aSaveNumber);
+  void LogMessage(const protocol::UpstreamMessage& aMessage,
+                  coordination::AnnouncementVerdict aVerdict) const;
+
+  boost::asio::io_context& context_;
+  const Clock& clock_;
+  protocol::UpstreamMessageReader reader_;
+  std::shared_ptr<AdmissionQueue> admission_;
+  ChangeSink changeSink_;
+  coordination::UpstreamRegistry registry_;
+  std::uint64_t nextSave_ = 1;
+  std::map<std::uint64_t, std::shared_ptr<boost::asio::steady_timer>> saving_;
+  bool isClosed_ = false;
+};
+
+} // namespace teaselhold::daemon
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -4,8 +4,10 @@
 #include "Services/teaselholdd/HttpHeaders.h"
 #include "Services/teaselholdd/RequestFingerprint.h"
 #include "Services/teaselholdd/UpstreamSide.h"
+#include "Transport/SocketAddress.h"
 
 #include <algorithm>
+#include <spdlog/spdlog.h>
 
 namespace teaselhold::daemon {
 
@@ -23,6 +25,9 @@
 /// on the store is refused while nothing was delivered.
 constexpr std::chrono::seconds kStoreCallTimeout{ 2 };
 
+/// Callers that are refused come back after this time at the earliest.
+constexpr std::chrono::milliseconds kShortestRetryAfter{ 150 };
+
 /// Reads an optional number.
 /// @return false if it is malformed or stands more than once.
 template<typename Number>
@@ -91,27 +96,78 @@
   std::uint32_t tenantLimit;
   CallSession session;
   Response response;
+  /// The answer that the session keeps in case that later attempts fail.
+  Response earlierResponse;
+  std::string id;
+  std::string node;
 };
 
 CallerSide::CallerSide(asio::io_context& aContext,
                        const Settings& aSettings,
+                       const Adapters& aAdapters,
                        const Clock& aClock,
                        std::uint64_t aIncarnation,
                        UpstreamSide& aUpstreamSide,
                        CallMetrics& aCallMetrics)
   : context_(aContext)
+  , settings_(aSettings)
+  , adapters_(aAdapters)
   , clock_(aClock)
+  , upstreamHost_(transport::ParseSocketAddress(aSettings.upstreamAddress)
+                    .map([](const auto& aAddress) { return aAddress.host; })
+                    .value_or(""))
   , upstreamSide_(aUpstreamSide)
   , callMetrics_(aCallMetrics)
   , hop_(aContext, aSettings, aClock, aIncarnation, aUpstreamSide)
-  , store_(aContext, aSettings.storeAddress)
+  , store_(aContext, aAdapters.store)
   , environment_({ aSettings.nodeName,
                    aSettings.dataCentre,
                    aSettings.region,
-                   aIncarnation },
+                   aIncarnation ^ std::hash<std::string>()(aSettings.nodeName),
+                   !aAdapters.IsAnnounced() },
                  aIncarnation,
                  aSettings.service)
 {
+  if (aAdapters.IsAnnounced()) {
+    environment_.policy = CallPolicy::WithLoadReports();
+  }
+}
+
+void
+CallerSide::SetSnapshot(RoutingSnapshotPointer aSnapshot)
+{
+  snapshot_ = std::move(aSnapshot);
+  if (adapters_.IsAnnounced()) {
+    ShareRetryBudget();
+  }
+}
+
+void
+CallerSide::ShareRetryBudget()
+{
+  // All nodes together stay within one allowance, so each takes its part.
+  // Calls of a run that is itself a repeat count as repeats too, and no node
+  // can tell those, so they need room of their own.
+  constexpr double kRatioShare = 0.5;
+  constexpr double kBurstShare = 0.4;
+  constexpr double kSteadyShare = 0.4;
+  const auto nodes = std::max<std::size_t>(
+    snapshot_->endpoints == nullptr ? 1 : snapshot_->endpoints->Size(), 1);
+  const double slack =
+    static_cast<double>(settings_.retrySlack) / static_cast<double>(nodes);
+  const std::chrono::duration<double> window = settings_.retryWindow;
+  RetryBudgetOptions options;
+  options.tokensPerCall = settings_.retryRatio * kRatioShare;
+  options.tokensPerSecond = kSteadyShare * slack / window.count();
+  options.firstTokens = std::max(1.0, kBurstShare * slack);
+  options.maxTokens = options.firstTokens;
+  environment_.budget.SetOptions(options);
+}
+
+bool
+CallerSide::IsFromUpstream(const Request& aRequest) const
+{
+  return ReadHeader(aRequest, headers::kPeer) == upstreamHost_;
 }
 
 asio::awaitable<Response>
@@ -133,12 +189,22 @@
                         NotRun{ *refused },
                         clock_.Now() - now);
     auto response = MakeResponse(NotRun{ *refused });
+    FinishAnswer(response, NotRun{ *refused });
     SetGeneration(response, snapshot_);
     co_return response;
   }
   const CallCount count(inFlight_);
   RemoveHopHeaders(aRequest);
   RemoveNodeHeaders(aRequest);
+  // A chunked body goes on with its length.
+  aRequest.prepare_payload();
+  const auto& names = adapters_.headers;
+  std::string id(names.requestId.empty()
+                   ? std::string_view()
+                   : ReadHeader(aRequest, names.requestId));
+  if (!names.callerService.empty()) {
+    SetHeader(aRequest, names.callerService, settings_.service);
+  }
   const auto depth = facts->depth;
   const auto tenantLimit = TenantLimit(facts->tenant);
   const auto tenant = facts->tenant;
@@ -147,6 +213,9 @@
              depth,
              tenantLimit,
              CallSession(std::move(*facts), snapshot_, environment_),
+             {},
+             {},
+             std::move(id),
              {} };
   auto step = call.session.Start(now);
   while (!std::holds_alternative<Respond>(step)) {
@@ -159,9 +228,62 @@
                       tenant,
                       respond.outcome,
                       clock_.Now() - now);
+  LogCall(call, respond.outcome, clock_.Now() - now);
   co_return Finish(call, respond);
 }
 
+void
+CallerSide::LogCall(const Call& aCall,
+                    const Outcome& aOutcome,
+                    state::Duration aTime) const
+{
+  struct Texts
+  {
+    std::string_view outcome;
+    std::string_view reason;
+    unsigned status = 0;
+  };
+  struct Namer
+  {
+    Texts operator()(const Answered& aAnswered) const
+    {
+      return { "answered", "none", aAnswered.status };
+    }
+    Texts operator()(const NotRun& aNotRun) const
+    {
+      return { "not-run",
+               state::FindEnumName(kNotRunReasonNames, aNotRun.reason) };
+    }
+    Texts operator()(const Unknown& aUnknown) const
+    {
+      return { "unknown",
+               state::FindEnumName(kUnknownReasonNames, aUnknown.reason) };
+    }
+  };
+  const auto texts = std::visit(Namer{}, aOutcome);
+  const auto* route = aCall.session.Route();
+  const auto& configuration =
+    aCall.snapshot == nullptr ? nullptr : aCall.snapshot->configuration;
+  constexpr unsigned kFirstServerError = 500;
+  const bool isFailure =
+    texts.outcome != "answered" || texts.status >= kFirstServerError;
+  spdlog::log(
+    isFailure ? spdlog::level::warn : spdlog::level::info,
+    "[call] Ended. id={} route={} service={} node={} outcome={} reason={} "
+    "status={} attempts={} placements={} generation={} milliseconds={}",
+    aCall.id,
+    route == nullptr ? "none" : route->name,
+    aCall.session.Service(),
+    aCall.node,
+    texts.outcome,
+    texts.reason,
+    texts.status,
+    aCall.session.Attempts(),
+    aCall.session.Placements(),
+    configuration == nullptr ? 0 : configuration->GetGeneration(),
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
 bool
 CallerSide::IsRefusedForDraining(const CallFacts& aFacts) const
 {
@@ -175,6 +297,9 @@
   CallFacts facts;
   const auto method = aRequest.method_string();
   facts.method.assign(method.data(), method.size());
+  const auto host = aRequest[boost::beast::http::field::host];
+  facts.host.assign(host.data(), host.size());
+  facts.isNested = adapters_.IsAnnounced() && IsFromUpstream(aRequest);
   facts.target.assign(aRequest.target().data(), aRequest.target().size());
   facts.retriesLeft = kDefaultRetries;
   auto remaining = std::numeric_limits<std::uint32_t>::max();
@@ -184,11 +309,15 @@
       aRequest, headers::kIdempotencyKey, kMaxKeyBytes, facts.idempotencyKey) &&
     ReadOptional(aRequest, headers::kDepth, facts.depth) &&
     ReadOptional(aRequest, headers::kRetriesLeft, facts.retriesLeft) &&
-    ReadOptional(aRequest, headers::kDeadline, remaining);
+    ReadOptional(aRequest, adapters_.headers.deadline.c_str(), remaining);
   if (!valid) {
     return std::nullopt;
   }
   facts.retriesLeft = std::min(facts.retriesLeft, kDefaultRetries);
+  if (adapters_.IsAnnounced()) {
+    // The platform's contract knows no keys; the header is the upstream's.
+    facts.idempotencyKey.clear();
+  }
   facts.deadline = aNow + std::chrono::milliseconds(remaining);
   const bool isNeeded =
     !facts.idempotencyKey.empty() ||
@@ -214,8 +343,11 @@
 {
   if (const auto* attempt = std::get_if<Attempt>(&aStep)) {
     const NodeHop::Load load{ *aCall.session.Route(),
+                              aCall.session.Service(),
                               aCall.tenantLimit,
                               aCall.depth };
+    const auto endpoint = attempt->endpoint;
+    aCall.node = endpoint->node;
     auto exchange =
       co_await hop_.Send(aCall.request, load, *attempt, aCancellation);
     if (transport::IsCancelled(aCancellation)) {
@@ -223,9 +355,20 @@
       // attempt without a mark against the endpoint.
       co_return Respond{ Unknown{ UnknownReason::ConnectionLost }, 0 };
     }
+    const auto report =
+      ParseLoadReport(ReadHeader(exchange.response, headers::kLoad));
     aCall.response = std::move(exchange.response);
-    co_return aCall.session.Finish(
+    auto next = aCall.session.Finish(
       exchange.outcome, clock_.Now(), exchange.retriesLeft);
+    if (report) {
+      environment_.router.TakeReport(*endpoint, *report, clock_.Now());
+    }
+    const auto* respond = std::get_if<Respond>(&next);
+    const bool isKept = respond == nullptr || respond->isEarlierAnswer;
+    if (std::holds_alternative<Answered>(exchange.outcome) && isKept) {
+      aCall.earlierResponse = std::move(aCall.response);
+    }
+    co_return next;
   }
   if (const auto* backoff = std::get_if<BackoffStep>(&aStep)) {
     asio::steady_timer timer(context_, clock_.ToSteady(backoff->until));
@@ -241,6 +384,30 @@
   co_return co_await CallStore(aCall, std::get<ClaimStep>(aStep));
 }
 
+void
+CallerSide::FinishAnswer(Response& aResponse, const Outcome& aOutcome)
+{
+  aResponse.erase(headers::kLoad);
+  aResponse.erase(headers::kRetryAfter);
+  const auto* notRun = std::get_if<NotRun>(&aOutcome);
+  if (notRun == nullptr ||
+      aResponse.result() != boost::beast::http::status::service_unavailable) {
+    return;
+  }
+  // Half at random, so that refused callers do not return together.
+  constexpr double kRange = std::minstd_rand::max();
+  const auto wait =
+    std::max(notRun->retryAfter, state::Duration(kShortestRetryAfter));
+  const std::chrono::duration<double> seconds = wait;
+  const double jitter = static_cast<double>(environment_.random()) / kRange;
+  const auto milliseconds =
+    static_cast<unsigned>(seconds.count() * (1 + jitter) * 1000);
+  SetHeader(aResponse,
+            "Retry-After",
+            std::to_string(milliseconds / 1000) + "." +
+              std::to_string(1000 + milliseconds % 1000).substr(1));
+}
+
 asio::awaitable<CallStep>
 CallerSide::CallStore(Call& aCall, const ClaimStep& aStep)
 {
@@ -255,11 +422,17 @@
 Response
 CallerSide::Finish(Call& aCall, const Respond& aRespond)
 {
-  auto response = std::holds_alternative<Answered>(aRespond.outcome)
-                    ? std::move(aCall.response)
-                    : MakeResponse(aRespond.outcome);
+  Response response;
+  if (!std::holds_alternative<Answered>(aRespond.outcome)) {
+    response = MakeResponse(aRespond.outcome);
+  } else if (aRespond.isEarlierAnswer) {
+    response = std::move(aCall.earlierResponse);
+  } else {
+    response = std::move(aCall.response);
+  }
   RemoveHopHeaders(response);
   response.erase(headers::kRequestId);
+  FinishAnswer(response, aRespond.outcome);
   SetHeader(
     response, headers::kRetriesLeft, std::to_string(aRespond.retriesLeft));
   SetGeneration(response, aCall.snapshot);
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/CallMetrics.h"
+#include "Services/teaselholdd/Adapters.h"
 #include "Services/teaselholdd/NodeHop.h"
 #include "Services/teaselholdd/StoreCalls.h"
 
@@ -13,15 +14,19 @@
 public:
   CallerSide(boost::asio::io_context& aContext,
              const Settings& aSettings,
+             const Adapters& aAdapters,
              const Clock& aClock,
              std::uint64_t aIncarnation,
              UpstreamSide& aUpstreamSide,
              coordination::CallMetrics& aCallMetrics);
 
   /// Takes a new snapshot for the calls that start from now on.
-  void SetSnapshot(coordination::RoutingSnapshotPointer aSnapshot)
+  void SetSnapshot(coordination::RoutingSnapshotPointer aSnapshot);
+
+  /// A configuration is in force.
+  bool IsConfigured() const
   {
-    snapshot_ = std::move(aSnapshot);
+    return snapshot_ != nullptr && snapshot_->configuration != nullptr;
   }
 
   /// Serves one call and records its outcome.
@@ -41,6 +46,12 @@
 private:
   struct Call;
 
+  bool IsFromUpstream(const Request& aRequest) const;
+  void FinishAnswer(Response& aResponse, const coordination::Outcome& aOutcome);
+  void ShareRetryBudget();
+  void LogCall(const Call& aCall,
+               const coordination::Outcome& aOutcome,
+               state::Duration aTime) const;
   bool IsRefusedForDraining(const coordination::CallFacts& aFacts) const;
   std::optional<coordination::CallFacts> ReadFacts(const Request& aRequest,
                                                    state::Instant aNow) const;
@@ -51,11 +62,15 @@
   Awaitable<coordination::CallStep> CallStore(
     Call& aCall,
     const coordination::ClaimStep& aStep);
-  static Response Finish(Call& aCall, const coordination::Respond& aRespond);
+  Response Finish(Call& aCall, const coordination::Respond& aRespond);
   std::uint32_t TenantLimit(const std::string& aTenant) const;
 
   boost::asio::io_context& context_;
+  const Settings& settings_;
+  const Adapters& adapters_;
   const Clock& clock_;
+  /// The IP address of the upstream beside this node.
+  std::string upstreamHost_;
   UpstreamSide& upstreamSide_;
   coordination::CallMetrics& callMetrics_;
   NodeHop hop_;
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -1,7 +1,5 @@
 #include "Services/teaselholdd/ControlPlane.h"
 
-#include "Transport/GrpcStoreClient.h"
-
 #include <spdlog/spdlog.h>
 
 namespace teaselhold::daemon {
@@ -50,7 +48,9 @@
 
   void operator()(const SendMessage& aCommand) const
   {
-    plane.channel_->Send(aCommand.address, aCommand.envelope);
+    if (plane.channel_ != nullptr) {
+      plane.channel_->Send(aCommand.address, aCommand.envelope);
+    }
   }
   void operator()(const CallStore& aCommand) const
   {
@@ -59,7 +59,15 @@
   void operator()(const PublishSnapshot& aCommand) const
   {
     plane.snapshot_.store(aCommand.snapshot);
-    plane.snapshotSink_(aCommand.snapshot);
+    plane.sinks_.snapshot(aCommand.snapshot);
+  }
+  void operator()(const LeavingSaved& aCommand) const
+  {
+    plane.sinks_.leavingSaved(aCommand.saveNumber);
+  }
+  void operator()(const coordination::RestoreUpstream& aCommand) const
+  {
+    plane.sinks_.restoreUpstream(aCommand.leaving);
   }
   void operator()(const FinishApply& aCommand) const
   {
@@ -83,13 +91,14 @@
 };
 
 ControlPlane::ControlPlane(const Settings& aSettings,
+                           const Adapters& aAdapters,
                            const Clock& aClock,
                            std::uint64_t aIncarnation,
-                           SnapshotSink aSnapshotSink)
+                           Sinks aSinks)
   : clock_(aClock)
   , controlAddress_(aSettings.controlAddress)
-  , storeAddress_(aSettings.storeAddress)
-  , snapshotSink_(std::move(aSnapshotSink))
+  , storeFactory_(aAdapters.store)
+  , sinks_(std::move(aSinks))
   , core_(MakeCore(aSettings, aIncarnation))
 {
 }
@@ -102,35 +111,27 @@
 tl::expected<void, transport::TransportError>
 ControlPlane::Start()
 {
-  auto channel = transport::ControlChannel::Open(
-    controlAddress_, [this](wire::Envelope aEnvelope) {
-      Post(MessageReceived{ std::move(aEnvelope) });
-    });
-  if (!channel) {
-    return tl::make_unexpected(channel.error());
-  }
-  channel_ = std::move(*channel);
+  if (!controlAddress_.empty()) {
+    auto channel = transport::ControlChannel::Open(
+      controlAddress_, [this](wire::Envelope aEnvelope) {
+        Post(MessageReceived{ std::move(aEnvelope) });
+      });
+    if (!channel) {
+      return tl::make_unexpected(channel.error());
+    }
+    channel_ = std::move(*channel);
+  }
   store_ = std::make_unique<StoreWorker>(
-    std::make_unique<transport::GrpcStoreClient>(storeAddress_),
+    storeFactory_(),
     [this](StoreAnswered aAnswer) { Post(std::move(aAnswer)); });
   Post(Started{});
   thread_ = std::thread([this] { Run(); });
-  ticker_ = std::thread([this] {
-    while (!stopping_) {
-      std::this_thread::sleep_for(kTickInterval);
-      Post(Tick{});
-    }
-  });
   return {};
 }
 
 void
 ControlPlane::Stop()
 {
-  stopping_ = true;
-  if (ticker_.joinable()) {
-    ticker_.join();
-  }
   ring_.Close();
   if (thread_.joinable()) {
     thread_.join();
@@ -201,13 +202,24 @@
 transport::ControlCounters
 ControlPlane::Counters() const
 {
-  return channel_->Counters();
+  return channel_ == nullptr ? transport::ControlCounters{}
+                             : channel_->Counters();
 }
 
 void
 ControlPlane::Run()
 {
-  while (auto item = ring_.Pop()) {
+  auto nextTick = Clock::Steady::now() + kTickInterval;
+  while (!ring_.IsClosed()) {
+    const auto now = Clock::Steady::now();
+    if (now >= nextTick) {
+      nextTick = now + kTickInterval;
+      Handle(Tick{});
+    }
+    auto item = ring_.PopFor(nextTick - now);
+    if (!item) {
+      continue;
+    }
     if (const auto* event = std::get_if<Event>(&*item)) {
       Handle(*event);
       continue;
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/DirectCore.h"
 #include "Coordination/NodeCore.h"
+#include "Services/teaselholdd/Adapters.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/Settings.h"
 #include "Services/teaselholdd/StoreWorker.h"
@@ -23,13 +24,19 @@
 class ControlPlane
 {
 public:
-  using SnapshotSink =
-    std::function<void(coordination::RoutingSnapshotPointer)>;
+  /// What the data plane takes from the control plane, on the control thread.
+  struct Sinks
+  {
+    std::function<void(coordination::RoutingSnapshotPointer)> snapshot;
+    std::function<void(std::uint64_t aSaveNumber)> leavingSaved;
+    std::function<void(std::optional<state::UpstreamIdentity>)> restoreUpstream;
+  };
 
   ControlPlane(const Settings& aSettings,
+               const Adapters& aAdapters,
                const Clock& aClock,
                std::uint64_t aIncarnation,
-               SnapshotSink aSnapshotSink);
+               Sinks aSinks);
   ~ControlPlane();
 
   tl::expected<void, transport::TransportError> Start();
@@ -68,8 +75,8 @@
 
   const Clock& clock_;
   std::string controlAddress_;
-  std::string storeAddress_;
-  SnapshotSink snapshotSink_;
+  protocol::StoreClientFactory storeFactory_;
+  Sinks sinks_;
   Core core_;
   transport::BoundedRing<Item> ring_{ 4096 };
   std::unique_ptr<transport::ControlChannel> channel_;
@@ -78,9 +85,7 @@
   std::mutex appliesMutex_;
   std::map<std::uint64_t, std::promise<coordination::FinishApply>> applies_;
   std::uint64_t nextApply_ = 1;
-  std::atomic<bool> stopping_ = false;
   std::thread thread_;
-  std::thread ticker_;
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -1,5 +1,7 @@
 #include "Services/teaselholdd/DataPlane.h"
 
+#include "Protocol/Headers.h"
+
 #include <future>
 #include <spdlog/spdlog.h>
 
@@ -15,8 +17,15 @@
 constexpr std::chrono::milliseconds kAnnouncementTime{ 1500 };
 constexpr std::chrono::milliseconds kCheckInterval{ 20 };
 
+/// Two failed readiness checks, one each second, with their answers.
+constexpr std::chrono::milliseconds kReadyChecksTime{ 2300 };
+
 /// Time for clients to close the connections that this node ended.
 constexpr std::chrono::milliseconds kCloseTime{ 2500 };
+/// On the platform, whose callers left after the readiness checks.
+constexpr std::chrono::milliseconds kShortCloseTime{ 300 };
+/// From the end of the last request to the end of the process.
+constexpr std::chrono::milliseconds kExitTime{ 1000 };
 
 /// A node has thousands of peers, but few of them send at the same time.
 constexpr std::size_t kMaxConnections = 4096;
@@ -24,22 +33,26 @@
 } // namespace
 
 DataPlane::DataPlane(const Settings& aSettings,
+                     const Adapters& aAdapters,
                      const Clock& aClock,
                      std::uint64_t aIncarnation,
-                     StateSink aStateSink,
+                     ChangeSink aChangeSink,
                      CrashSink aCrashSink,
                      coordination::CallMetrics& aCallMetrics)
   : settings_(aSettings)
-  , stateSink_(std::move(aStateSink))
+  , adapters_(aAdapters)
+  , changeSink_(std::move(aChangeSink))
   , upstreamSide_(context_,
                   settings_,
+                  adapters_,
                   aClock,
                   aIncarnation,
-                  stateSink_,
+                  changeSink_,
                   std::move(aCrashSink),
                   aCallMetrics)
   , callerSide_(context_,
                 settings_,
+                adapters_,
                 aClock,
                 aIncarnation,
                 upstreamSide_,
@@ -61,6 +74,7 @@
 {
   transport::HttpServerOptions options;
   options.maxConnections = kMaxConnections;
+  options.peerHeader = protocol::headers::kPeer;
   auto callerServer = transport::HttpServer::Listen(
     context_,
     settings_.callerAddress,
@@ -72,6 +86,7 @@
   if (!callerServer) {
     return tl::make_unexpected(callerServer.error());
   }
+  options.peerHeader.clear();
   auto nodeServer = transport::HttpServer::Listen(
     context_,
     settings_.dataAddress,
@@ -86,19 +101,108 @@
   }
   callerServer_ = std::move(*callerServer);
   nodeServer_ = std::move(*nodeServer);
+  if (auto started = StartPlatformServers(); !started) {
+    return started;
+  }
   upstreamSide_.Start();
   thread_ = std::thread([this] { context_.run(); });
   return {};
 }
 
+tl::expected<void, transport::TransportError>
+DataPlane::StartPlatformServers()
+{
+  if (!settings_.readyAddress.empty()) {
+    auto server = transport::HttpServer::Listen(
+      context_, settings_.readyAddress, [this](Request aRequest) {
+        return AnswerReady(std::move(aRequest));
+      });
+    if (!server) {
+      return tl::make_unexpected(server.error());
+    }
+    readyServer_ = std::move(*server);
+  }
+  if (upstreamSide_.Announced() != nullptr) {
+    auto server = transport::HttpServer::Listen(
+      context_, settings_.announcementAddress, [this](Request aRequest) {
+        return upstreamSide_.Announced()->Serve(std::move(aRequest));
+      });
+    if (!server) {
+      return tl::make_unexpected(server.error());
+    }
+    announcementServer_ = std::move(*server);
+  }
+  return {};
+}
+
+asio::awaitable<Response>
+DataPlane::AnswerReady(Request aRequest)
+{
+  const auto target = aRequest.target();
+  const std::string_view path(target.data(), target.size());
+  Response response;
+  if (path != settings_.readyPath) {
+    response.result(boost::beast::http::status::not_found);
+  } else if (isStopping_ || !callerSide_.IsConfigured()) {
+    response.result(boost::beast::http::status::service_unavailable);
+    response.body() = isStopping_ ? "stopping\n" : "no configuration yet\n";
+  } else {
+    response.body() = "ready\n";
+  }
+  co_return response;
+}
+
 void
 DataPlane::SetSnapshot(RoutingSnapshotPointer aSnapshot)
 {
   asio::post(context_, [this, snapshot = std::move(aSnapshot)]() mutable {
+    UseLimits(snapshot);
     callerSide_.SetSnapshot(std::move(snapshot));
   });
 }
 
+void
+DataPlane::UseLimits(const RoutingSnapshotPointer& aSnapshot)
+{
+  if (aSnapshot->configuration == nullptr ||
+      !aSnapshot->configuration->Limits() ||
+      aSnapshot->configuration->Limits() == limits_) {
+    return;
+  }
+  limits_ = aSnapshot->configuration->Limits();
+  callerServer_->SetLimits(limits_->maxHeaderBytes,
+                           limits_->maxBodyBytes,
+                           limits_->headerTimeout,
+                           limits_->idleTimeout);
+}
+
+void
+DataPlane::OnLeavingSaved(std::uint64_t aSaveNumber)
+{
+  asio::post(context_, [this, aSaveNumber] {
+    if (auto* announced = upstreamSide_.Announced()) {
+      announced->OnSaved(aSaveNumber);
+    }
+  });
+}
+
+void
+DataPlane::RestoreUpstream(std::optional<state::UpstreamIdentity> aLeaving)
+{
+  asio::post(context_, [this, leaving = std::move(aLeaving)] {
+    if (auto* announced = upstreamSide_.Announced()) {
+      announced->Restore(leaving);
+    }
+  });
+}
+
+bool
+DataPlane::IsUpstreamLeaving()
+{
+  const auto* announced = upstreamSide_.Announced();
+  return announced != nullptr && announced->IsLeaving();
+}
+
 template<typename Function>
 auto
 DataPlane::OnDataThread(Function aFunction)
@@ -111,14 +215,30 @@
 void
 DataPlane::DrainAndStop()
 {
-  const auto deadline = Clock::Steady::now() + settings_.drainTimeout;
+  const bool isOnPlatform = adapters_.IsAnnounced();
+  // The platform kills what runs longer, so the limit covers everything.
+  const auto deadline = Clock::Steady::now() + settings_.drainTimeout -
+                        (isOnPlatform ? kExitTime : kExitTime * 0);
   asio::post(context_, [this] {
-    upstreamSide_.Drain();
+    isStopping_ = true;
+    if (!adapters_.IsAnnounced()) {
+      upstreamSide_.Drain();
+    }
     callerServer_->CloseAfterAnswers();
     nodeServer_->CloseAfterAnswers();
   });
   // Callers' requests are still served while the announcement spreads.
   std::this_thread::sleep_for(kAnnouncementTime);
+  asio::post(context_, [this] {
+    if (adapters_.IsAnnounced()) {
+      // The platform stops sending callers here only after two failed checks,
+      // so this node's upstream is useful until then.
+      upstreamSide_.Drain();
+    }
+  });
+  if (adapters_.IsAnnounced()) {
+    std::this_thread::sleep_for(kReadyChecksTime - kAnnouncementTime);
+  }
   asio::post(context_, [this] { callerSide_.Drain(); });
   WaitUntil(deadline, [this] {
     return callerSide_.InFlight() + upstreamSide_.InFlight() == 0;
@@ -136,10 +256,13 @@
     spdlog::warn("[node] Drain timeout. requests_in_flight={}",
                  OnDataThread(inFlight));
   }
-  WaitUntil(Clock::Steady::now() + kCloseTime, [this] {
+  const auto closeTime = isOnPlatform ? kShortCloseTime : kCloseTime;
+  WaitUntil(Clock::Steady::now() + closeTime, [this] {
     return callerServer_->Connections() + nodeServer_->Connections() == 0;
   });
-  stateSink_(state::EndpointState::Gone);
+  if (!adapters_.IsAnnounced()) {
+    changeSink_({ state::EndpointState::Gone });
+  }
   context_.stop();
   if (thread_.joinable()) {
     thread_.join();
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -14,13 +14,14 @@
 class DataPlane
 {
 public:
-  using StateSink = UpstreamLink::StateSink;
+  using ChangeSink = AnnouncedUpstream::ChangeSink;
   using CrashSink = UpstreamLink::CrashSink;
 
   DataPlane(const Settings& aSettings,
+            const Adapters& aAdapters,
             const Clock& aClock,
             std::uint64_t aIncarnation,
-            StateSink aStateSink,
+            ChangeSink aChangeSink,
             CrashSink aCrashSink,
             coordination::CallMetrics& aCallMetrics);
   ~DataPlane();
@@ -30,11 +31,22 @@
   /// Takes a new snapshot. Safe on any thread.
   void SetSnapshot(coordination::RoutingSnapshotPointer aSnapshot);
 
+  /// Take what the control plane knows of the upstream. Safe on any thread.
+  void OnLeavingSaved(std::uint64_t aSaveNumber);
+  void RestoreUpstream(std::optional<state::UpstreamIdentity> aLeaving);
+
+  /// The upstream said that it leaves. Call after DrainAndStop().
+  bool IsUpstreamLeaving();
+
   /// Announces draining, finishes the requests in flight, then stops. Returns
   /// after the settings' drain timeout at the latest.
   void DrainAndStop();
 
 private:
+  tl::expected<void, transport::TransportError> StartPlatformServers();
+  Awaitable<Response> AnswerReady(Request aRequest);
+  void UseLimits(const coordination::RoutingSnapshotPointer& aSnapshot);
+
   /// Runs a function on the data thread and waits for its result.
   template<typename Function>
   auto OnDataThread(Function aFunction);
@@ -45,12 +57,17 @@
                  const std::function<bool()>& aCondition);
 
   Settings settings_;
-  StateSink stateSink_;
+  Adapters adapters_;
+  ChangeSink changeSink_;
   boost::asio::io_context context_{ 1 };
   UpstreamSide upstreamSide_;
   CallerSide callerSide_;
   std::unique_ptr<transport::HttpServer> callerServer_;
   std::unique_ptr<transport::HttpServer> nodeServer_;
+  std::unique_ptr<transport::HttpServer> readyServer_;
+  std::unique_ptr<transport::HttpServer> announcementServer_;
+  bool isStopping_ = false;
+  std::optional<state::ClientLimits> limits_;
   std::thread thread_;
 };
 
--- a/Services/teaselholdd/Exchange.cpp
+++ b/Services/teaselholdd/Exchange.cpp
@@ -23,9 +23,17 @@
 
   Response operator()(const NotRun& aOutcome) const
   {
-    return Explain(StatusOf(aOutcome.reason),
-                   "not-run",
-                   state::FindEnumName(kNotRunReasonNames, aOutcome.reason));
+    auto response =
+      Explain(StatusOf(aOutcome.reason),
+              "not-run",
+              state::FindEnumName(kNotRunReasonNames, aOutcome.reason));
+    if (aOutcome.retryAfter.count() > 0) {
+      const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
+        aOutcome.retryAfter);
+      SetHeader(
+        response, headers::kRetryAfter, std::to_string(time.count() + 1));
+    }
+    return response;
   }
 
   Response operator()(const Unknown& aOutcome) const
@@ -86,6 +94,8 @@
       return Unknown{ UnknownReason::Timeout };
     case transport::TransportErrorCode::PartialAnswer:
       return Unknown{ UnknownReason::PartialAnswer };
+    case transport::TransportErrorCode::ForeignAnswer:
+      return Unknown{ UnknownReason::CrossedAnswer };
     case transport::TransportErrorCode::ConnectionLost:
     case transport::TransportErrorCode::Cancelled:
       break;
@@ -103,7 +113,10 @@
   }
   if (outcome == "not-run") {
     const auto known = state::FindEnumValue(kNotRunReasonNames, reason);
-    return NotRun{ known.value_or(NotRunReason::NotReady) };
+    const auto retryAfter =
+      ReadNumber<std::uint32_t>(aResponse, headers::kRetryAfter);
+    return NotRun{ known.value_or(NotRunReason::NotReady),
+                   std::chrono::milliseconds(retryAfter.value_or(0)) };
   }
   const auto known = state::FindEnumValue(kUnknownReasonNames, reason);
   return Unknown{ known.value_or(UnknownReason::ConnectionLost) };
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -79,7 +79,10 @@
                             headers::kRequestId,
                             headers::kGeneration,
                             headers::kOutcome,
-                            headers::kReason }) {
+                            headers::kReason,
+                            headers::kMaxWait,
+                            headers::kNested,
+                            headers::kPeer }) {
     aFields.erase(name);
   }
 }
@@ -90,7 +93,9 @@
   for (const auto* name : { headers::kOutcome,
                             headers::kReason,
                             headers::kGeneration,
-                            headers::kRequestId }) {
+                            headers::kRequestId,
+                            headers::kLoad,
+                            headers::kRetryAfter }) {
     aFields.erase(name);
   }
 }
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -23,11 +23,14 @@
 constexpr std::chrono::milliseconds kArrivalTimeout{ 400 };
 
 transport::HttpClientOptions
-MakePoolOptions()
+MakePoolOptions(const Settings& aSettings)
 {
   transport::HttpClientOptions options;
   options.maxIdleConnections = kMaxIdlePerPeer;
-  options.probePath = headers::kProbePath;
+  // On the platform the kernel's keep-alive probes do, at a lower price.
+  if (aSettings.environment == Environment::Standalone) {
+    options.probePath = headers::kProbePath;
+  }
   options.silenceLimit = kSilenceLimit;
   return options;
 }
@@ -43,7 +46,7 @@
   , clock_(aClock)
   , incarnation_(aIncarnation)
   , local_(aLocal)
-  , pool_(aContext, MakePoolOptions())
+  , pool_(aContext, MakePoolOptions(aSettings))
   , idPrefix_(aSettings.nodeName + "/" + std::to_string(aIncarnation) + "/")
 {
 }
@@ -57,6 +60,7 @@
   if (clock_.Now() >= aAttempt.carriedDeadline) {
     co_return Exchange{ NotRun{ NotRunReason::DeadlineExceeded }, {}, 0 };
   }
+  RemoveNodeHeaders(aRequest);
   SetNodeHeaders(aRequest, aLoad, aAttempt);
   const auto& endpoint = *aAttempt.endpoint;
   const bool isLocal =
@@ -136,7 +140,7 @@
   const auto& route = aLoad.route;
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
     aAttempt.carriedDeadline - clock_.Now());
-  SetHeader(aRequest, headers::kService, route.service);
+  SetHeader(aRequest, headers::kService, aLoad.service);
   SetHeader(aRequest,
             headers::kClass,
             state::FindEnumName(state::kRequestClassNames, route.requestClass));
@@ -145,6 +149,14 @@
   SetHeader(
     aRequest, headers::kRetriesLeft, std::to_string(aAttempt.retriesLeft));
   SetHeader(aRequest, headers::kDepth, std::to_string(aLoad.depth + 1));
+  if (aAttempt.maxWait) {
+    const auto wait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(*aAttempt.maxWait);
+    SetHeader(aRequest, headers::kMaxWait, std::to_string(wait.count()));
+  }
+  if (aAttempt.isNested) {
+    SetHeader(aRequest, headers::kNested, "yes");
+  }
   if (aLoad.tenantLimit > 0) {
     SetHeader(
       aRequest, headers::kTenantLimit, std::to_string(aLoad.tenantLimit));
--- a/Services/teaselholdd/NodeHop.h
+++ b/Services/teaselholdd/NodeHop.h
@@ -24,6 +24,7 @@
   struct Load
   {
     const state::RouteSpec& route;
+    const std::string& service;
     std::uint32_t tenantLimit = 0;
     unsigned depth = 0;
   };
--- a/Services/teaselholdd/Settings.cpp
+++ b/Services/teaselholdd/Settings.cpp
@@ -26,6 +26,11 @@
   { DistributionMode::Direct, "direct" },
 } };
 
+constexpr std::array<state::EnumName<Environment>, 2> kEnvironmentNames{ {
+  { Environment::Standalone, "standalone" },
+  { Environment::Platform, "platform" },
+} };
+
 constexpr std::uint32_t kMaxMilliseconds = 3600 * 1000;
 
 /// Stores a value; returns what was expected if the value is bad.
@@ -160,10 +165,45 @@
   };
 }
 
+Reader
+ReadEnvironment(Environment& aTarget)
+{
+  return [&aTarget](const std::string& aValue) -> std::string {
+    const auto environment = state::FindEnumValue(kEnvironmentNames, aValue);
+    aTarget = environment.value_or(Environment::Standalone);
+    return environment ? "" : "standalone or platform";
+  };
+}
+
+Reader
+ReadShare(double& aTarget)
+{
+  return [&aTarget](const std::string& aValue) -> std::string {
+    const auto* end = aValue.data() + aValue.size();
+    const auto result = std::from_chars(aValue.data(), end, aTarget);
+    const bool valid = result.ec == std::errc() && result.ptr == end &&
+                       aTarget >= 0 && aTarget <= 1;
+    return valid ? "" : "a number from 0 to 1";
+  };
+}
+
+/// @return true if the document says that the node runs on the platform, which
+/// has no use for some of the required keys.
+bool
+IsForPlatform(const IniDocument& aDocument)
+{
+  const auto& sections = aDocument.Sections();
+  const auto node = std::ranges::find(sections, "node", &IniSection::name);
+  const auto* entry =
+    node == sections.end() ? nullptr : node->Find("environment");
+  return entry != nullptr && entry->value == "platform";
+}
+
 std::vector<Field>
-MakeFields(Settings& aSettings)
+MakeFields(Settings& aSettings, bool aIsForPlatform)
 {
   auto& s = aSettings;
+  const bool hasTool = !aIsForPlatform;
   return {
     { "node", "name", true, ReadName(s.nodeName) },
     { "node", "service", true, ReadName(s.service) },
@@ -171,10 +211,17 @@
     { "node", "region", true, ReadName(s.region) },
     { "node", "caller_address", true, ReadAddress(s.callerAddress) },
     { "node", "data_address", true, ReadAddress(s.dataAddress) },
-    { "node", "control_address", true, ReadAddress(s.controlAddress) },
-    { "node", "admin_address", true, ReadAddress(s.adminAddress) },
+    { "node", "control_address", hasTool, ReadAddress(s.controlAddress) },
+    { "node", "admin_address", hasTool, ReadAddress(s.adminAddress) },
     { "node", "metrics_address", false, ReadAddress(s.metricsAddress) },
-    { "node", "seeds", true, ReadAddresses(s.seeds) },
+    { "node", "seeds", hasTool, ReadAddresses(s.seeds) },
+    { "node", "environment", false, ReadEnvironment(s.environment) },
+    { "node", "ready_address", false, ReadAddress(s.readyAddress) },
+    { "node", "ready_path", false, ReadPath(s.readyPath) },
+    { "node",
+      "announcement_address",
+      aIsForPlatform,
+      ReadAddress(s.announcementAddress) },
     { "node", "drain_timeout", false, ReadTime(s.drainTimeout) },
     { "node", "distribution", false, ReadDistribution(s.distribution) },
     { "store", "address", true, ReadAddress(s.storeAddress) },
@@ -186,6 +233,10 @@
       "shed_is_not_run",
       false,
       ReadYesOrNo(s.upstreamShedIsNotRun) },
+    { "upstream", "drain", false, ReadTime(s.upstreamDrain) },
+    { "retry", "ratio", false, ReadShare(s.retryRatio) },
+    { "retry", "slack", false, ReadNumber(s.retrySlack, 0, 1000000) },
+    { "retry", "window", false, ReadTime(s.retryWindow) },
     { "log", "level", false, ReadLogLevel(s.logLevel) },
   };
 }
@@ -306,7 +357,7 @@
   std::vector<ProtocolError> errors;
   const auto document = IniDocument::ParseReadable(aText, errors);
   CheckedSettings result;
-  SettingsReader reader(MakeFields(result.settings));
+  SettingsReader reader(MakeFields(result.settings, IsForPlatform(document)));
   reader.Read(document, errors.empty());
   errors.insert(errors.end(), reader.errors_.begin(), reader.errors_.end());
   if (errors.empty()) {
--- a/Services/teaselholdd/Settings.h
+++ b/Services/teaselholdd/Settings.h
@@ -18,6 +18,15 @@
   Direct,
 };
 
+/// What surrounds the node.
+enum class Environment : std::uint8_t
+{
+  /// The product's own interfaces: teaselctl, probed upstreams.
+  Standalone,
+  /// The users' platform; see docs/platform.md.
+  Platform,
+};
+
 /// The daemon's settings, read from an INI file. The initializers are the
 /// defaults; members without one are required.
 struct Settings
@@ -30,9 +39,10 @@
   std::string callerAddress;
   /// Where other nodes send requests, IP:port.
   std::string dataAddress;
-  /// Control messages, UDP and TCP on the same port.
+  /// Control messages, UDP and TCP on the same port; empty without relays.
   std::string controlAddress;
-  /// Where teaselctl connects, IP:port. Calls are not authenticated.
+  /// Where teaselctl connects, IP:port; empty serves none. Calls are not
+  /// authenticated.
   std::string adminAddress;
   /// Where metrics are served over HTTP, GET /metrics; empty serves none.
   std::string metricsAddress;
@@ -47,6 +57,20 @@
   /// How long a stopping node waits for requests in flight.
   std::chrono::milliseconds drainTimeout{ 30000 };
   DistributionMode distribution = DistributionMode::Relay;
+  Environment environment = Environment::Standalone;
+  /// Where readiness is asked for, IP:port; empty serves none.
+  std::string readyAddress;
+  std::string readyPath = "/ready";
+  /// Where the upstream sends its announcements, IP:port.
+  std::string announcementAddress;
+  /// A leaving upstream gets nothing later than this after its leaving was
+  /// acknowledged.
+  std::chrono::milliseconds upstreamDrain{ 2000 };
+  /// Retries of all nodes may be this share of a service's requests, and the
+  /// slack on top, in any window.
+  double retryRatio = 0.1;
+  std::uint32_t retrySlack = 50;
+  std::chrono::milliseconds retryWindow{ 10000 };
   std::string logLevel = "info";
 };
 
--- a/Services/teaselholdd/SettingsCheck.cpp
+++ b/Services/teaselholdd/SettingsCheck.cpp
@@ -3,6 +3,7 @@
 #include "Transport/SocketAddress.h"
 
 #include <algorithm>
+#include <array>
 
 namespace teaselhold::daemon {
 
@@ -70,9 +71,16 @@
       }
     }
     CheckAnnounced("data_address", settings_.dataAddress);
-    CheckAnnounced("control_address", settings_.controlAddress);
-    CheckSeeds();
-    CheckAdmin();
+    if (!settings_.controlAddress.empty()) {
+      CheckAnnounced("control_address", settings_.controlAddress);
+    }
+    if (settings_.environment == Environment::Standalone) {
+      CheckSeeds();
+    }
+    if (!settings_.adminAddress.empty()) {
+      CheckAdmin();
+    }
+    CheckRelay();
     return std::move(findings_);
   }
 
@@ -103,12 +111,17 @@
     addresses.push_back(
       Place("node", "caller_address", settings_.callerAddress));
     addresses.push_back(Place("node", "data_address", settings_.dataAddress));
-    addresses.push_back(
-      Place("node", "control_address", settings_.controlAddress));
-    addresses.push_back(Place("node", "admin_address", settings_.adminAddress));
-    if (!settings_.metricsAddress.empty()) {
-      addresses.push_back(
-        Place("node", "metrics_address", settings_.metricsAddress));
+    const std::array<std::pair<const char*, const std::string*>, 5> optional{ {
+      { "control_address", &settings_.controlAddress },
+      { "admin_address", &settings_.adminAddress },
+      { "metrics_address", &settings_.metricsAddress },
+      { "ready_address", &settings_.readyAddress },
+      { "announcement_address", &settings_.announcementAddress },
+    } };
+    for (const auto& [key, text] : optional) {
+      if (!text->empty()) {
+        addresses.push_back(Place("node", key, *text));
+      }
     }
     return addresses;
   }
@@ -154,6 +167,17 @@
     }
   }
 
+  void CheckRelay()
+  {
+    if (settings_.environment == Environment::Platform &&
+        settings_.distribution == DistributionMode::Relay) {
+      findings_.errors.push_back(
+        { ProtocolErrorCode::InvalidValue,
+          LineOf("node", "environment"),
+          "\"environment = platform\" needs \"distribution = direct\"" });
+    }
+  }
+
   void CheckAdmin()
   {
     if (!IsLoopback(
--- a/Services/teaselholdd/StoreCalls.cpp
+++ b/Services/teaselholdd/StoreCalls.cpp
@@ -1,7 +1,5 @@
 #include "Services/teaselholdd/StoreCalls.h"
 
-#include "Transport/GrpcStoreClient.h"
-
 namespace teaselhold::daemon {
 
 namespace {
@@ -11,21 +9,32 @@
 
 } // namespace
 
-StoreCalls::StoreCalls(asio::io_context& aContext, const std::string& aAddress)
+StoreCalls::StoreCalls(asio::io_context& aContext,
+                       protocol::StoreClientFactory aFactory)
   : context_(aContext)
-  , worker_(std::make_unique<StoreWorker>(
-      std::make_unique<transport::GrpcStoreClient>(aAddress),
-      [this](StoreAnswered aAnswer) {
-        asio::post(context_, [this, answer = std::move(aAnswer)]() mutable {
-          OnAnswer(std::move(answer));
-        });
-      }))
+  , factory_(std::move(aFactory))
 {
 }
 
+void
+StoreCalls::Stop()
+{
+  if (worker_ != nullptr) {
+    worker_->Stop();
+  }
+}
+
 asio::awaitable<StoreResult>
 StoreCalls::Call(Request aRequest, Clock::Steady::time_point aDeadline)
 {
+  if (worker_ == nullptr) {
+    worker_ =
+      std::make_unique<StoreWorker>(factory_(), [this](StoreAnswered aAnswer) {
+        asio::post(context_, [this, answer = std::move(aAnswer)]() mutable {
+          OnAnswer(std::move(answer));
+        });
+      });
+  }
   const auto call = nextCall_++;
   const auto waiter = std::make_shared<Waiter>(
     Waiter{ asio::steady_timer(context_, aDeadline), std::nullopt });
--- a/Services/teaselholdd/StoreCalls.h
+++ b/Services/teaselholdd/StoreCalls.h
@@ -14,7 +14,10 @@
 public:
   using Request = decltype(coordination::CallStore::request);
 
-  StoreCalls(boost::asio::io_context& aContext, const std::string& aAddress);
+  /// The client and its threads start with the first call: without keyed
+  /// requests there is none.
+  StoreCalls(boost::asio::io_context& aContext,
+             protocol::StoreClientFactory aFactory);
 
   /// @return the answer, or StoreErrorCode::Unknown if the deadline passed
   /// before it arrived.
@@ -23,7 +26,7 @@
     Clock::Steady::time_point aDeadline);
 
   /// Stops the threads; waits for the call in progress.
-  void Stop() { worker_->Stop(); }
+  void Stop();
 
 private:
   struct Waiter
@@ -35,6 +38,7 @@
   void OnAnswer(coordination::StoreAnswered aAnswer);
 
   boost::asio::io_context& context_;
+  protocol::StoreClientFactory factory_;
   std::map<std::uint64_t, std::shared_ptr<Waiter>> waiting_;
   std::uint64_t nextCall_ = 1;
   std::unique_ptr<StoreWorker> worker_;
--- a/Services/teaselholdd/StoreWorker.cpp
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -49,6 +49,19 @@
   {
     return ToResult(client.Watch(aCall.key, aCall.knownRevision, aCall.wait));
   }
+  StoreResult operator()(const StoreList& aCall) const
+  {
+    return ToResult(client.List(aCall.prefix, kCallTimeout));
+  }
+  StoreResult operator()(const StoreWatchPrefix& aCall) const
+  {
+    return ToResult(
+      client.WatchPrefix(aCall.prefix, aCall.afterRevision, aCall.wait));
+  }
+  StoreResult operator()(const StoreEndLease& aCall) const
+  {
+    return ToResult(client.EndLease(aCall.lease, kCallTimeout));
+  }
 };
 
 } // namespace
@@ -59,6 +72,7 @@
   , answer_(std::move(aAnswer))
   , callThread_([this] { Run(calls_); })
   , watchThread_([this] { Run(watches_); })
+  , prefixWatchThread_([this] { Run(prefixWatches_); })
 {
 }
 
@@ -71,20 +85,30 @@
 StoreWorker::Submit(CallStore aCall)
 {
   const auto number = aCall.call;
-  auto& ring =
-    std::holds_alternative<StoreWatch>(aCall.request) ? watches_ : calls_;
-  if (!ring.Push(std::move(aCall))) {
+  if (!RingOf(aCall).Push(std::move(aCall))) {
     answer_({ number,
               protocol::StoreError{ protocol::StoreErrorCode::Unavailable,
                                     "too many store calls are waiting" } });
   }
 }
 
+StoreWorker::Ring&
+StoreWorker::RingOf(const CallStore& aCall)
+{
+  if (std::holds_alternative<StoreWatch>(aCall.request)) {
+    return watches_;
+  }
+  return std::holds_alternative<StoreWatchPrefix>(aCall.request)
+           ? prefixWatches_
+           : calls_;
+}
+
 void
 StoreWorker::Stop()
 {
   calls_.Close();
   watches_.Close();
+  prefixWatches_.Close();
   // A watch would hold up the stop for its whole wait of 10 s.
   client_->Close();
   if (callThread_.joinable()) {
@@ -93,6 +117,9 @@
   if (watchThread_.joinable()) {
     watchThread_.join();
   }
+  if (prefixWatchThread_.joinable()) {
+    prefixWatchThread_.join();
+  }
 }
 
 void
@@ -120,7 +147,8 @@
 void
 StoreWorker::Count(const CallStore& aCall, const StoreResult& aResult)
 {
-  const bool isWatch = std::holds_alternative<StoreWatch>(aCall.request);
+  const bool isWatch = std::holds_alternative<StoreWatch>(aCall.request) ||
+                       std::holds_alternative<StoreWatchPrefix>(aCall.request);
   ++(isWatch ? watchCount_ : otherCount_);
   const auto* error = std::get_if<protocol::StoreError>(&aResult);
   if (error != nullptr) {
--- a/Services/teaselholdd/StoreWorker.h
+++ b/Services/teaselholdd/StoreWorker.h
@@ -20,8 +20,9 @@
   std::uint64_t failures = 0;
 };
 
-/// Runs the store's blocking calls on threads of its own: one for watches,
-/// which wait for long, and one for all other calls.
+/// Runs the store's blocking calls on threads of its own: one for watches of a
+/// key and one for watches of a prefix, which wait for long, and one for all
+/// other calls.
 class StoreWorker
 {
 public:
@@ -43,6 +44,7 @@
   using Ring = transport::BoundedRing<coordination::CallStore>;
 
   void Run(Ring& aRing);
+  Ring& RingOf(const coordination::CallStore& aCall);
   coordination::StoreResult Execute(const coordination::CallStore& aCall);
 
   void Count(const coordination::CallStore& aCall,
@@ -52,6 +54,7 @@
   Answer answer_;
   Ring calls_{ 256 };
   Ring watches_{ 4 };
+  Ring prefixWatches_{ 4 };
   std::atomic<std::uint64_t> watchCount_ = 0;
   std::atomic<std::uint64_t> otherCount_ = 0;
   std::atomic<std::uint64_t> failureCount_ = 0;
@@ -59,6 +62,7 @@
   std::atomic<bool> failing_ = false;
   std::thread callThread_;
   std::thread watchThread_;
+  std::thread prefixWatchThread_;
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/UpstreamLink.cpp
+++ b/Services/teaselholdd/UpstreamLink.cpp
@@ -34,10 +34,23 @@
 /// they are rarely the same.
 constexpr std::size_t kMaxRememberedBytes = std::size_t{ 64 } * 1024;
 
+/// The upstream ends its work this much earlier than the caller gives up, so
+/// that its own word on a timeout arrives in time.
+constexpr std::chrono::milliseconds kAnswerMargin{ 20 };
+
+/// After a lost connection; a crashed process refuses new ones by then.
+constexpr std::chrono::milliseconds kLossCheckDelay{ 30 };
+
+/// Upstreams may forget connections that were idle for long.
+constexpr std::chrono::milliseconds kSilenceLimit{ 2000 };
+
 transport::HttpClientOptions
-MakePoolOptions(const Settings& aSettings)
+MakePoolOptions(const Settings& aSettings, const Adapters& aAdapters)
 {
   transport::HttpClientOptions options;
+  options.rules.identityHeader = aAdapters.headers.requestId;
+  options.rules.acceptsUnframed = aAdapters.headers.acceptsUnframed;
+  options.silenceLimit = kSilenceLimit;
   options.maxIdleConnections = aSettings.upstreamSlots;
   options.maxIdleTime = kMaxIdleTime;
   return options;
@@ -47,15 +60,19 @@
 
 UpstreamLink::UpstreamLink(asio::io_context& aContext,
                            const Settings& aSettings,
+                           const Adapters& aAdapters,
                            const Clock& aClock,
+                           AnnouncedUpstream* aAnnounced,
                            StateSink aStateSink,
                            CrashSink aCrashSink)
   : context_(aContext)
   , settings_(aSettings)
+  , adapters_(aAdapters)
   , clock_(aClock)
+  , announced_(aAnnounced)
   , stateSink_(std::move(aStateSink))
   , crashSink_(std::move(aCrashSink))
-  , pool_(aContext, MakePoolOptions(aSettings))
+  , pool_(aContext, MakePoolOptions(aSettings, aAdapters))
 {
 }
 
@@ -66,8 +83,13 @@
 {
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
     aDeadline - clock_.Now());
+  const auto work = std::max(remaining - kAnswerMargin, remaining / 2);
+  const auto& names = adapters_.headers;
   RemoveNodeHeaders(aRequest);
-  SetHeader(aRequest, headers::kDeadline, std::to_string(remaining.count()));
+  SetHeader(aRequest, names.deadline, std::to_string(work.count()));
+  if (announced_ != nullptr && !names.upstreamId.empty()) {
+    SetHeader(aRequest, names.upstreamId, announced_->Upstream().id);
+  }
   auto answer = co_await pool_.Send(settings_.upstreamAddress,
                                     aRequest,
                                     clock_.ToSteady(aDeadline),
@@ -76,11 +98,55 @@
     co_return co_await Fail(aRequest, answer.error());
   }
   RememberAnswer(aRequest);
-  RemoveHopHeaders(*answer);
-  RemoveAnswerHeaders(*answer);
-  SetHeader(*answer, headers::kOutcome, "answered");
-  const auto status = answer->result_int();
-  co_return Exchange{ Answered{ status }, std::move(*answer), 0 };
+  co_return ReadAnswer(std::move(*answer));
+}
+
+Exchange
+UpstreamLink::ReadAnswer(Response aAnswer)
+{
+  const auto status = aAnswer.result_int();
+  if (announced_ != nullptr &&
+      aAnswer.result() == http::status::misdirected_request) {
+    // Another process took the address; it ran nothing.
+    announced_->NoteUnreachable();
+    const Outcome outcome = NotRun{ NotRunReason::WrongExecutor };
+    return { outcome, MakeResponse(outcome), 0 };
+  }
+  RemoveHopHeaders(aAnswer);
+  RemoveAnswerHeaders(aAnswer);
+  SetHeader(aAnswer, headers::kOutcome, "answered");
+  return { Answered{ status }, std::move(aAnswer), 0 };
+}
+
+void
+UpstreamLink::NoteUnreachable()
+{
+  if (announced_ != nullptr) {
+    announced_->NoteUnreachable();
+  } else {
+    SetState(state::EndpointState::Starting);
+  }
+}
+
+asio::awaitable<void>
+UpstreamLink::CheckAfterLoss(std::uint64_t aFingerprint)
+{
+  lost_.push_back(aFingerprint);
+  if (lost_.size() > 1) {
+    co_return;
+  }
+  asio::steady_timer timer(context_, kLossCheckDelay);
+  boost::system::error_code error;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  const auto lost = std::exchange(lost_, {});
+  const bool isRefusing = co_await IsRefusing();
+  if (!isRefusing) {
+    co_return;
+  }
+  announced_->NoteUnreachable();
+  for (const auto fingerprint : lost) {
+    ReportCrash(fingerprint);
+  }
 }
 
 asio::awaitable<Exchange>
@@ -89,34 +155,38 @@
 {
   Outcome outcome = ToOutcome(aError);
   if (aError.code == transport::TransportErrorCode::ConnectFailed) {
-    SetState(state::EndpointState::Starting);
+    NoteUnreachable();
   }
   const bool lost =
     aError.code == transport::TransportErrorCode::ConnectionLost ||
     aError.code == transport::TransportErrorCode::PartialAnswer;
   bool crashed = false;
-  if (lost) {
+  if (lost && announced_ != nullptr) {
+    // The caller does not wait for the check: another upstream may still
+    // answer in time.
+    asio::co_spawn(
+      context_, CheckAfterLoss(FingerprintOf(aRequest)), asio::detached);
+  } else if (lost) {
     crashed = co_await HasCrashed();
   }
   if (crashed) {
     SetState(state::EndpointState::Starting);
-    ReportCrash(aRequest);
+    ReportCrash(FingerprintOf(aRequest));
     outcome = Unknown{ UnknownReason::UpstreamCrashed };
   }
   co_return Exchange{ outcome, MakeResponse(outcome), 0 };
 }
 
 void
-UpstreamLink::ReportCrash(const Request& aRequest)
+UpstreamLink::ReportCrash(std::uint64_t aFingerprint)
 {
-  const auto fingerprint = FingerprintOf(aRequest);
-  const bool isSuspect = !answered_.Contains(fingerprint);
+  const bool isSuspect = !answered_.Contains(aFingerprint);
   spdlog::warn(
     "[upstream] Crashed while it ran a request. fingerprint={:x} suspect={}",
-    fingerprint,
+    aFingerprint,
     isSuspect ? "yes" : "no");
   if (isSuspect) {
-    crashSink_(fingerprint);
+    crashSink_(aFingerprint);
   }
 }
 
--- a/Services/teaselholdd/UpstreamLink.h
+++ b/Services/teaselholdd/UpstreamLink.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Services/teaselholdd/Adapters.h"
+#include "Services/teaselholdd/AnnouncedUpstream.h"
 #include "Services/teaselholdd/AnsweredRequests.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/Exchange.h"
@@ -18,9 +20,12 @@
   using StateSink = std::function<void(state::EndpointState)>;
   using CrashSink = std::function<void(std::uint64_t aFingerprint)>;
 
+  /// @param aAnnounced nullptr if the upstream is probed.
   UpstreamLink(boost::asio::io_context& aContext,
                const Settings& aSettings,
+               const Adapters& aAdapters,
                const Clock& aClock,
+               AnnouncedUpstream* aAnnounced,
                StateSink aStateSink,
                CrashSink aCrashSink);
 
@@ -51,15 +56,20 @@
   void OnHealth(Health aHealth);
   Awaitable<Exchange> Fail(const Request& aRequest,
                            const transport::TransportError& aError);
+  Awaitable<void> CheckAfterLoss(std::uint64_t aFingerprint);
+  void NoteUnreachable();
+  Exchange ReadAnswer(Response aAnswer);
   Awaitable<bool> HasCrashed();
   Awaitable<bool> IsRefusing();
-  void ReportCrash(const Request& aRequest);
+  void ReportCrash(std::uint64_t aFingerprint);
   void RememberAnswer(const Request& aRequest);
   void SetState(state::EndpointState aState);
 
   boost::asio::io_context& context_;
   const Settings& settings_;
+  const Adapters& adapters_;
   const Clock& clock_;
+  AnnouncedUpstream* announced_;
   StateSink stateSink_;
   CrashSink crashSink_;
   transport::HttpClientPool pool_;
@@ -67,6 +77,8 @@
   unsigned failedProbes_ = 0;
   state::Instant lastAnswer_{ 0 };
   AnsweredRequests answered_;
+  /// Requests whose connection was lost and whose check is under way.
+  std::vector<std::uint64_t> lost_;
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -19,9 +19,16 @@
 constexpr std::uint32_t kQueuePerSlot = 4;
 
 AdmissionOptions
-MakeAdmissionOptions(const Settings& aSettings)
+MakeAdmissionOptions(const Settings& aSettings, const Adapters& aAdapters)
 {
   AdmissionOptions options;
+  if (aAdapters.IsAnnounced()) {
+    options.coldStart = state::Duration{ 0 };
+    options.shedAnswerIsNotRun = true;
+    options.slots = aSettings.upstreamSlots;
+    options.queueLimit = aSettings.upstreamSlots * kQueuePerSlot;
+    return options;
+  }
   options.slots = aSettings.upstreamSlots;
   options.queueLimit = aSettings.upstreamSlots * kQueuePerSlot;
   options.shedAnswerIsNotRun = aSettings.upstreamShedIsNotRun;
@@ -66,30 +73,41 @@
 
 UpstreamSide::UpstreamSide(asio::io_context& aContext,
                            const Settings& aSettings,
+                           const Adapters& aAdapters,
                            const Clock& aClock,
                            std::uint64_t aIncarnation,
-                           UpstreamLink::StateSink aStateSink,
+                           AnnouncedUpstream::ChangeSink aChangeSink,
                            UpstreamLink::CrashSink aCrashSink,
                            CallMetrics& aCallMetrics)
   : context_(aContext)
   , settings_(aSettings)
+  , adapters_(aAdapters)
   , clock_(aClock)
   , incarnation_(aIncarnation)
   , callMetrics_(aCallMetrics)
   , arrivals_(aIncarnation)
   , keyedRuns_(aContext, aClock)
-  , admission_(
-      std::make_shared<AdmissionQueue>(aContext,
-                                       aClock,
-                                       MakeAdmissionOptions(aSettings)))
+  , admission_(std::make_shared<AdmissionQueue>(
+      aContext,
+      aClock,
+      MakeAdmissionOptions(aSettings, aAdapters)))
+  , announced_(aAdapters.IsAnnounced() ? std::make_unique<AnnouncedUpstream>(
+                                           aContext,
+                                           aSettings,
+                                           aClock,
+                                           aAdapters.readUpstreamMessage,
+                                           admission_,
+                                           aChangeSink)
+                                       : nullptr)
   , upstream_(
       aContext,
       aSettings,
+      aAdapters,
       aClock,
-      [queue = admission_,
-       sink = std::move(aStateSink)](state::EndpointState aState) {
+      announced_.get(),
+      [queue = admission_, sink = aChangeSink](state::EndpointState aState) {
         queue->SetState(aState);
-        sink(aState);
+        sink({ aState });
       },
       std::move(aCrashSink))
 {
@@ -98,13 +116,21 @@
 void
 UpstreamSide::Start()
 {
-  asio::co_spawn(context_, upstream_.Probe(), asio::detached);
+  if (announced_ != nullptr) {
+    announced_->Start();
+  } else {
+    asio::co_spawn(context_, upstream_.Probe(), asio::detached);
+  }
 }
 
 void
 UpstreamSide::Drain()
 {
-  upstream_.Drain();
+  if (announced_ != nullptr) {
+    announced_->Close();
+  } else {
+    upstream_.Drain();
+  }
 }
 
 asio::awaitable<Response>
@@ -128,6 +154,8 @@
     exchange = co_await Serve(aRequest, std::move(aCancellation));
   }
   SetHeader(exchange.response, headers::kRequestId, id);
+  SetHeader(
+    exchange.response, headers::kLoad, FormatLoadReport(admission_->Report()));
   co_return std::move(exchange.response);
 }
 
@@ -170,7 +198,10 @@
 UpstreamSide::ServeLocal(Request& aRequest,
                          transport::CancellationPointer aCancellation)
 {
-  return Serve(aRequest, std::move(aCancellation));
+  auto exchange = co_await Serve(aRequest, std::move(aCancellation));
+  SetHeader(
+    exchange.response, headers::kLoad, FormatLoadReport(admission_->Report()));
+  co_return exchange;
 }
 
 asio::awaitable<Exchange>
@@ -234,21 +265,38 @@
 {
   const auto refused = co_await admission_->Enter(aAdmission, aCancellation);
   if (refused) {
-    co_return Refuse(refused->reason);
+    co_return MakeExchange(*refused);
   }
   const AdmissionQueue::Slot slot(admission_, aAdmission.id);
-  auto exchange = co_await upstream_.Deliver(
-    aRequest, aAdmission.deadline, std::move(aCancellation));
+  const auto start = clock_.Now();
+  auto exchange =
+    co_await upstream_.Deliver(aRequest, aAdmission.deadline, aCancellation);
   if (const auto* answered = std::get_if<Answered>(&exchange.outcome)) {
-    const bool saysShed = exchange.response.count(headers::kShed) > 0;
+    const bool saysShed =
+      exchange.response.count(adapters_.headers.notRunMark) > 0;
     const auto outcome = admission_->Classify(answered->status, saysShed);
     if (!std::holds_alternative<Answered>(outcome)) {
       exchange = MakeExchange(outcome);
     }
   }
+  if (!transport::IsCancelled(aCancellation)) {
+    Learn(exchange.outcome, clock_.Now() - start);
+  }
   co_return exchange;
 }
 
+void
+UpstreamSide::Learn(const Outcome& aOutcome, state::Duration aServiceTime)
+{
+  constexpr unsigned kFirstServerError = 500;
+  constexpr unsigned kGatewayTimeout = 504;
+  const auto* answered = std::get_if<Answered>(&aOutcome);
+  const bool isServed =
+    answered != nullptr && (answered->status < kFirstServerError ||
+                            answered->status == kGatewayTimeout);
+  admission_->Learn(aServiceTime, isServed);
+}
+
 std::optional<AdmissionRequest>
 UpstreamSide::ReadAdmission(const Request& aRequest)
 {
@@ -266,6 +314,11 @@
   admission.tenantLimit =
     ReadNumber<std::uint32_t>(aRequest, headers::kTenantLimit).value_or(0);
   admission.deadline = clock_.Now() + std::chrono::milliseconds(*remaining);
+  admission.isNested = ReadHeader(aRequest, headers::kNested) == "yes";
+  if (const auto wait =
+        ReadNumber<std::uint32_t>(aRequest, headers::kMaxWait)) {
+    admission.maxWait = std::chrono::milliseconds(*wait);
+  }
   return admission;
 }
 
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -15,15 +15,19 @@
 public:
   UpstreamSide(boost::asio::io_context& aContext,
                const Settings& aSettings,
+               const Adapters& aAdapters,
                const Clock& aClock,
                std::uint64_t aIncarnation,
-               UpstreamLink::StateSink aStateSink,
+               AnnouncedUpstream::ChangeSink aChangeSink,
                UpstreamLink::CrashSink aCrashSink,
                coordination::CallMetrics& aCallMetrics);
 
-  /// Starts to probe the upstream.
+  /// Starts to probe the upstream, or to take its announcements.
   void Start();
 
+  /// @return nullptr if the upstream is probed.
+  AnnouncedUpstream* Announced() { return announced_.get(); }
+
   /// Serves a request from another node.
   Awaitable<Response> ServeNode(Request aRequest,
                                 transport::CancellationPointer aCancellation);
@@ -50,17 +54,21 @@
   Awaitable<Exchange> Run(Request& aRequest,
                           const coordination::AdmissionRequest& aAdmission,
                           transport::CancellationPointer aCancellation);
+  void Learn(const coordination::Outcome& aOutcome,
+             state::Duration aServiceTime);
   std::optional<coordination::AdmissionRequest> ReadAdmission(
     const Request& aRequest);
 
   boost::asio::io_context& context_;
   const Settings& settings_;
+  const Adapters& adapters_;
   const Clock& clock_;
   std::uint64_t incarnation_;
   coordination::CallMetrics& callMetrics_;
   state::ArrivalLog arrivals_;
   KeyedRuns keyedRuns_;
   std::shared_ptr<AdmissionQueue> admission_;
+  std::unique_ptr<AnnouncedUpstream> announced_;
   UpstreamLink upstream_;
   std::uint64_t nextRequest_ = 1;
 };
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -11,8 +11,12 @@
 #include <pthread.h>
 #include <spdlog/spdlog.h>
 #include <sstream>
+#include <thread>
 
 DEFINE_string(config, "", "the settings file (INI)");
+DEFINE_string(config_variable,
+              "",
+              "the environment variable that holds the settings file's path");
 DEFINE_bool(check_config, false, "check the settings and exit");
 
 namespace {
@@ -23,6 +27,9 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
+/// Time for the call that takes this node's record out of the store.
+constexpr std::chrono::milliseconds kFarewellTime{ 60 };
+
 std::optional<daemon::Settings>
 LoadSettings(const std::string& aPath)
 {
@@ -85,20 +92,45 @@
   state::ConfigurationPointer last_;
 };
 
+/// Waits for a signal that ends the process. SIGHUP checks the settings file
+/// and takes what can change while the node runs.
+/// @return the signal.
+int
+WaitForStop(const sigset_t& aSignals, const std::string& aPath)
+{
+  while (true) {
+    int signal = 0;
+    sigwait(&aSignals, &signal);
+    if (signal != SIGHUP) {
+      return signal;
+    }
+    const auto settings = LoadSettings(aPath);
+    if (settings) {
+      spdlog::set_level(spdlog::level::from_str(settings->logLevel));
+    }
+    spdlog::info("[node] Settings read again. valid={}",
+                 settings ? "yes" : "no");
+  }
+}
+
 int
-Run(const daemon::Settings& aSettings, const sigset_t& aSignals)
+Run(const daemon::Settings& aSettings,
+    const std::string& aPath,
+    const sigset_t& aSignals)
 {
   const daemon::Clock clock;
   const auto incarnation = MakeIncarnation();
+  const auto adapters = daemon::MakeAdapters(aSettings);
   coordination::CallMetrics callMetrics;
   TenantNamer tenantNamer(callMetrics);
   std::unique_ptr<daemon::ControlPlane> controlPlane;
   daemon::DataPlane dataPlane(
     aSettings,
+    adapters,
     clock,
     incarnation,
-    [&](state::EndpointState aState) {
-      controlPlane->Post(coordination::UpstreamChanged{ aState });
+    [&](coordination::UpstreamChanged aChange) {
+      controlPlane->Post(std::move(aChange));
     },
     [&](std::uint64_t aFingerprint) {
       controlPlane->Post(coordination::CrashObserved{ aFingerprint });
@@ -106,22 +138,32 @@
     callMetrics);
   controlPlane = std::make_unique<daemon::ControlPlane>(
     aSettings,
+    adapters,
     clock,
     incarnation,
-    [&](coordination::RoutingSnapshotPointer aSnapshot) {
-      tenantNamer.Take(aSnapshot);
-      dataPlane.SetSnapshot(std::move(aSnapshot));
-    });
-  for (const auto& started : { controlPlane->Start(), dataPlane.Start() }) {
+    daemon::ControlPlane::Sinks{
+      [&](coordination::RoutingSnapshotPointer aSnapshot) {
+        tenantNamer.Take(aSnapshot);
+        dataPlane.SetSnapshot(std::move(aSnapshot));
+      },
+      [&](std::uint64_t aSaveNumber) { dataPlane.OnLeavingSaved(aSaveNumber); },
+      [&](std::optional<state::UpstreamIdentity> aLeaving) {
+        dataPlane.RestoreUpstream(std::move(aLeaving));
+      } });
+  for (const auto& started : { dataPlane.Start(), controlPlane->Start() }) {
     if (!started) {
       return FailStart(started.error());
     }
   }
   const daemon::MetricsSource metrics(aSettings, *controlPlane, callMetrics);
-  auto admin =
-    daemon::AdminServer::Listen(aSettings, *controlPlane, metrics, clock);
-  if (!admin) {
-    return FailStart(admin.error());
+  std::unique_ptr<daemon::AdminServer> admin;
+  if (!aSettings.adminAddress.empty()) {
+    auto server = daemon::AdminServer::Listen(
+      aSettings, adapters, *controlPlane, metrics, clock);
+    if (!server) {
+      return FailStart(server.error());
+    }
+    admin = std::move(*server);
   }
   std::unique_ptr<daemon::MetricsServer> metricsServer;
   if (!aSettings.metricsAddress.empty()) {
@@ -141,14 +183,15 @@
                aSettings.adminAddress,
                aSettings.metricsAddress.empty() ? "none"
                                                 : aSettings.metricsAddress);
-  int signal = 0;
-  sigwait(&aSignals, &signal);
+  const int signal = WaitForStop(aSignals, aPath);
   spdlog::info("[node] Draining. signal={} timeout_milliseconds={}",
                signal,
                aSettings.drainTimeout.count());
   dataPlane.DrainAndStop();
+  controlPlane->Post(coordination::Stopping{ dataPlane.IsUpstreamLeaving() });
+  std::this_thread::sleep_for(kFarewellTime);
   metricsServer.reset();
-  admin->reset();
+  admin.reset();
   controlPlane->Stop();
   spdlog::info("[node] Stopped.");
   return kExitDone;
@@ -159,8 +202,13 @@
 int
 main(int aCount, char** aArguments)
 {
-  gflags::SetUsageMessage("teaselholdd --config FILE [--check-config]");
+  gflags::SetUsageMessage(
+    "teaselholdd --config FILE | --config_variable NAME [--check-config]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  if (FLAGS_config.empty() && !FLAGS_config_variable.empty()) {
+    const char* path = std::getenv(FLAGS_config_variable.c_str());
+    FLAGS_config = path == nullptr ? "" : path;
+  }
   if (FLAGS_config.empty()) {
     std::cerr << "teaselholdd: --config FILE is required\n";
     return kExitUsage;
@@ -179,9 +227,10 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  const int code = Run(*settings, signals);
+  const int code = Run(*settings, FLAGS_config, signals);
   daemon::FinishLogs();
   return code;
 }
