Tests: Speak the platform's store protocol in the stand-in

Cause: the stand-in spoke gRPC, which no platform speaks. Change: the store's stand-in serves the published protocol with rates, pages, dropped history, leases, lost and late answers, outages and revoked keys. The settings tests list the new keys.

--- /dev/null
+++ b/Tests/Coordination/LoadPolicyTest.cpp
@@ -0,0 +1,225 @@
+#include "Coordination/Admission.h"
+#include "Coordination/TargetPicker.h"
+#include "Tests/Coordination/CallFixtures.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace teaselhold;
+using namespace teaselhold::test;
+
+namespace {
+
+const RouterOptions kRouterOptions{ "entry", "bud1", "bud", 1, false };
+const Outcome kFull = NotRun{ NotRunReason::Full, 80ms };
+const Outcome kShed = NotRun{ NotRunReason::Shed };
+const Outcome kAnswer = Answered{ 200 };
+const Outcome kServerError = Answered{ 500 };
+
+/// One service with an objective of 500 ms, two deliveries at most.
+state::ConfigurationPointer
+MakeObjectiveConfiguration()
+{
+  state::ConfigurationBuilder builder;
+  builder.AddService({ "visits", {}, true });
+  const auto lookup = state::RequestClass::Lookup;
+  state::RouteSpec route{ "look", "GET", "/visits", "visits",
+                          lookup, true,  1500ms };
+  route.latencyObjective = 500ms;
+  route.maxAttempts = 2;
+  builder.AddRoute(route);
+  route.name = "redeem";
+  route.method = "POST";
+  route.isIdempotent = false;
+  builder.AddRoute(route);
+  return *builder.Build();
+}
+
+RoutingSnapshotPointer
+FourUpstreams()
+{
+  return MakeSnapshot(MakeTable({ MakeEndpoint("a"),
+                                  MakeEndpoint("b"),
+                                  MakeEndpoint("c"),
+                                  MakeEndpoint("d") }),
+                      MakeObjectiveConfiguration());
+}
+
+CallFacts
+MakeTimedFacts(bool aIsIdempotent, state::Duration aRemaining)
+{
+  auto facts = MakeFacts(aIsIdempotent);
+  facts.deadline = aRemaining;
+  return facts;
+}
+
+} // namespace
+
+TEST_CASE("refusals before delivery cost no attempt and no retry budget")
+{
+  auto environment = MakeEnvironment();
+  environment.policy = CallPolicy::WithLoadReports();
+  environment.budget.SetOptions({ 0, 0, 0, 0 });
+  CallSession session(MakeTimedFacts(false, 3s), FourUpstreams(), environment);
+  auto step = session.Start(0s);
+  std::set<std::string> asked;
+  for (int i = 0; i < 4; ++i) {
+    asked.insert(NodeOf(step));
+    step = session.Finish(kFull, 1ms);
+  }
+  CHECK(asked.size() == 4);
+  // Every node refused: the caller is told so at once, with the time after
+  // which there may be room.
+  const auto* respond = std::get_if<Respond>(&step);
+  REQUIRE(respond != nullptr);
+  CHECK(std::get<NotRun>(respond->outcome).retryAfter == 80ms);
+}
+
+TEST_CASE("an upstream's own refusal spends the retry budget")
+{
+  auto environment = MakeEnvironment();
+  environment.policy = CallPolicy::WithLoadReports();
+  environment.budget.SetOptions({ 0, 0, 0, 0 });
+  CallSession session(MakeTimedFacts(true, 3s), FourUpstreams(), environment);
+  session.Start(0s);
+  CHECK(ReasonOf(session.Finish(kShed, 1ms)) == NotRunReason::Shed);
+}
+
+TEST_CASE("a server error is repeated once and kept if nothing better comes")
+{
+  for (const bool isBetter : { false, true }) {
+    auto environment = MakeEnvironment();
+    environment.policy = CallPolicy::WithLoadReports();
+    CallSession session(MakeTimedFacts(true, 3s), FourUpstreams(), environment);
+    const auto first = NodeOf(session.Start(0s));
+    const auto second = session.Finish(kServerError, 1ms);
+    REQUIRE_FALSE(NodeOf(second).empty());
+    CHECK(NodeOf(second) != first);
+    const auto last = session.Finish(
+      isBetter ? kAnswer : Outcome(Unknown{ UnknownReason::Timeout }), 2ms);
+    const auto* respond = std::get_if<Respond>(&last);
+    REQUIRE(respond != nullptr);
+    REQUIRE(std::holds_alternative<Answered>(respond->outcome));
+    CHECK(std::get<Answered>(respond->outcome).status ==
+          (isBetter ? 200 : 500));
+    CHECK(respond->isEarlierAnswer != isBetter);
+  }
+}
+
+TEST_CASE("a server error of a request that may not be repeated is final")
+{
+  auto environment = MakeEnvironment();
+  environment.policy = CallPolicy::WithLoadReports();
+  CallSession session(MakeTimedFacts(false, 3s), FourUpstreams(), environment);
+  session.Start(0s);
+  CHECK(RespondsWith<Answered>(session.Finish(kServerError, 1ms)));
+}
+
+TEST_CASE("a request waits for a slot no longer than its objective allows")
+{
+  auto environment = MakeEnvironment();
+  environment.policy = CallPolicy::WithLoadReports();
+  const auto maxWait = [&](state::Duration aRemaining) {
+    CallSession session(
+      MakeTimedFacts(true, aRemaining), FourUpstreams(), environment);
+    const auto step = session.Start(0s);
+    return *std::get<Attempt>(step).maxWait;
+  };
+  const auto first = maxWait(3s);
+  CHECK(first > 200ms);
+  CHECK(first < 500ms);
+  // Sent again after 400 ms: the objective is out of reach.
+  CHECK(maxWait(2600ms) <= 150ms);
+  CHECK(maxWait(100ms) == 0ms);
+}
+
+TEST_CASE("a node refuses at once what would wait too long for a slot")
+{
+  Admission admission(AdmissionOptions{ 2, 100, false, 0s });
+  admission.SetState(state::EndpointState::Ready, 0s);
+  for (int i = 0; i < 50; ++i) {
+    admission.Learn(200ms, true);
+  }
+  const auto ask = [&](std::uint64_t aId, bool aIsNested) {
+    AdmissionRequest request;
+    request.id = aId;
+    request.deadline = 10s;
+    request.isNested = aIsNested;
+    request.maxWait = 250ms;
+    return admission.Decide(request, 1s);
+  };
+  CHECK(std::holds_alternative<Admit>(ask(1, false)));
+  CHECK(std::holds_alternative<Admit>(ask(2, false)));
+  // Two slots free one every 100 ms.
+  CHECK(std::holds_alternative<Wait>(ask(3, false)));
+  CHECK(std::holds_alternative<Wait>(ask(4, false)));
+  const auto refused = ask(5, false);
+  REQUIRE(std::holds_alternative<NotRun>(refused));
+  CHECK(std::get<NotRun>(refused).retryAfter == 300ms);
+  // A running request waits for a nested one, so it goes to the front.
+  CHECK(std::holds_alternative<Wait>(ask(6, true)));
+  const auto releases = admission.Finish(1, 1s);
+  REQUIRE(releases.size() == 1);
+  CHECK(releases[0].id == 6);
+}
+
+TEST_CASE("load told by other nodes steers requests away from full upstreams")
+{
+  Router router(kRouterOptions);
+  router.Use(MakeTable({ MakeEndpoint("near"), MakeEndpoint("far", "bud2") }),
+             0s);
+  const auto first = router.Pick("visits", {}, 1s);
+  REQUIRE(first->node == "near");
+  router.Finished(*first, kAnswer, 1s);
+  router.TakeReport(*first, { 12, 12, 100ms, 0 }, 1s);
+  CHECK(router.Pick("visits", {}, 1s)->node == "far");
+  // An old report says nothing any more.
+  CHECK(router.Pick("visits", {}, 4s)->node == "near");
+}
+
+TEST_CASE("an upstream that fails while it looks healthy is avoided")
+{
+  Router router(kRouterOptions);
+  router.Use(MakeTable({ MakeEndpoint("near"), MakeEndpoint("far", "bud2") }),
+             0s);
+  const auto first = router.Pick("visits", {}, 1s);
+  router.Finished(*first, kAnswer, 1s);
+  router.TakeReport(*first, { 0, 12, 100ms, 0.5 }, 1s);
+  CHECK(router.Pick("visits", {}, 1s)->node == "far");
+  CHECK(router.Pick("visits", {}, 5s)->node == "near");
+}
+
+TEST_CASE("a load report survives its journey and bad ones are dropped")
+{
+  const LoadReport report{ 7, 12, 123ms, 0.25 };
+  const auto read = ParseLoadReport(FormatLoadReport(report));
+  REQUIRE(read);
+  CHECK(read->occupied == 7);
+  CHECK(read->slots == 12);
+  CHECK(read->serviceTime == 123ms);
+  CHECK(read->failureShare == 0.25);
+  for (const auto* bad : { "", "1;2;3", "1;2;3;4;5", "a;2;3;4", "1;2;3;4 " }) {
+    CHECK_FALSE(ParseLoadReport(bad));
+  }
+}
+
+TEST_CASE("weighted targets get their exact shares in short runs")
+{
+  state::RouteSpec route;
+  route.name = "split";
+  route.targets = { { "a", 90 }, { "b", 10 }, { "c", 0 } };
+  TargetPicker picker(7);
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 100; ++i) {
+    ++counts[picker.Pick(route)];
+  }
+  CHECK(counts["a"] >= 89);
+  CHECK(counts["a"] <= 91);
+  CHECK(counts["c"] == 0);
+  route.targets = { { "a", 1 }, { "b", 1 } };
+  counts.clear();
+  for (int i = 0; i < 100; ++i) {
+    ++counts[picker.Pick(route)];
+  }
+  CHECK(counts["b"] >= 49);
+}
--- /dev/null
+++ b/Tests/Coordination/UpstreamRegistryTest.cpp
@@ -0,0 +1,130 @@
+#include "Coordination/UpstreamRegistry.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold;
+using namespace teaselhold::coordination;
+using namespace std::chrono_literals;
+using enum AnnouncementVerdict;
+using state::EndpointState;
+
+namespace {
+
+constexpr state::Duration kDrainLimit = 1500ms;
+
+state::UpstreamAnnouncement
+Announcement(const std::string& aId,
+             std::uint64_t aBorn,
+             std::uint64_t aSequence,
+             EndpointState aState = EndpointState::Ready)
+{
+  state::UpstreamAnnouncement message;
+  message.upstream = { aId, aBorn, aSequence, 12 };
+  message.service = "visits";
+  message.address = "10.0.0.1:80";
+  message.state = aState;
+  return message;
+}
+
+UpstreamRegistry
+MakeRegistry()
+{
+  UpstreamRegistry registry("visits", "10.0.0.1:80", kDrainLimit);
+  registry.Restore(std::nullopt, 0s);
+  return registry;
+}
+
+} // namespace
+
+TEST_CASE("an upstream that leaves never becomes ready again")
+{
+  auto registry = MakeRegistry();
+  CHECK(registry.Announce(Announcement("a", 100, 1), 1s) == Taken);
+  CHECK(registry.State() == EndpointState::Ready);
+  CHECK(registry.Announce(Announcement("a", 100, 3, EndpointState::Draining),
+                          2s) == Taken);
+  CHECK(registry.State() == EndpointState::Draining);
+  // A late announcement from before the leaving.
+  CHECK(registry.Announce(Announcement("a", 100, 2), 2s) == Stale);
+  registry.Announce(Announcement("a", 100, 4), 2s);
+  CHECK(registry.State() == EndpointState::Draining);
+  registry.Tick(2s + kDrainLimit);
+  CHECK(registry.State() == EndpointState::Gone);
+}
+
+TEST_CASE("an upstream that only deregisters is leaving from then on")
+{
+  auto registry = MakeRegistry();
+  registry.Announce(Announcement("a", 100, 1), 1s);
+  CHECK(registry.Depart({ "a", 100 }, 2s) == Taken);
+  CHECK(registry.State() == EndpointState::Draining);
+  registry.Announce(Announcement("a", 100, 2), 3s);
+  CHECK(registry.State() == EndpointState::Draining);
+}
+
+TEST_CASE("a late message of an ended run does not replace the new run")
+{
+  auto registry = MakeRegistry();
+  registry.Announce(Announcement("new", 200, 1), 1s);
+  CHECK(registry.Announce(Announcement("old", 100, 9), 2s) == Stale);
+  CHECK(registry.Depart({ "old", 100 }, 2s) == Stale);
+  CHECK(registry.Upstream().id == "new");
+  CHECK(registry.State() == EndpointState::Ready);
+}
+
+TEST_CASE("a process that starts again under its id is a new run")
+{
+  auto registry = MakeRegistry();
+  registry.Announce(Announcement("a", 100, 40), 1s);
+  registry.Depart({ "a", 100 }, 2s);
+  CHECK(registry.Announce(Announcement("a", 300, 1), 3s) == Taken);
+  CHECK(registry.State() == EndpointState::Ready);
+}
+
+TEST_CASE("a clock that was set back does not shut a living upstream out")
+{
+  auto registry = MakeRegistry();
+  registry.Announce(Announcement("before", 9000, 1), 1s);
+  CHECK(registry.Announce(Announcement("after", 5000, 1), 5s) == Stale);
+  CHECK(registry.Announce(Announcement("after", 5000, 2), 6s) == Taken);
+  CHECK(registry.Upstream().id == "after");
+}
+
+TEST_CASE("a restarted node does not forget that its upstream is leaving")
+{
+  UpstreamRegistry registry("visits", "10.0.0.1:80", kDrainLimit);
+  // A late announcement from before the leaving arrives first.
+  registry.Announce(Announcement("a", 100, 2), 1s);
+  CHECK(registry.State() == EndpointState::Starting);
+  registry.Restore(state::UpstreamIdentity{ "a", 100, 3, 12 }, 2s);
+  CHECK(registry.State() == EndpointState::Gone);
+  registry.Announce(Announcement("a", 100, 5), 3s);
+  CHECK(registry.State() == EndpointState::Gone);
+  registry.Announce(Announcement("b", 200, 1), 4s);
+  CHECK(registry.State() == EndpointState::Ready);
+}
+
+TEST_CASE("messages for another service or address name no upstream here")
+{
+  auto registry = MakeRegistry();
+  auto foreign = Announcement("a", 100, 1);
+  foreign.service = "lounges";
+  CHECK(registry.Announce(foreign, 1s) == Foreign);
+  foreign = Announcement("a", 100, 1);
+  foreign.address = "10.0.0.2:80";
+  CHECK(registry.Announce(foreign, 1s) == Foreign);
+  CHECK(registry.State() == EndpointState::Starting);
+}
+
+TEST_CASE("an upstream that refuses connections waits for its next message")
+{
+  auto registry = MakeRegistry();
+  registry.Announce(Announcement("a", 100, 1), 1s);
+  CHECK(registry.TakeChanged());
+  registry.NoteUnreachable();
+  CHECK(registry.State() == EndpointState::Starting);
+  CHECK(registry.TakeChanged());
+  CHECK_FALSE(registry.TakeChanged());
+  registry.Announce(Announcement("a", 100, 2), 2s);
+  CHECK(registry.State() == EndpointState::Ready);
+}
--- /dev/null
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -0,0 +1,197 @@
+#include "platform/StoreClient.h"
+#include "Tests/StandIns/StoreStandIn/StoreServer.h"
+#include "Tests/Support/FreePort.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <thread>
+
+using namespace teaselhold;
+using namespace std::chrono_literals;
+using protocol::StoreErrorCode;
+
+namespace {
+
+/// The store's stand-in on a thread of its own.
+class RunningStore
+{
+public:
+  RunningStore()
+    : state_(kReadsPerSecond, kWritesPerSecond)
+    , store_(context_, state_)
+    , server_(*transport::HttpServer::Listen(
+        context_,
+        address_,
+        [this](transport::HttpRequest aRequest) {
+          return store_.Serve(std::move(aRequest));
+        }))
+  {
+    boost::asio::co_spawn(
+      context_, store_.ExpireLeases(), boost::asio::detached);
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~RunningStore()
+  {
+    context_.stop();
+    thread_.join();
+  }
+
+  template<typename Function>
+  void OnStore(Function aFunction)
+  {
+    std::promise<void> done;
+    boost::asio::post(context_, [&] {
+      aFunction(state_);
+      done.set_value();
+    });
+    done.get_future().get();
+  }
+
+  std::unique_ptr<platform::StoreClient> Client(
+    platform::ConfigurationOwner aOwner =
+      platform::ConfigurationOwner::Product) const
+  {
+    return std::make_unique<platform::StoreClient>(address_, aOwner);
+  }
+
+private:
+  static constexpr std::uint32_t kReadsPerSecond = 2000;
+  static constexpr std::uint32_t kWritesPerSecond = 20;
+
+  boost::asio::io_context context_{ 1 };
+  std::string address_ = tests::FreeAddress();
+  stand_in::StoreState state_;
+  stand_in::StoreServer store_;
+  std::unique_ptr<transport::HttpServer> server_;
+  std::thread thread_;
+};
+
+} // namespace
+
+TEST_CASE("a swap that lost its race tells the value that won")
+{
+  RunningStore store;
+  const auto client = store.Client();
+  const auto first = client->CompareAndSwap("a/key", 0, "one", 0, 1s);
+  REQUIRE(first);
+  CHECK(first->swapped);
+  const auto second = client->CompareAndSwap("a/key", 0, "two", 0, 1s);
+  REQUIRE(second);
+  CHECK_FALSE(second->swapped);
+  CHECK(second->current.value == "one");
+  CHECK(second->current.revision == first->current.revision);
+  CHECK(client->Get("a/key", 1s)->value == "one");
+  CHECK(client->Get("a/none", 1s)->revision == 0);
+}
+
+TEST_CASE("a key goes with its lease, and a write under it is refused after")
+{
+  RunningStore store;
+  const auto client = store.Client();
+  const auto lease = client->GrantLease(5s, 1s);
+  REQUIRE(lease);
+  REQUIRE(client->CompareAndSwap("a/key", 0, "one", *lease, 1s)->swapped);
+  CHECK(*client->KeepAlive(*lease, 1s));
+  CHECK(*client->EndLease(*lease, 1s));
+  CHECK(client->Get("a/key", 1s)->revision == 0);
+  CHECK_FALSE(*client->KeepAlive(*lease, 1s));
+  const auto late = client->CompareAndSwap("a/key", 0, "two", *lease, 1s);
+  REQUIRE_FALSE(late);
+  CHECK(late.error().code == StoreErrorCode::LeaseLapsed);
+}
+
+TEST_CASE("a watch of a prefix brings puts and removals after a revision")
+{
+  RunningStore store;
+  const auto client = store.Client();
+  const auto listing = client->List("a/", 1s);
+  REQUIRE(listing);
+  CHECK(listing->items.empty());
+  const auto one = client->CompareAndSwap("a/1", 0, "one", 0, 1s);
+  client->CompareAndSwap("b/1", 0, "other", 0, 1s);
+  const auto changes = client->WatchPrefix("a/", listing->revision, 5s);
+  REQUIRE(changes);
+  REQUIRE(changes->changes.size() == 1);
+  CHECK(changes->changes[0].value == "one");
+  CHECK(changes->changes[0].revision == one->current.revision);
+  store.OnStore([](stand_in::StoreState& aState) { aState.Revoke("a/"); });
+  const auto removal = client->WatchPrefix("a/", changes->revision, 5s);
+  REQUIRE(removal);
+  REQUIRE(removal->changes.size() == 1);
+  CHECK_FALSE(removal->changes[0].value);
+}
+
+TEST_CASE("a listing goes on over its pages")
+{
+  constexpr int kKeys = 1203;
+  RunningStore store;
+  store.OnStore([](stand_in::StoreState& aState) {
+    for (int i = 0; i < kKeys; ++i) {
+      aState.Apply({ {}, { { "a/" + std::to_string(i), "value", 0 } }, {} });
+    }
+  });
+  const auto listing = store.Client()->List("a/", 5s);
+  REQUIRE(listing);
+  CHECK(listing->items.size() == kKeys);
+}
+
+TEST_CASE("history that is gone, rates and outages are told apart")
+{
+  RunningStore store;
+  const auto client = store.Client();
+  client->CompareAndSwap("a/1", 0, "one", 0, 1s);
+  store.OnStore([](stand_in::StoreState& aState) { aState.Compact(); });
+  const auto watch = client->WatchPrefix("a/", 1, 1s);
+  REQUIRE_FALSE(watch);
+  CHECK(watch.error().code == StoreErrorCode::HistoryLost);
+  std::optional<StoreErrorCode> refused;
+  for (int i = 0; i < 40 && !refused; ++i) {
+    const auto lease = client->GrantLease(1s, 1s);
+    refused = lease ? std::nullopt : std::optional(lease.error().code);
+  }
+  CHECK(refused == StoreErrorCode::RateLimited);
+  platform::StoreClient nobody(tests::FreeAddress(),
+                               platform::ConfigurationOwner::Product);
+  CHECK(nobody.Get("a/1", 1s).error().code == StoreErrorCode::Unavailable);
+}
+
+TEST_CASE("a watched key is read again after its history was dropped")
+{
+  RunningStore store;
+  const auto client = store.Client();
+  const auto first = client->CompareAndSwap("a/key", 0, "one", 0, 1s);
+  const auto known = client->Watch("a/key", 0, 1s);
+  REQUIRE(known);
+  CHECK(known->value == "one");
+  store.OnStore([&](stand_in::StoreState& aState) {
+    aState.Apply({ { { "a/key", first->current.revision } },
+                   { { "a/key", "two", 0 } },
+                   {} });
+    aState.Compact();
+  });
+  const auto changed = client->Watch("a/key", known->revision, 1s);
+  REQUIRE(changed);
+  CHECK(changed->value == "two");
+}
+
+TEST_CASE("a waiting watch ends when the client is closed")
+{
+  RunningStore store;
+  const auto client = store.Client();
+  auto waiting = std::async(std::launch::async, [&] {
+    return client->WatchPrefix("a/", 1, 20s).has_value();
+  });
+  std::this_thread::sleep_for(100ms);
+  client->Close();
+  CHECK(waiting.wait_for(10s) == std::future_status::ready);
+}
+
+TEST_CASE("nodes do not write the configuration that an operator owns")
+{
+  RunningStore store;
+  const auto client = store.Client(platform::ConfigurationOwner::Operator);
+  const auto written =
+    client->CompareAndSwap(protocol::kConfigurationKey, 0, "text", 0, 1s);
+  REQUIRE_FALSE(written);
+  CHECK(written.error().code == StoreErrorCode::Unavailable);
+}
--- a/Tests/Services/Settings/SettingsTest.cpp
+++ b/Tests/Services/Settings/SettingsTest.cpp
@@ -103,11 +103,12 @@
         "node.ini:1: key \"seeds\" is missing in [node]\n"
         "node.ini:10: unknown key \"seds\" in [node]; expected name, service, "
         "data_centre, region, caller_address, data_address, control_address, "
-        "admin_address, metrics_address, seeds, drain_timeout, distribution; "
+        "admin_address, metrics_address, seeds, environment, ready_address, "
+        "ready_path, announcement_address, drain_timeout, distribution; "
         "did you mean \"seeds\"?\n");
   CHECK(ErrorsOf(kGood + "[logs]\nlevel = info\n") ==
         "node.ini:15: unknown section [logs]; expected the sections node, "
-        "store, upstream, log; did you mean \"log\"?\n");
+        "store, upstream, retry, log; did you mean \"log\"?\n");
 }
 
 TEST_CASE("a missing settings key is reported with its section's line")
--- a/Tests/StandIns/StoreStandIn/StoreState.cpp
+++ b/Tests/StandIns/StoreStandIn/StoreState.cpp
@@ -1,16 +1,13 @@
 #include "Tests/StandIns/StoreStandIn/StoreState.h"
 
-#include <thread>
+#include <algorithm>
 
 namespace teaselhold::stand_in {
 
 namespace {
 
-constexpr std::size_t kMaxValueBytes = 1024 * 1024;
-constexpr std::chrono::milliseconds kLeaseCheckInterval{ 100 };
-/// An estimate of the HTTP/2 frames, headers and TCP segments of one unary call
-/// without its value.
-constexpr std::size_t kBytesPerCall = 250;
+constexpr std::size_t kMaxValueBytes = std::size_t{ 1024 } * 1024;
+constexpr std::size_t kMaxHistory = 20000;
 
 } // namespace
 
@@ -21,237 +18,216 @@
 {
 }
 
-CallVerdict
-StoreState::BeginCall(std::unique_lock<std::mutex>& aLock,
-                      std::deque<Clock::time_point>& aRecent,
-                      std::uint32_t aLimit)
+bool
+StoreState::Admit(std::deque<Clock::time_point>& aRecent,
+                  std::uint32_t aLimit,
+                  Clock::time_point aNow)
 {
-  CountBytes(kBytesPerCall);
-  const auto delay = delay_;
-  if (delay.count() > 0) {
-    aLock.unlock();
-    std::this_thread::sleep_for(delay);
-    aLock.lock();
-  }
-  if (down_) {
-    return CallVerdict::Down;
-  }
-  const auto now = Clock::now();
-  while (!aRecent.empty() && now - aRecent.front() > std::chrono::seconds(1)) {
+  while (!aRecent.empty() && aNow - aRecent.front() > std::chrono::seconds(1)) {
     aRecent.pop_front();
   }
   if (aRecent.size() >= aLimit) {
-    counters_.set_refused_over_rate(counters_.refused_over_rate() + 1);
-    return CallVerdict::OverRate;
+    ++counters_.refusedOverRate;
+    return false;
   }
-  aRecent.push_back(now);
-  ExpireLeases();
-  return CallVerdict::Done;
+  aRecent.push_back(aNow);
+  return true;
 }
 
-CallVerdict
-StoreState::BeginRead(std::unique_lock<std::mutex>& aLock)
+bool
+StoreState::AdmitRead(Clock::time_point aNow)
 {
-  counters_.set_reads(counters_.reads() + 1);
-  return BeginCall(aLock, recentReads_, readsPerSecond_);
+  return Admit(recentReads_, readsPerSecond_, aNow);
 }
 
-CallVerdict
-StoreState::BeginWrite(std::unique_lock<std::mutex>& aLock)
+bool
+StoreState::AdmitWrite(Clock::time_point aNow)
 {
-  counters_.set_writes(counters_.writes() + 1);
-  return BeginCall(aLock, recentWrites_, writesPerSecond_);
+  return Admit(recentWrites_, writesPerSecond_, aNow);
 }
 
-CallVerdict
-StoreState::EndWrite()
+const StoredItem*
+StoreState::Find(const std::string& aKey) const
 {
-  if (loseWriteAnswers_ == 0) {
-    return CallVerdict::Done;
-  }
-  --loseWriteAnswers_;
-  return CallVerdict::AnswerLost;
+  const auto found = items_.find(aKey);
+  return found == items_.end() ? nullptr : &found->second;
 }
 
-void
-StoreState::CountBytes(std::size_t aValueBytes)
+std::vector<const StoredItem*>
+StoreState::Range(const std::string& aPrefix,
+                  const std::string& aAfter,
+                  std::size_t aLimit) const
 {
-  counters_.set_bytes(counters_.bytes() + aValueBytes);
+  std::vector<const StoredItem*> items;
+  auto next = items_.upper_bound(std::max(aPrefix, aAfter));
+  if (aAfter.empty()) {
+    next = items_.lower_bound(aPrefix);
+  }
+  while (next != items_.end() && next->first.starts_with(aPrefix) &&
+         items.size() < aLimit) {
+    items.push_back(&next->second);
+    ++next;
+  }
+  return items;
 }
 
-void
-StoreState::Fill(const std::string& aKey, wire::StoreValue& aValue)
+std::optional<std::vector<StoreEvent>>
+StoreState::EventsAfter(const std::string& aPrefix,
+                        std::uint64_t aRevision) const
 {
-  const auto found = entries_.find(aKey);
-  if (found == entries_.end()) {
-    return;
+  if (aRevision < compactedTo_) {
+    return std::nullopt;
+  }
+  std::vector<StoreEvent> events;
+  for (const auto& event : history_) {
+    if (event.revision > aRevision && event.key.starts_with(aPrefix)) {
+      events.push_back(event);
+    }
   }
-  aValue.set_exists(true);
-  aValue.set_value(found->second.value);
-  aValue.set_revision(found->second.revision);
-  CountBytes(found->second.value.size());
+  return events;
 }
 
-CallVerdict
-StoreState::Get(const std::string& aKey, wire::StoreValue& aValue)
+TransactionVerdict
+StoreState::Apply(const StoreTransaction& aTransaction)
 {
-  std::unique_lock lock(mutex_);
-  const auto verdict = BeginRead(lock);
-  if (verdict == CallVerdict::Done) {
-    Fill(aKey, aValue);
+  for (const auto& condition : aTransaction.expected) {
+    const auto* item = Find(condition.key);
+    if ((item == nullptr ? 0 : item->revision) != condition.revision) {
+      return TransactionVerdict::ConditionFailed;
+    }
+  }
+  for (const auto& put : aTransaction.puts) {
+    if (put.value.size() > kMaxValueBytes) {
+      return TransactionVerdict::TooLarge;
+    }
+    if (put.lease != 0 && !leases_.contains(put.lease)) {
+      return TransactionVerdict::NoSuchLease;
+    }
+  }
+  for (const auto& put : aTransaction.puts) {
+    Put(put);
   }
-  return verdict;
+  for (const auto& key : aTransaction.deletes) {
+    Remove(key);
+  }
+  return TransactionVerdict::Done;
 }
 
-CallVerdict
-StoreState::CompareAndSwap(const wire::StoreCompareAndSwapRequest& aRequest,
-                           wire::StoreCompareAndSwapResponse& aResponse)
+void
+StoreState::Put(const StorePut& aPut)
 {
-  std::unique_lock lock(mutex_);
-  const auto verdict = BeginWrite(lock);
-  if (verdict != CallVerdict::Done) {
-    return verdict;
+  auto& item = items_[aPut.key];
+  if (item.lease != 0 && leases_.contains(item.lease)) {
+    leases_[item.lease].keys.erase(aPut.key);
   }
-  if (aRequest.value().size() > kMaxValueBytes) {
-    return CallVerdict::TooLarge;
+  previousValues_[aPut.key] = item.value;
+  ++revision_;
+  item.createdRevision = item.revision == 0 ? revision_ : item.createdRevision;
+  item.key = aPut.key;
+  item.value = aPut.value;
+  item.revision = revision_;
+  item.lease = aPut.lease;
+  if (aPut.lease != 0) {
+    leases_[aPut.lease].keys.insert(aPut.key);
   }
-  CountBytes(aRequest.value().size());
-  const auto& key = aRequest.key();
-  const auto found = entries_.find(key);
-  const auto revision = found == entries_.end() ? 0 : found->second.revision;
-  const auto lease = leases_.find(aRequest.lease());
-  const bool leaseValid = aRequest.lease() == 0 || lease != leases_.end();
-  if (revision == aRequest.expected_revision() && leaseValid) {
-    auto& entry = entries_[key];
-    entry.previousValue = std::move(entry.value);
-    entry.value = aRequest.value();
-    entry.revision = nextRevision_++;
-    entry.lease = aRequest.lease();
-    if (lease != leases_.end()) {
-      lease->second.keys.insert(key);
-    }
-    aResponse.set_swapped(true);
-    changed_.notify_all();
+  counters_.bytes += aPut.value.size();
+  history_.push_back({ aPut.key, revision_, item });
+  if (history_.size() > kMaxHistory) {
+    compactedTo_ = history_.front().revision;
+    history_.pop_front();
   }
-  Fill(key, *aResponse.mutable_current());
-  return EndWrite();
 }
 
-CallVerdict
-StoreState::GrantLease(std::chrono::milliseconds aTimeToLive,
-                       std::uint64_t& aLease)
+void
+StoreState::Remove(const std::string& aKey)
 {
-  std::unique_lock lock(mutex_);
-  const auto verdict = BeginWrite(lock);
-  if (verdict != CallVerdict::Done) {
-    return verdict;
+  if (items_.erase(aKey) > 0) {
+    ++revision_;
+    history_.push_back({ aKey, revision_, std::nullopt });
   }
-  aLease = nextLease_++;
-  leases_[aLease] = { Clock::now() + aTimeToLive, aTimeToLive, {} };
-  return EndWrite();
 }
 
-CallVerdict
-StoreState::KeepAlive(std::uint64_t aLease, bool& aAlive)
+std::uint64_t
+StoreState::Grant(std::chrono::milliseconds aTimeToLive, Clock::time_point aNow)
 {
-  std::unique_lock lock(mutex_);
-  const auto verdict = BeginWrite(lock);
-  if (verdict != CallVerdict::Done) {
-    return verdict;
-  }
-  const auto lease = leases_.find(aLease);
-  aAlive = lease != leases_.end();
-  if (aAlive) {
-    lease->second.expiry = Clock::now() + lease->second.timeToLive;
-  }
-  return EndWrite();
+  const auto lease = nextLease_++;
+  leases_[lease] = { aNow + aTimeToLive, aTimeToLive, {} };
+  return lease;
 }
 
-CallVerdict
-StoreState::Watch(const wire::StoreWatchRequest& aRequest,
-                  wire::StoreValue& aValue)
+std::optional<std::chrono::milliseconds>
+StoreState::Renew(std::uint64_t aLease, Clock::time_point aNow)
 {
-  std::unique_lock lock(mutex_);
-  counters_.set_watches(counters_.watches() + 1);
-  const auto verdict = BeginCall(lock, recentReads_, readsPerSecond_);
-  if (verdict != CallVerdict::Done) {
-    return verdict;
+  const auto found = leases_.find(aLease);
+  if (found == leases_.end()) {
+    return std::nullopt;
   }
-  const auto deadline =
-    Clock::now() + std::chrono::milliseconds(aRequest.wait_milliseconds());
-  counters_.set_waiting_watches(counters_.waiting_watches() + 1);
-  const auto outage = outage_;
-  const auto ended = [&] {
-    const auto found = entries_.find(aRequest.key());
-    const auto revision = found == entries_.end() ? 0 : found->second.revision;
-    return outage_ != outage || revision != aRequest.known_revision();
-  };
-  while (!ended() && Clock::now() < deadline) {
-    changed_.wait_until(lock,
-                        std::min(deadline, Clock::now() + kLeaseCheckInterval));
-    ExpireLeases();
+  found->second.expiry = aNow + found->second.timeToLive;
+  return found->second.timeToLive;
+}
+
+bool
+StoreState::EndLease(std::uint64_t aLease)
+{
+  const auto found = leases_.find(aLease);
+  if (found == leases_.end()) {
+    return false;
   }
-  counters_.set_waiting_watches(counters_.waiting_watches() - 1);
-  if (outage_ != outage) {
-    return CallVerdict::Down;
+  const auto keys = std::move(found->second.keys);
+  leases_.erase(found);
+  for (const auto& key : keys) {
+    Remove(key);
   }
-  Fill(aRequest.key(), aValue);
-  return CallVerdict::Done;
+  return true;
 }
 
 void
-StoreState::ExpireLeases()
+StoreState::ExpireLeases(Clock::time_point aNow)
 {
-  const auto now = Clock::now();
-  for (auto lease = leases_.begin(); lease != leases_.end();) {
-    const auto id = lease->first;
-    const bool expired = lease->second.expiry <= now;
-    ++lease;
-    if (expired) {
-      EraseLease(id);
+  std::vector<std::uint64_t> expired;
+  for (const auto& [lease, row] : leases_) {
+    if (row.expiry <= aNow) {
+      expired.push_back(lease);
     }
   }
+  for (const auto lease : expired) {
+    EndLease(lease);
+  }
 }
 
 void
-StoreState::EraseLease(std::uint64_t aLease)
+StoreState::LapseLeases()
 {
-  for (const auto& key : leases_[aLease].keys) {
-    const auto entry = entries_.find(key);
-    if (entry != entries_.end() && entry->second.lease == aLease) {
-      entries_.erase(entry);
-    }
+  while (!leases_.empty()) {
+    EndLease(leases_.begin()->first);
   }
-  leases_.erase(aLease);
-  changed_.notify_all();
 }
 
 void
-StoreState::SetFaults(const wire::StoreFaults& aFaults)
+StoreState::Revoke(const std::string& aPrefix)
 {
-  const std::lock_guard lock(mutex_);
-  if (aFaults.down() && !down_) {
-    ++outage_;
-  }
-  down_ = aFaults.down();
-  delay_ = std::chrono::milliseconds(aFaults.delay_milliseconds());
-  loseWriteAnswers_ = aFaults.lose_write_answers();
-  while (aFaults.lapse_leases() && !leases_.empty()) {
-    EraseLease(leases_.begin()->first);
+  std::vector<std::string> keys;
+  for (const auto* item : Range(aPrefix, "", items_.size())) {
+    keys.push_back(item->key);
   }
-  const auto restored = entries_.find(aFaults.restore_previous_value_of());
-  if (restored != entries_.end()) {
-    restored->second.value = restored->second.previousValue;
-    restored->second.revision = nextRevision_++;
+  for (const auto& key : keys) {
+    Remove(key);
   }
-  changed_.notify_all();
 }
 
-wire::StoreCounters
-StoreState::Counters()
+void
+StoreState::Compact()
+{
+  history_.clear();
+  compactedTo_ = revision_;
+}
+
+void
+StoreState::RestorePreviousValue(const std::string& aKey)
 {
-  const std::lock_guard lock(mutex_);
-  return counters_;
+  if (const auto* item = Find(aKey)) {
+    Put({ aKey, previousValues_[aKey], item->lease });
+  }
 }
 
 } // namespace teaselhold::stand_in
--- a/Tests/StandIns/StoreStandInControl/main.cpp
+++ b/Tests/StandIns/StoreStandInControl/main.cpp
@@ -1,57 +1,51 @@
-#include "store_stand_in.grpc.pb.h"
+#include "Transport/HttpClientPool.h"
 
 #include <gflags/gflags.h>
-#include <grpcpp/grpcpp.h>
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 DEFINE_string(address, "127.0.0.1:7000", "address of the store's stand-in");
 DEFINE_bool(counters, false, "print the counters as JSON and set no fault");
 DEFINE_bool(down, false, "refuse every call");
+DEFINE_bool(reset, false, "with --down: break off instead of refusing");
 DEFINE_uint32(delay_milliseconds, 0, "delay every call");
 DEFINE_uint32(lose_write_answers, 0, "lose the answers of the next writes");
+DEFINE_uint32(late_writes_milliseconds,
+              0,
+              "with --lose_write_answers: the writes take effect later");
 DEFINE_bool(lapse_leases, false, "revoke every lease once");
+DEFINE_bool(compact, false, "drop the history once");
+DEFINE_string(revoke, "", "remove the keys with this prefix once");
 DEFINE_string(restore_previous_value_of, "", "restore this key's last value");
 
 namespace {
 
 using namespace teaselhold;
+namespace http = boost::beast::http;
 
-int
-PrintCounters(wire::StoreStandInControl::Stub& aStub)
+transport::HttpRequest
+MakeRequest()
 {
-  grpc::ClientContext context;
-  wire::StoreCounters counters;
-  const auto status =
-    aStub.GetCounters(&context, wire::StoreCountersRequest(), &counters);
-  if (!status.ok()) {
-    std::cerr << status.error_message() << "\n";
-    return 1;
+  if (FLAGS_counters) {
+    return { http::verb::get, "/stand-in/counters", 11 };
   }
-  std::cout << "{\"reads\":" << counters.reads()
-            << ",\"writes\":" << counters.writes()
-            << ",\"watches\":" << counters.watches()
-            << ",\"waiting_watches\":" << counters.waiting_watches()
-            << ",\"refused_over_rate\":" << counters.refused_over_rate()
-            << ",\"bytes\":" << counters.bytes() << "}\n";
-  return 0;
-}
-
-int
-SetFaults(wire::StoreStandInControl::Stub& aStub)
-{
-  wire::StoreFaults faults;
-  faults.set_down(FLAGS_down);
-  faults.set_delay_milliseconds(FLAGS_delay_milliseconds);
-  faults.set_lose_write_answers(FLAGS_lose_write_answers);
-  faults.set_lapse_leases(FLAGS_lapse_leases);
-  faults.set_restore_previous_value_of(FLAGS_restore_previous_value_of);
-  grpc::ClientContext context;
-  wire::StoreFaultsResponse response;
-  const auto status = aStub.SetFaults(&context, faults, &response);
-  if (!status.ok()) {
-    std::cerr << status.error_message() << "\n";
+  nlohmann::json faults{
+    { "down", FLAGS_down },
+    { "reset", FLAGS_reset },
+    { "delay_milliseconds", FLAGS_delay_milliseconds },
+    { "lose_write_answers", FLAGS_lose_write_answers },
+    { "late_writes_milliseconds", FLAGS_late_writes_milliseconds },
+    { "lapse_leases", FLAGS_lapse_leases },
+    { "compact", FLAGS_compact },
+    { "restore_previous_value_of", FLAGS_restore_previous_value_of }
+  };
+  if (!FLAGS_revoke.empty()) {
+    faults["revoke"] = FLAGS_revoke;
   }
-  return status.ok() ? 0 : 1;
+  transport::HttpRequest request(http::verb::post, "/stand-in/faults", 11);
+  request.body() = faults.dump();
+  request.prepare_payload();
+  return request;
 }
 
 } // namespace
@@ -60,10 +54,25 @@
 main(int aCount, char** aArguments)
 {
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
-  grpc::ChannelArguments arguments;
-  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-  const auto stub =
-    wire::StoreStandInControl::NewStub(grpc::CreateCustomChannel(
-      FLAGS_address, grpc::InsecureChannelCredentials(), arguments));
-  return FLAGS_counters ? PrintCounters(*stub) : SetFaults(*stub);
+  constexpr std::chrono::seconds kTimeout{ 5 };
+  boost::asio::io_context context(1);
+  transport::HttpClientPool pool(context, 1);
+  auto request = MakeRequest();
+  request.set(http::field::host, FLAGS_address);
+  int code = 1;
+  boost::asio::co_spawn(
+    context,
+    [&]() -> boost::asio::awaitable<void> {
+      const auto answer = co_await pool.Send(
+        FLAGS_address, request, std::chrono::steady_clock::now() + kTimeout);
+      if (!answer) {
+        std::cerr << answer.error().message << "\n";
+      } else if (FLAGS_counters) {
+        std::cout << answer->body() << "\n";
+      }
+      code = answer && answer->result() == http::status::ok ? 0 : 1;
+    },
+    boost::asio::detached);
+  context.run();
+  return code;
 }
