Coordination: Serve requests first whose callers cannot ask again

A refusal of such a call wastes the work of its caller. Ruled out: telling nested calls by the address they come from; clients come from the same address, so every call looked nested. Change: a route whose callers never give more time than its timeout leaves no room for another try; its requests go first and wait as long as is useful. Waits of other routes are bounded by the service time of their own route: the mean of short and long requests let long ones wait past their objective.

--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -80,7 +80,7 @@
 std::size_t
 Admission::QueueOf(const AdmissionRequest& aRequest)
 {
-  return aRequest.isNested
+  return aRequest.isFinalTry
            ? 0
            : 1 + static_cast<std::size_t>(aRequest.requestClass);
 }
@@ -106,7 +106,7 @@
   }
   const auto reserved =
     slots > 1 ? (slots + kReservedShare - 1) / kReservedShare : 0;
-  return aRequest.isNested || !IsBulk(aRequest.requestClass) ||
+  return aRequest.isFinalTry || !IsBulk(aRequest.requestClass) ||
          bulkRunning_ < slots - reserved;
 }
 
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -24,8 +24,9 @@
   /// 0 means that the tenant has no limit of its own.
   std::uint32_t tenantLimit = 0;
   state::Instant deadline = state::Instant::max();
-  /// A running request waits for this one, so it goes before all others.
-  bool isNested = false;
+  /// The caller has no time for another try; often a running request waits for
+  /// this one. It goes before all others.
+  bool isFinalTry = false;
   /// Refuse at once rather than wait for longer. If not set, the class decides.
   std::optional<state::Duration> maxWait = std::nullopt;
 };
@@ -149,7 +150,7 @@
   state::EndpointState state_ = state::EndpointState::Starting;
   state::Instant readySince_{ 0 };
   std::unordered_map<std::uint64_t, Entry> entries_;
-  /// One queue for nested requests, then one for each class, in order of
+  /// One queue for final tries, then one for each class, in order of
   /// arrival; destroyed before the entries.
   std::array<Queue, state::kRequestClassNames.size() + 1> queues_;
   std::unordered_map<std::string, std::uint32_t> perTenant_;
--- a/Libraries/Coordination/CallEnvironment.h
+++ b/Libraries/Coordination/CallEnvironment.h
@@ -5,6 +5,7 @@
 #include "Coordination/ClaimKeeper.h"
 #include "Coordination/RetryBudget.h"
 #include "Coordination/Router.h"
+#include "Coordination/ServiceTimes.h"
 #include "Coordination/TargetPicker.h"
 
 namespace teaselhold::coordination {
@@ -33,6 +34,7 @@
   TargetPicker targets;
   CallPolicy policy;
   CallerDeadlines callerDeadlines;
+  ServiceTimes serviceTimes;
   Router router;
 };
 
--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -97,9 +97,10 @@
     std::min(facts_.deadline, aNow + state::Duration(route_->timeout));
   if (route_->latencyObjective.count() > 0 &&
       facts_.deadline != state::Instant::max()) {
-    const auto elapsed = environment_.callerDeadlines.Elapsed(
-      route_->name, facts_.deadline - aNow);
-    objective_ = aNow + route_->latencyObjective - elapsed;
+    const auto& deadlines =
+      environment_.callerDeadlines.Note(route_->name, facts_.deadline - aNow);
+    objective_ = aNow + route_->latencyObjective - deadlines.elapsed;
+    isFinalTry_ = deadlines.longest <= route_->timeout;
   }
   environment_.router.Use(snapshot_->endpoints, aNow);
   environment_.budget.OnCall(service_, aNow);
@@ -195,7 +196,8 @@
 CallSession::ServiceTime()
 {
   const auto known = environment_.router.ServiceTime(*current_);
-  return known.count() > 0 ? known : kUnknownServiceTime;
+  return environment_.serviceTimes.Of(
+    route_->name, known.count() > 0 ? known : kUnknownServiceTime);
 }
 
 std::optional<state::Duration>
@@ -205,6 +207,12 @@
     return std::nullopt;
   }
   const auto service = ServiceTime();
+  const auto left = deadline_ - aNow - service - service / 2;
+  if (isFinalTry_) {
+    // Often a running request waits for this one, and a refusal wastes its
+    // work too.
+    return std::max(left, state::Duration{ 0 });
+  }
   if (objective_ != state::Instant::max()) {
     const auto wait = objective_ - aNow - service - service / 4;
     if (wait > kLateWait) {
@@ -213,7 +221,6 @@
   }
   // The objective is out of reach, so a short wait keeps room for requests
   // that can still make theirs.
-  const auto left = deadline_ - aNow - service - service / 2;
   return std::clamp(left, state::Duration{ 0 }, kLateWait);
 }
 
@@ -308,7 +315,7 @@
   const auto carried = std::max(aNow, deadline_ - kDeadlineMargin);
   Attempt attempt{ current_, deadline_, carried, retriesPassed_, {} };
   attempt.maxWait = MaxWait(aNow);
-  attempt.isNested = facts_.isNested;
+  attempt.isFinalTry = environment_.policy.boundsWait && isFinalTry_;
   if (keyed_) {
     attempt.claim =
       ClaimTicket{ binding_.incarnation, binding_.epoch, mayStart_ };
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -26,8 +26,6 @@
   unsigned depth = 0;
   /// Retries that the whole chain of calls below this one may still make.
   unsigned retriesLeft = 2;
-  /// A running request of the upstream beside this node waits for this one.
-  bool isNested = false;
 };
 
 /// What an attempt tells the executor of a keyed request.
@@ -58,7 +56,8 @@
   /// How long the request may wait for a slot; not set leaves it to the node
   /// beside the upstream.
   std::optional<state::Duration> maxWait = std::nullopt;
-  bool isNested = false;
+  /// The caller has no time for another try, so it is served before others.
+  bool isFinalTry = false;
 };
 
 /// Answer the caller.
@@ -164,6 +163,7 @@
   /// When an answer loses part of its worth; max() if the route has no
   /// objective.
   state::Instant objective_ = state::Instant::max();
+  bool isFinalTry_ = false;
   state::Instant deadline_{ 0 };
   /// The endpoint that the router counts for this call.
   EndpointPointer current_;
--- a/Libraries/Coordination/CallerDeadlines.cpp
+++ b/Libraries/Coordination/CallerDeadlines.cpp
@@ -12,11 +12,11 @@
 
 } // namespace
 
-state::Duration
-CallerDeadlines::Elapsed(std::string_view aRoute, state::Duration aRemaining)
+CallerDeadlines::Times
+CallerDeadlines::Note(std::string_view aRoute, state::Duration aRemaining)
 {
   if (aRemaining > kLongestDeadline) {
-    return state::Duration{ 0 };
+    return { state::Duration{ 0 }, aRemaining };
   }
   auto found = longest_.find(aRoute);
   if (found == longest_.end()) {
@@ -26,7 +26,7 @@
     found = longest_.try_emplace(std::string(aRoute), aRemaining).first;
   }
   found->second = std::max(found->second, aRemaining);
-  return found->second - aRemaining;
+  return { found->second - aRemaining, found->second };
 }
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/CallerDeadlines.h
+++ b/Libraries/Coordination/CallerDeadlines.h
@@ -8,14 +8,22 @@
 
 namespace teaselhold::coordination {
 
-/// Tells how long ago a caller sent a request first. A caller that sends again
+/// Learns how long the callers of each route wait. A caller that sends again
 /// gives the time that is left, so the longest time seen on a route, less the
 /// time that a request brings, has passed already.
 class CallerDeadlines
 {
 public:
-  /// @return the time since the first send, 0 if this is the first.
-  state::Duration Elapsed(std::string_view aRoute, state::Duration aRemaining);
+  struct Times
+  {
+    /// Since the caller's first send; 0 if this is the first.
+    state::Duration elapsed;
+    /// What callers of the route give a first send.
+    state::Duration longest;
+  };
+
+  /// Takes the remaining time of one request.
+  Times Note(std::string_view aRoute, state::Duration aRemaining);
 
 private:
   std::map<std::string, state::Duration, std::less<>> longest_;
--- a/Libraries/Coordination/LoadReport.cpp
+++ b/Libraries/Coordination/LoadReport.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double kPerMille = 1000;
-constexpr std::size_t kFields = 4;
+constexpr std::size_t kFields = 5;
 
 } // namespace
 
@@ -19,7 +19,8 @@
   return std::to_string(aReport.occupied) + ";" +
          std::to_string(aReport.slots) + ";" +
          std::to_string(aReport.serviceTime.count()) + ";" +
-         std::to_string(failures);
+         std::to_string(failures) + ";" +
+         std::to_string(aReport.ownServiceTime.count());
 }
 
 std::optional<LoadReport>
@@ -43,6 +44,7 @@
   report.slots = values[1];
   report.serviceTime = state::Duration(values[2]);
   report.failureShare = values[3] / kPerMille;
+  report.ownServiceTime = state::Duration(values[4]);
   return report;
 }
 
--- a/Libraries/Coordination/LoadReport.h
+++ b/Libraries/Coordination/LoadReport.h
@@ -19,6 +19,8 @@
   state::Duration serviceTime{ 0 };
   /// Smoothed share of requests that the upstream refused or failed, 0 to 1.
   double failureShare = 0;
+  /// How long the request of this answer held its slot; 0 if it did not run.
+  state::Duration ownServiceTime{ 0 };
 };
 
 /// Writes a report as it travels between nodes.
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -23,14 +23,12 @@
 inline constexpr const char* kIdempotent = "Teaselhold-Idempotent";
 /// Milliseconds that a request may wait for a slot beside the upstream.
 inline constexpr const char* kMaxWait = "Teaselhold-Max-Wait-Ms";
-/// "yes": a running request of another upstream waits for this one.
-inline constexpr const char* kNested = "Teaselhold-Nested";
+/// "yes": the caller has no time for another try after a refusal.
+inline constexpr const char* kFinalTry = "Teaselhold-Final-Try";
 /// The load of the upstream beside the answering node.
 inline constexpr const char* kLoad = "Teaselhold-Load";
 /// With not-run: milliseconds after which another try may be accepted.
 inline constexpr const char* kRetryAfter = "Teaselhold-Retry-After-Ms";
-/// Within a node only: the IP address that a request came from.
-inline constexpr const char* kPeer = "Teaselhold-Peer";
 inline constexpr const char* kIdempotencyKey = "Idempotency-Key";
 /// The incarnation that must run a keyed request; others refuse it.
 inline constexpr const char* kExecutor = "Teaselhold-Executor";
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -28,9 +28,6 @@
   /// closes them and no request crosses with the close.
   std::chrono::milliseconds idleTimeout{ 60000 };
   std::chrono::milliseconds writeTimeout{ 20000 };
-  /// The server puts the client's IP address into this header of each request;
-  /// empty adds none.
-  std::string peerHeader;
 };
 
 /// Serves HTTP/1.1. Runs on the io_context it is given.
--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -331,25 +331,9 @@
   exchange->keepAlive = exchange->request.keep_alive();
   exchange->isHead = exchange->request.method() == http::verb::head;
   exchange->version = exchange->request.version();
-  AddPeerHeader(exchange->request);
   co_return exchange;
 }
 
-void
-HttpServerConnection::AddPeerHeader(HttpRequest& aRequest) const
-{
-  const auto& name = shared_->options.peerHeader;
-  if (name.empty()) {
-    return;
-  }
-  aRequest.erase(name);
-  boost::system::error_code error;
-  const auto peer = socket_.remote_endpoint(error);
-  if (!error) {
-    aRequest.set(name, peer.address().to_string());
-  }
-}
-
 asio::awaitable<bool>
 HttpServerConnection::ReadBody(Parser& aParser, Exchange& aExchange)
 {
--- a/Libraries/Transport/HttpServerConnection.h
+++ b/Libraries/Transport/HttpServerConnection.h
@@ -62,7 +62,6 @@
   Awaitable<void> Reject(const boost::system::error_code& aError);
   Awaitable<void> LingeringClose();
   bool IsClosedByClient();
-  void AddPeerHeader(HttpRequest& aRequest) const;
   void SetDeadline(std::chrono::milliseconds aTime);
 
   boost::asio::ip::tcp::socket socket_;
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -4,7 +4,6 @@
 #include "Services/teaselholdd/HttpHeaders.h"
 #include "Services/teaselholdd/RequestFingerprint.h"
 #include "Services/teaselholdd/UpstreamSide.h"
-#include "Transport/SocketAddress.h"
 
 #include <algorithm>
 #include <spdlog/spdlog.h>
@@ -113,9 +112,6 @@
   , settings_(aSettings)
   , adapters_(aAdapters)
   , clock_(aClock)
-  , upstreamHost_(transport::ParseSocketAddress(aSettings.upstreamAddress)
-                    .map([](const auto& aAddress) { return aAddress.host; })
-                    .value_or(""))
   , upstreamSide_(aUpstreamSide)
   , callMetrics_(aCallMetrics)
   , hop_(aContext, aSettings, aClock, aIncarnation, aUpstreamSide)
@@ -164,12 +160,6 @@
   environment_.budget.SetOptions(options);
 }
 
-bool
-CallerSide::IsFromUpstream(const Request& aRequest) const
-{
-  return ReadHeader(aRequest, headers::kPeer) == upstreamHost_;
-}
-
 asio::awaitable<Response>
 CallerSide::Serve(Request aRequest,
                   transport::CancellationPointer aCancellation)
@@ -269,7 +259,8 @@
     texts.outcome != "answered" || texts.status >= kFirstServerError;
   spdlog::log(
     isFailure ? spdlog::level::warn : spdlog::level::info,
-    "[call] Ended. id={} route={} service={} node={} outcome={} reason={} "
+    "[call] Ended. id={} route={} service={} node={} outcome={} "
+    "reason={} "
     "status={} attempts={} placements={} generation={} milliseconds={}",
     aCall.id,
     route == nullptr ? "none" : route->name,
@@ -299,7 +290,6 @@
   facts.method.assign(method.data(), method.size());
   const auto host = aRequest[boost::beast::http::field::host];
   facts.host.assign(host.data(), host.size());
-  facts.isNested = adapters_.IsAnnounced() && IsFromUpstream(aRequest);
   facts.target.assign(aRequest.target().data(), aRequest.target().size());
   facts.retriesLeft = kDefaultRetries;
   auto remaining = std::numeric_limits<std::uint32_t>::max();
@@ -362,6 +352,8 @@
       exchange.outcome, clock_.Now(), exchange.retriesLeft);
     if (report) {
       environment_.router.TakeReport(*endpoint, *report, clock_.Now());
+      environment_.serviceTimes.Learn(aCall.session.Route()->name,
+                                      report->ownServiceTime);
     }
     const auto* respond = std::get_if<Respond>(&next);
     const bool isKept = respond == nullptr || respond->isEarlierAnswer;
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -46,7 +46,6 @@
 private:
   struct Call;
 
-  bool IsFromUpstream(const Request& aRequest) const;
   void FinishAnswer(Response& aResponse, const coordination::Outcome& aOutcome);
   void ShareRetryBudget();
   void LogCall(const Call& aCall,
@@ -69,8 +68,6 @@
   const Settings& settings_;
   const Adapters& adapters_;
   const Clock& clock_;
-  /// The IP address of the upstream beside this node.
-  std::string upstreamHost_;
   UpstreamSide& upstreamSide_;
   coordination::CallMetrics& callMetrics_;
   NodeHop hop_;
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -74,7 +74,6 @@
 {
   transport::HttpServerOptions options;
   options.maxConnections = kMaxConnections;
-  options.peerHeader = protocol::headers::kPeer;
   auto callerServer = transport::HttpServer::Listen(
     context_,
     settings_.callerAddress,
@@ -86,7 +85,6 @@
   if (!callerServer) {
     return tl::make_unexpected(callerServer.error());
   }
-  options.peerHeader.clear();
   auto nodeServer = transport::HttpServer::Listen(
     context_,
     settings_.dataAddress,
--- a/Services/teaselholdd/Exchange.h
+++ b/Services/teaselholdd/Exchange.h
@@ -18,6 +18,8 @@
   Response response;
   /// Retries that the answer hands back.
   unsigned retriesLeft = 0;
+  /// How long the upstream worked on it; 0 if nothing was delivered.
+  state::Duration serviceTime{ 0 };
 };
 
 /// Builds the answer to a request that has no answer of an upstream.
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -81,8 +81,7 @@
                             headers::kOutcome,
                             headers::kReason,
                             headers::kMaxWait,
-                            headers::kNested,
-                            headers::kPeer }) {
+                            headers::kFinalTry }) {
     aFields.erase(name);
   }
 }
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -154,8 +154,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(*aAttempt.maxWait);
     SetHeader(aRequest, headers::kMaxWait, std::to_string(wait.count()));
   }
-  if (aAttempt.isNested) {
-    SetHeader(aRequest, headers::kNested, "yes");
+  if (aAttempt.isFinalTry) {
+    SetHeader(aRequest, headers::kFinalTry, "yes");
   }
   if (aLoad.tenantLimit > 0) {
     SetHeader(
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -154,8 +154,7 @@
     exchange = co_await Serve(aRequest, std::move(aCancellation));
   }
   SetHeader(exchange.response, headers::kRequestId, id);
-  SetHeader(
-    exchange.response, headers::kLoad, FormatLoadReport(admission_->Report()));
+  AddReport(exchange);
   co_return std::move(exchange.response);
 }
 
@@ -199,8 +198,7 @@
                          transport::CancellationPointer aCancellation)
 {
   auto exchange = co_await Serve(aRequest, std::move(aCancellation));
-  SetHeader(
-    exchange.response, headers::kLoad, FormatLoadReport(admission_->Report()));
+  AddReport(exchange);
   co_return exchange;
 }
 
@@ -279,12 +277,23 @@
       exchange = MakeExchange(outcome);
     }
   }
+  exchange.serviceTime = clock_.Now() - start;
   if (!transport::IsCancelled(aCancellation)) {
-    Learn(exchange.outcome, clock_.Now() - start);
+    Learn(exchange.outcome, exchange.serviceTime);
   }
   co_return exchange;
 }
 
+void
+UpstreamSide::AddReport(Exchange& aExchange) const
+{
+  auto report = admission_->Report();
+  if (std::holds_alternative<Answered>(aExchange.outcome)) {
+    report.ownServiceTime = aExchange.serviceTime;
+  }
+  SetHeader(aExchange.response, headers::kLoad, FormatLoadReport(report));
+}
+
 void
 UpstreamSide::Learn(const Outcome& aOutcome, state::Duration aServiceTime)
 {
@@ -314,7 +323,7 @@
   admission.tenantLimit =
     ReadNumber<std::uint32_t>(aRequest, headers::kTenantLimit).value_or(0);
   admission.deadline = clock_.Now() + std::chrono::milliseconds(*remaining);
-  admission.isNested = ReadHeader(aRequest, headers::kNested) == "yes";
+  admission.isFinalTry = ReadHeader(aRequest, headers::kFinalTry) == "yes";
   if (const auto wait =
         ReadNumber<std::uint32_t>(aRequest, headers::kMaxWait)) {
     admission.maxWait = std::chrono::milliseconds(*wait);
--- a/Tests/Coordination/LoadPolicyTest.cpp
+++ b/Tests/Coordination/LoadPolicyTest.cpp
@@ -140,11 +140,11 @@
   for (int i = 0; i < 50; ++i) {
     admission.Learn(200ms, true);
   }
-  const auto ask = [&](std::uint64_t aId, bool aIsNested) {
+  const auto ask = [&](std::uint64_t aId, bool aIsFinalTry) {
     AdmissionRequest request;
     request.id = aId;
     request.deadline = 10s;
-    request.isNested = aIsNested;
+    request.isFinalTry = aIsFinalTry;
     request.maxWait = 250ms;
     return admission.Decide(request, 1s);
   };
@@ -156,7 +156,7 @@
   const auto refused = ask(5, false);
   REQUIRE(std::holds_alternative<NotRun>(refused));
   CHECK(std::get<NotRun>(refused).retryAfter == 300ms);
-  // A running request waits for a nested one, so it goes to the front.
+  // A refused final try is lost, so it goes to the front.
   CHECK(std::holds_alternative<Wait>(ask(6, true)));
   const auto releases = admission.Finish(1, 1s);
   REQUIRE(releases.size() == 1);
@@ -191,14 +191,16 @@
 
 TEST_CASE("a load report survives its journey and bad ones are dropped")
 {
-  const LoadReport report{ 7, 12, 123ms, 0.25 };
+  const LoadReport report{ 7, 12, 123ms, 0.25, 45ms };
   const auto read = ParseLoadReport(FormatLoadReport(report));
   REQUIRE(read);
   CHECK(read->occupied == 7);
   CHECK(read->slots == 12);
   CHECK(read->serviceTime == 123ms);
   CHECK(read->failureShare == 0.25);
-  for (const auto* bad : { "", "1;2;3", "1;2;3;4;5", "a;2;3;4", "1;2;3;4 " }) {
+  CHECK(read->ownServiceTime == 45ms);
+  for (const auto* bad :
+       { "", "1;2;3;4", "1;2;3;4;5;6", "a;2;3;4;5", "1;2;3;4;5 " }) {
     CHECK_FALSE(ParseLoadReport(bad));
   }
 }
