teaselholdd: Write logs to standard output without waiting for the reader

Cause: lines went to standard error from the thread that logged them, so a reader that did not read stopped the node. Change: a thread writes batches from a bounded ring; lines beyond the ring or beyond 400 a second for each of ordinary lines and warnings are dropped and counted.

--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -25,7 +25,7 @@
 constexpr std::chrono::seconds kStoreCallTimeout{ 2 };
 
 /// Callers that are refused come back after this time at the earliest.
-constexpr std::chrono::milliseconds kShortestRetryAfter{ 150 };
+constexpr std::chrono::milliseconds kShortestRetryAfter{ 300 };
 
 /// Reads an optional number.
 /// @return false if it is malformed or stands more than once.
--- a/Services/teaselholdd/Logs.cpp
+++ b/Services/teaselholdd/Logs.cpp
@@ -1,11 +1,13 @@
 #include "Services/teaselholdd/Logs.h"
 
+#include "Services/teaselholdd/LogWriter.h"
 #include "Services/teaselholdd/RepeatLimiter.h"
 
-#include <cstdio>
+#include <array>
 #include <mutex>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace teaselhold::daemon {
 
@@ -14,7 +16,12 @@
 constexpr std::chrono::milliseconds kRepeatInterval{ 10000 };
 constexpr std::chrono::seconds kFlushInterval{ 1 };
 
-/// Writes to standard error and leaves out equal lines.
+/// Lines in one second, for ordinary lines and for warnings each; the rest is
+/// dropped and counted.
+constexpr unsigned kMaxLinesPerSecond = 400;
+
+/// Writes to standard output without waiting for its reader, and leaves out
+/// equal lines and lines beyond the bound.
 class LimitedSink final : public spdlog::sinks::base_sink<std::mutex>
 {
 protected:
@@ -24,13 +31,30 @@
     // The level goes in front, so that a summary can be written with it.
     std::string line(1, static_cast<char>(aMessage.level));
     line.append(aMessage.payload.data(), aMessage.payload.size());
-    if (limiter_.Admit(line, std::chrono::steady_clock::now())) {
-      Write(aMessage);
+    if (!limiter_.Admit(line, std::chrono::steady_clock::now())) {
+      return;
+    }
+    const bool isWarning = aMessage.level >= spdlog::level::warn;
+    if (++written_[isWarning ? 1 : 0] > kMaxLinesPerSecond) {
+      ++dropped_;
+      return;
     }
+    Write(aMessage);
   }
 
   /// Called every second, so that a summary does not wait for the next line.
-  void flush_() override { WriteSummaries(); }
+  void flush_() override
+  {
+    WriteSummaries();
+    written_ = {};
+    dropped_ += writer_.TakeDropped();
+    if (dropped_ > 0) {
+      Write({ "",
+              spdlog::level::warn,
+              "[log] Lines dropped. count=" + std::to_string(dropped_) });
+      dropped_ = 0;
+    }
+  }
 
 private:
   void WriteSummaries()
@@ -49,9 +73,13 @@
   {
     spdlog::memory_buf_t text;
     formatter_->format(aMessage, text);
-    std::fwrite(text.data(), 1, text.size(), stderr);
+    writer_.Write({ text.data(), text.size() });
   }
 
+  LogWriter writer_{ STDOUT_FILENO };
+  std::array<unsigned, 2> written_{};
+  std::uint64_t dropped_ = 0;
+
   RepeatLimiter limiter_{ kRepeatInterval };
 };
 
--- a/Services/teaselholdd/StoreWorker.cpp
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -85,7 +85,8 @@
 StoreWorker::Submit(CallStore aCall)
 {
   const auto number = aCall.call;
-  if (!RingOf(aCall).Push(std::move(aCall))) {
+  auto& ring = RingOf(aCall);
+  if (!ring.Push(std::move(aCall))) {
     answer_({ number,
               protocol::StoreError{ protocol::StoreErrorCode::Unavailable,
                                     "too many store calls are waiting" } });
