Tests: Read the node's log from standard output in the operators' tests

Its harness kept standard error only, and logs go to standard output since the writer's thread came. Ruled out: a lost last line; the tests of the log writer read every line. Change: the harness keeps both streams in one file. The check is as strict. Result: the test passes again.

--- a/Tests/Services/OperatorsTest.cpp
+++ b/Tests/Services/OperatorsTest.cpp
@@ -38,6 +38,8 @@
       // Otherwise a crash of the test would leave the process behind.
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       std::freopen(aLog.c_str(), "w", stderr);
+      // Logs go to standard output, errors before they are set up do not.
+      dup2(STDERR_FILENO, STDOUT_FILENO);
       execv(arguments[0], arguments.data());
       _exit(127);
     }
