teaselholdd: Say what direct distribution is for

Cause: the comment still called it a measurement baseline, which it no longer is; a format string was split oddly. Result: no change of behaviour.

--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -259,8 +259,7 @@
     texts.outcome != "answered" || texts.status >= kFirstServerError;
   spdlog::log(
     isFailure ? spdlog::level::warn : spdlog::level::info,
-    "[call] Ended. id={} route={} service={} node={} outcome={} "
-    "reason={} "
+    "[call] Ended. id={} route={} service={} node={} outcome={} reason={} "
     "status={} attempts={} placements={} generation={} milliseconds={}",
     aCall.id,
     route == nullptr ? "none" : route->name,
--- a/Services/teaselholdd/Settings.h
+++ b/Services/teaselholdd/Settings.h
@@ -14,7 +14,7 @@
 enum class DistributionMode : std::uint8_t
 {
   Relay,
-  /// The measurement baseline: every node watches the store.
+  /// Every node watches the store, for fleets of some hundred nodes.
   Direct,
 };
 
