Transport: Notice a client's close while connections are being ended

Ruled out: a lost cancellation on the way; the path between nodes closes with its caller. Result: the test passes; the transport tests pass.

--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -215,6 +215,9 @@
 asio::awaitable<void>
 HttpServerConnection::WaitForRoom()
 {
+  if (!MayReadMore()) {
+    WatchForClose();
+  }
   while (!MayReadMore() && !isClosing_ && !isBroken_) {
     wake_.expires_at(Steady::time_point::max());
     boost::system::error_code error;
@@ -222,20 +225,26 @@
   }
 }
 
+void
+HttpServerConnection::WatchForClose()
+{
+  socket_.async_wait(
+    asio::socket_base::wait_read,
+    [self = shared_from_this()](const boost::system::error_code& aError) {
+      if (!aError && self->IsClosedByClient()) {
+        self->isBroken_ = true;
+        self->CancelExchanges();
+        self->WakeReader();
+      }
+    });
+}
+
 asio::awaitable<void>
 HttpServerConnection::WaitForAnswers()
 {
   // The client may close while the last answers are made.
   if (!exchanges_.empty()) {
-    socket_.async_wait(
-      asio::socket_base::wait_read,
-      [self = shared_from_this()](const boost::system::error_code& aError) {
-        if (!aError && self->IsClosedByClient()) {
-          self->isBroken_ = true;
-          self->CancelExchanges();
-          self->WakeReader();
-        }
-      });
+    WatchForClose();
   }
   while (!exchanges_.empty() && !isBroken_) {
     wake_.expires_at(Steady::time_point::max());
--- a/Libraries/Transport/HttpServerConnection.h
+++ b/Libraries/Transport/HttpServerConnection.h
@@ -55,6 +55,8 @@
   Awaitable<void> WaitForRoom();
   Awaitable<void> WaitForAnswers();
   void WakeReader();
+  /// Notices the client's close while the connection is not read.
+  void WatchForClose();
   void CancelExchanges();
   Awaitable<bool> Write(HttpResponse& aResponse);
   Awaitable<void> WriteError(boost::beast::http::status aStatus,
--- a/Tests/Transport/HttpServerTest.cpp
+++ b/Tests/Transport/HttpServerTest.cpp
@@ -231,6 +231,33 @@
         std::future_status::ready);
 }
 
+TEST_CASE("A close is noticed while the server ends its connections")
+{
+  std::promise<void> started;
+  std::promise<void> cancelled;
+  RunningServer server([&](HttpRequest, CancellationPointer aCancellation)
+                         -> asio::awaitable<HttpResponse> {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(std::chrono::hours(1));
+    const Cancellation::Scope scope(aCancellation, [&] { timer.cancel(); });
+    started.set_value();
+    boost::system::error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    cancelled.set_value();
+    co_return HttpResponse();
+  });
+  server.OnServer([](auto& aServer) {
+    aServer.CloseAfterAnswers();
+    return true;
+  });
+  auto socket = server.Connect();
+  asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  started.get_future().get();
+  socket.close();
+  CHECK(cancelled.get_future().wait_for(std::chrono::seconds(10)) ==
+        std::future_status::ready);
+}
+
 TEST_CASE("Draining finishes a half-sent request instead of resetting it")
 {
   RunningServer server(Echo);
