Coordination: Remember departures that name no start time

Cause: an upstream deregistered without a start time while its node restarted. Ruled out: the store (it held the record until the process ended it) and the order of announcements (the late one was judged by start time, which the departure did not name). Change: a departure that reaches a process without an upstream is taken as the leaving of that upstream and saved. A departure without a start time is matched to its run by id and by a sequence number that no run started since could have reached; it binds for 30 s. A node that ends leaves its record in the store until the lease lapses, so the next process restores from it. The field with the platform's word is renamed to warmUpLeft.

--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -50,10 +50,6 @@
     OnCrash(crash->fingerprint);
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
     OnApply(*apply, commands);
-  } else if (const auto* stopping = std::get_if<Stopping>(&aEvent)) {
-    if (stopping->isUpstreamGone) {
-      registration_.End(commands);
-    }
   }
   if (directory_.TakeDoubt()) {
     configuration_.Refresh();
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -58,13 +58,6 @@
   std::uint64_t saveNumber = 0;
 };
 
-/// The node is about to end.
-struct Stopping
-{
-  /// The upstream has left for good, so the node's record goes too.
-  bool isUpstreamGone = false;
-};
-
 /// The upstream crashed while it ran a request with this fingerprint.
 struct CrashObserved
 {
@@ -91,8 +84,7 @@
                            UpstreamChanged,
                            CrashObserved,
                            ApplyRequested,
-                           StatusRequested,
-                           Stopping>;
+                           StatusRequested>;
 
 // Commands.
 
@@ -145,11 +137,6 @@
   std::chrono::milliseconds wait;
 };
 
-struct StoreEndLease
-{
-  protocol::LeaseId lease;
-};
-
 /// A call of the store; its StoreAnswered event carries the same number.
 struct CallStore
 {
@@ -160,8 +147,7 @@
                StoreKeepAlive,
                StoreWatch,
                StoreList,
-               StoreWatchPrefix,
-               StoreEndLease>
+               StoreWatchPrefix>
     request;
 };
 
--- a/Libraries/Coordination/NodeRegistration.cpp
+++ b/Libraries/Coordination/NodeRegistration.cpp
@@ -45,7 +45,7 @@
                        state::Instant aNow,
                        Commands& aCommands)
 {
-  if (isEnded_ || wanted_.empty() || !aDirectory.IsListed() ||
+  if (wanted_.empty() || !aDirectory.IsListed() ||
       pending_ != Pending::None || aNow < next_) {
     return;
   }
@@ -160,13 +160,4 @@
   revision_ = 0;
 }
 
-void
-NodeRegistration::End(Commands& aCommands)
-{
-  isEnded_ = true;
-  if (lease_ != 0) {
-    Call(aCommands, StoreEndLease{ lease_ });
-  }
-}
-
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/NodeRegistration.h
+++ b/Libraries/Coordination/NodeRegistration.h
@@ -6,7 +6,9 @@
 namespace teaselhold::coordination {
 
 /// Keeps this node's record in the store under a lease, and writes it again
-/// when the lease lapsed or the record was taken away.
+/// when the lease lapsed or the record was taken away. A node that ends leaves
+/// its record until the lease lapses: the next process of the host learns from
+/// it that the upstream is leaving.
 class NodeRegistration
 {
 public:
@@ -28,9 +30,6 @@
                      state::Instant aNow,
                      Commands& aCommands);
 
-  /// Takes the record away at once.
-  void End(Commands& aCommands);
-
 private:
   void OnGranted(const StoreResult& aResult, state::Instant aNow);
   void OnSwapped(const StoreResult& aResult,
@@ -65,7 +64,6 @@
   state::Instant nextRenewal_{ 0 };
   RandomSource& random_;
   Backoff backoff_{ kFirstStorePause, kLongestStorePause };
-  bool isEnded_ = false;
 };
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/UpstreamRegistry.cpp
+++ b/Libraries/Coordination/UpstreamRegistry.cpp
@@ -12,6 +12,25 @@
 /// After this silence a run with an earlier start may take the place of the
 /// current one: the wall clock can have been set back between their starts.
 constexpr state::Duration kSilenceOfCurrent = std::chrono::seconds(3);
+/// Upstreams announce themselves less often than this, so a higher sequence
+/// number belongs to a run that was there before.
+constexpr state::Duration kShortestAnnouncementInterval =
+  std::chrono::milliseconds(500);
+/// Announcements that a new run may send at once, such as changes of state.
+constexpr std::uint64_t kExtraAnnouncements = 3;
+/// A departure without a start time binds for this long; a run ends within
+/// seconds of it, and another one may take its id.
+constexpr state::Duration kNamelessDepartureLife = std::chrono::seconds(30);
+
+/// @return false if a run that started after a departure cannot have sent so
+/// many announcements yet.
+bool
+CanHaveStartedSince(state::Duration aAge, std::uint64_t aSequence)
+{
+  const auto sent =
+    static_cast<std::uint64_t>(aAge / kShortestAnnouncementInterval);
+  return aSequence <= sent + kExtraAnnouncements;
+}
 
 } // namespace
 
@@ -27,8 +46,37 @@
 bool
 UpstreamRegistry::IsLeaving(const state::UpstreamIdentity& aUpstream) const
 {
-  return std::ranges::any_of(
-    leaving_, [&](const auto& aKnown) { return aKnown.IsSameRun(aUpstream); });
+  return std::ranges::any_of(leaving_, [&](const auto& aDeparture) {
+    return aDeparture.upstream.IsSameRun(aUpstream);
+  });
+}
+
+void
+UpstreamRegistry::Remember(const state::UpstreamIdentity& aUpstream,
+                           state::Instant aNow)
+{
+  if (!IsLeaving(aUpstream)) {
+    leaving_.push_back({ aUpstream, aNow });
+  }
+  if (leaving_.size() > kMaxLeaving) {
+    leaving_.pop_front();
+  }
+}
+
+void
+UpstreamRegistry::IdentifyDeparture(const state::UpstreamIdentity& aUpstream,
+                                    state::Instant aNow)
+{
+  for (auto& departure : leaving_) {
+    const auto age = aNow - departure.heard;
+    const bool isItsRun = departure.upstream.id == aUpstream.id &&
+                          departure.upstream.bornMilliseconds == 0 &&
+                          age < kNamelessDepartureLife &&
+                          !CanHaveStartedSince(age, aUpstream.sequence);
+    if (isItsRun) {
+      departure.upstream.bornMilliseconds = aUpstream.bornMilliseconds;
+    }
+  }
 }
 
 bool
@@ -59,6 +107,7 @@
     return AnnouncementVerdict::Foreign;
   }
   const auto& upstream = aMessage.upstream;
+  IdentifyDeparture(upstream, aNow);
   if (IsSuperseded(upstream, aNow)) {
     return AnnouncementVerdict::Stale;
   }
@@ -85,13 +134,18 @@
     aMessage.id == current_.id &&
     aMessage.bornMilliseconds.value_or(current_.bornMilliseconds) ==
       current_.bornMilliseconds;
-  if (!isCurrent) {
-    // Remembered, in case that its announcements arrive later.
-    if (aMessage.bornMilliseconds) {
-      leaving_.push_back({ aMessage.id, *aMessage.bornMilliseconds, 0, 0 });
-    }
+  const state::UpstreamIdentity departed{
+    aMessage.id, aMessage.bornMilliseconds.value_or(0), 0, 0
+  };
+  if (!isCurrent && !current_.id.empty()) {
+    // Its announcements may arrive later.
+    Remember(departed, aNow);
     return AnnouncementVerdict::Stale;
   }
+  if (!isCurrent) {
+    // This process started while the upstream left.
+    current_ = departed;
+  }
   Leave(current_, aNow);
   return AnnouncementVerdict::Taken;
 }
@@ -100,12 +154,7 @@
 UpstreamRegistry::Leave(const state::UpstreamIdentity& aUpstream,
                         state::Instant aNow)
 {
-  if (!IsLeaving(aUpstream)) {
-    leaving_.push_back(aUpstream);
-  }
-  if (leaving_.size() > kMaxLeaving) {
-    leaving_.pop_front();
-  }
+  Remember(aUpstream, aNow);
   if (state_ != EndpointState::Draining && state_ != EndpointState::Gone) {
     state_ = EndpointState::Draining;
     goneAt_ = aNow + drainLimit_;
@@ -121,7 +170,7 @@
   if (!aLeaving) {
     return;
   }
-  leaving_.push_back(*aLeaving);
+  Remember(*aLeaving, aNow);
   if (aLeaving->IsSameRun(current_)) {
     // How long ago it was acknowledged is not known.
     state_ = EndpointState::Gone;
--- a/Libraries/Coordination/UpstreamRegistry.h
+++ b/Libraries/Coordination/UpstreamRegistry.h
@@ -65,7 +65,18 @@
   bool TakeChanged();
 
 private:
+  /// A run that said that it leaves. Its start time is 0 while it is unknown.
+  struct Departure
+  {
+    state::UpstreamIdentity upstream;
+    state::Instant heard;
+  };
+
   bool IsLeaving(const state::UpstreamIdentity& aUpstream) const;
+  void Remember(const state::UpstreamIdentity& aUpstream, state::Instant aNow);
+  /// Gives a departure that named no start time the one of its run.
+  void IdentifyDeparture(const state::UpstreamIdentity& aUpstream,
+                         state::Instant aNow);
   bool IsSuperseded(const state::UpstreamIdentity& aUpstream,
                     state::Instant aNow);
   void Leave(const state::UpstreamIdentity& aUpstream, state::Instant aNow);
@@ -77,8 +88,8 @@
   state::EndpointState state_ = state::EndpointState::Starting;
   state::Instant lastHeard_{ 0 };
   state::Instant goneAt_ = state::Instant::max();
-  /// Runs that said that they leave; the newest last.
-  std::deque<state::UpstreamIdentity> leaving_;
+  /// The newest last.
+  std::deque<Departure> leaving_;
   /// A run that claims to be older than the current one.
   state::UpstreamIdentity challenger_;
   bool isRestored_ = false;
--- a/Libraries/State/UpstreamAnnouncement.h
+++ b/Libraries/State/UpstreamAnnouncement.h
@@ -20,7 +20,7 @@
   /// Ready or Draining.
   EndpointState state = EndpointState::Ready;
   /// How much longer it works slowly after its start.
-  std::chrono::milliseconds coldLeft{ 0 };
+  std::chrono::milliseconds warmUpLeft{ 0 };
 };
 
 /// The last message of an upstream; it may still serve for a moment.
--- a/Services/teaselholdd/AnnouncedUpstream.cpp
+++ b/Services/teaselholdd/AnnouncedUpstream.cpp
@@ -183,14 +183,6 @@
   Apply(0);
 }
 
-bool
-AnnouncedUpstream::IsLeaving() const
-{
-  const auto state = registry_.State();
-  return state == state::EndpointState::Draining ||
-         state == state::EndpointState::Gone;
-}
-
 void
 AnnouncedUpstream::Close()
 {
--- a/Services/teaselholdd/AnnouncedUpstream.h
+++ b/Services/teaselholdd/AnnouncedUpstream.h
@@ -43,9 +43,6 @@
     return registry_.Upstream();
   }
 
-  /// The upstream said that it leaves.
-  bool IsLeaving() const;
-
   /// The node ends: its upstream gets no new work from now on.
   void Close();
 
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -194,13 +194,6 @@
   });
 }
 
-bool
-DataPlane::IsUpstreamLeaving()
-{
-  const auto* announced = upstreamSide_.Announced();
-  return announced != nullptr && announced->IsLeaving();
-}
-
 template<typename Function>
 auto
 DataPlane::OnDataThread(Function aFunction)
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -35,9 +35,6 @@
   void OnLeavingSaved(std::uint64_t aSaveNumber);
   void RestoreUpstream(std::optional<state::UpstreamIdentity> aLeaving);
 
-  /// The upstream said that it leaves. Call after DrainAndStop().
-  bool IsUpstreamLeaving();
-
   /// Announces draining, finishes the requests in flight, then stops. Returns
   /// after the settings' drain timeout at the latest.
   void DrainAndStop();
--- a/Services/teaselholdd/StoreWorker.cpp
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -58,10 +58,6 @@
     return ToResult(
       client.WatchPrefix(aCall.prefix, aCall.afterRevision, aCall.wait));
   }
-  StoreResult operator()(const StoreEndLease& aCall) const
-  {
-    return ToResult(client.EndLease(aCall.lease, kCallTimeout));
-  }
 };
 
 } // namespace
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -27,9 +27,6 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-/// Time for the call that takes this node's record out of the store.
-constexpr std::chrono::milliseconds kFarewellTime{ 60 };
-
 std::optional<daemon::Settings>
 LoadSettings(const std::string& aPath)
 {
@@ -188,8 +185,6 @@
                signal,
                aSettings.drainTimeout.count());
   dataPlane.DrainAndStop();
-  controlPlane->Post(coordination::Stopping{ dataPlane.IsUpstreamLeaving() });
-  std::this_thread::sleep_for(kFarewellTime);
   metricsServer.reset();
   admin.reset();
   controlPlane->Stop();
--- a/Tests/Coordination/UpstreamRegistryTest.cpp
+++ b/Tests/Coordination/UpstreamRegistryTest.cpp
@@ -128,3 +128,60 @@
   registry.Announce(Announcement("a", 100, 2), 2s);
   CHECK(registry.State() == EndpointState::Ready);
 }
+
+TEST_CASE("a departure without a start time is remembered by a new process")
+{
+  // Guards against an upstream that becomes ready again: its departure reached
+  // a node that had restarted and had not heard of it, and a late announcement
+  // followed.
+  auto registry = MakeRegistry();
+  CHECK(registry.Depart({ "a", std::nullopt }, 1s) == Taken);
+  CHECK(registry.State() == EndpointState::Draining);
+  registry.Announce(Announcement("a", 100, 18), 3s);
+  CHECK(registry.State() == EndpointState::Draining);
+  CHECK(registry.Upstream().bornMilliseconds == 100);
+  registry.Announce(Announcement("a", 100, 19), 4s);
+  CHECK(registry.State() == EndpointState::Draining);
+  registry.Tick(4s);
+  CHECK(registry.State() == EndpointState::Gone);
+}
+
+TEST_CASE("a departure without a start time does not bind the next run")
+{
+  auto registry = MakeRegistry();
+  registry.Depart({ "a", std::nullopt }, 1s);
+  SECTION("under another id")
+  {
+    registry.Announce(Announcement("b", 100, 1), 2s);
+    CHECK(registry.State() == EndpointState::Ready);
+  }
+  SECTION("under the same id, whose count starts anew")
+  {
+    registry.Announce(Announcement("a", 300, 1), 2s);
+    CHECK(registry.State() == EndpointState::Ready);
+  }
+  SECTION("long after the end of the run that left")
+  {
+    registry.Announce(Announcement("a", 300, 90), 60s);
+    CHECK(registry.State() == EndpointState::Ready);
+  }
+}
+
+TEST_CASE("a departure without a start time does not touch a known other run")
+{
+  auto registry = MakeRegistry();
+  registry.Announce(Announcement("b", 200, 4), 1s);
+  CHECK(registry.Depart({ "a", std::nullopt }, 2s) == Stale);
+  CHECK(registry.State() == EndpointState::Ready);
+  // A late announcement of the run that left comes with an older start time.
+  CHECK(registry.Announce(Announcement("a", 100, 18), 3s) == Stale);
+  CHECK(registry.Upstream().id == "b");
+}
+
+TEST_CASE("a restored departure without a start time holds the run back")
+{
+  UpstreamRegistry registry("visits", "10.0.0.1:80", kDrainLimit);
+  registry.Restore(state::UpstreamIdentity{ "a", 0, 0, 12 }, 1s);
+  registry.Announce(Announcement("a", 100, 18), 2s);
+  CHECK(registry.State() != EndpointState::Ready);
+}
--- a/Tests/Platform/UpstreamMessagesTest.cpp
+++ b/Tests/Platform/UpstreamMessagesTest.cpp
@@ -40,7 +40,7 @@
   CHECK(read->service == "huvo11a");
   CHECK(read->address == "10.1.0.8:8301");
   CHECK(read->state == state::EndpointState::Ready);
-  CHECK(read->coldLeft == std::chrono::milliseconds(2500));
+  CHECK(read->warmUpLeft == std::chrono::milliseconds(2500));
 }
 
 TEST_CASE("a deregistration names the run that ends")
