--- /dev/null
+++ b/Libraries/Coordination/ChangeFollower.cpp
@@ -0,0 +1,53 @@
+#include "Coordination/ChangeFollower.h"
+
+namespace teaselhold::coordination {
+
+namespace {
+
+/// A waiting watch counts as one call, so long waits are cheap.
+constexpr std::chrono::milliseconds kWatchWait{ 25000 };
+/// Changes that follow each other closely are fetched by one call.
+constexpr state::Duration kPauseAfterChange = std::chrono::milliseconds(700);
+
+} // namespace
+
+void
+ChangeFollower::Tick(state::Instant aNow, Commands& aCommands)
+{
+  if (call_ != 0 || aNow < next_) {
+    return;
+  }
+  call_ = numbers_.Next();
+  aCommands.push_back(CallStore{
+    call_, StoreWatch{ protocol::kChangesKey, revision_, kWatchWait } });
+}
+
+bool
+ChangeFollower::OnStoreAnswer(const StoreAnswered& aAnswer, state::Instant aNow)
+{
+  if (call_ == 0 || aAnswer.call != call_) {
+    return false;
+  }
+  call_ = 0;
+  const auto* entry = std::get_if<protocol::StoreEntry>(&aAnswer.result);
+  if (entry == nullptr) {
+    next_ = aNow + backoff_.Next(random_);
+    return true;
+  }
+  backoff_.Reset();
+  if (entry->revision != revision_) {
+    revision_ = entry->revision;
+    log_ = ConfigurationChangeLog::Parse(entry->value);
+    next_ = aNow + kPauseAfterChange;
+  }
+  return true;
+}
+
+std::optional<ConfigurationChangeLog>
+ChangeFollower::TakeNewer(state::Generation aActive)
+{
+  auto log = std::exchange(log_, std::nullopt);
+  return log && log->Head() > aActive ? std::move(log) : std::nullopt;
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/ChangeFollower.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Coordination/Backoff.h"
+#include "Coordination/CallNumbers.h"
+#include "Coordination/ConfigurationChangeLog.h"
+#include "Coordination/NodeEvents.h"
+
+namespace teaselhold::coordination {
+
+/// Follows the changes of the configuration that other nodes write to the
+/// store.
+class ChangeFollower
+{
+public:
+  ChangeFollower(CallNumbers& aNumbers, RandomSource& aRandom)
+    : numbers_(aNumbers)
+    , random_(aRandom)
+  {
+  }
+
+  /// Starts a watch if none is waiting.
+  void Tick(state::Instant aNow, Commands& aCommands);
+
+  /// @return false if the answer belongs to another part.
+  bool OnStoreAnswer(const StoreAnswered& aAnswer, state::Instant aNow);
+
+  /// Takes the log if it holds a newer version than the one in force.
+  std::optional<ConfigurationChangeLog> TakeNewer(state::Generation aActive);
+
+private:
+  CallNumbers& numbers_;
+  RandomSource& random_;
+  Backoff backoff_{ kFirstStorePause, kLongestStorePause };
+  std::optional<ConfigurationChangeLog> log_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t call_ = 0;
+  state::Instant next_{ 0 };
+};
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Libraries/Coordination/ConfigurationChangeLog.cpp
@@ -0,0 +1,86 @@
+#include "Coordination/ConfigurationChangeLog.h"
+
+#include "Coordination/ConfigurationDelta.h"
+
+namespace teaselhold::coordination {
+
+namespace {
+
+/// Each reader of the log gets all of it with each change.
+constexpr std::size_t kMaxLogBytes = std::size_t{ 32 } * 1024;
+
+} // namespace
+
+std::optional<ConfigurationChangeLog>
+ConfigurationChangeLog::Parse(std::string_view aValue)
+{
+  ConfigurationChangeLog log;
+  const auto size = static_cast<int>(aValue.size());
+  if (!log.changes_.ParseFromArray(aValue.data(), size)) {
+    return std::nullopt;
+  }
+  return log;
+}
+
+state::Generation
+ConfigurationChangeLog::Head() const
+{
+  const auto& changes = changes_.changes();
+  return changes.empty() ? 0 : changes.rbegin()->generation();
+}
+
+std::optional<ConfigurationVersion>
+ConfigurationChangeLog::Advance(std::string_view aText,
+                                state::Generation aFrom) const
+{
+  ConfigurationVersion version{ std::string(aText), aFrom, 0 };
+  for (const auto& change : changes_.changes()) {
+    if (change.base_generation() == 0 ||
+        change.base_generation() != version.generation) {
+      continue;
+    }
+    auto text = ApplyDelta(version.text, change.sections());
+    if (!text || state::DigestOfText(*text) != change.digest()) {
+      return std::nullopt;
+    }
+    version = { std::move(*text),
+                change.generation(),
+                change.store_revision() };
+  }
+  if (version.generation != Head()) {
+    return std::nullopt;
+  }
+  return version;
+}
+
+void
+ConfigurationChangeLog::Append(const ConfigurationVersion* aBase,
+                               const ConfigurationVersion& aTarget)
+{
+  auto& change = *changes_.add_changes();
+  change.set_generation(aTarget.generation);
+  change.set_digest(state::DigestOfText(aTarget.text));
+  change.set_store_revision(aTarget.storeRevision);
+  auto sections =
+    aBase == nullptr ? std::nullopt : MakeDelta(aBase->text, aTarget.text);
+  if (sections) {
+    change.set_base_generation(aBase->generation);
+    *change.mutable_sections() = std::move(*sections);
+  }
+  DropOldest();
+}
+
+void
+ConfigurationChangeLog::DropOldest()
+{
+  auto& changes = *changes_.mutable_changes();
+  auto bytes = changes_.ByteSizeLong();
+  int dropped = 0;
+  while (bytes > kMaxLogBytes && dropped + 1 < changes.size()) {
+    bytes -= changes[dropped].ByteSizeLong();
+    ++dropped;
+  }
+  changes.DeleteSubrange(0, dropped);
+}
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/ConfigurationWatch.cpp
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -12,18 +12,48 @@
 /// Changes that follow each other closely are fetched by one call; each is
 /// still in force well within 2 s.
 constexpr state::Duration kPauseAfterChange = std::chrono::milliseconds(500);
+
 } // namespace
 
+void
+ConfigurationWatch::SetWatching(bool aIsWatching,
+                                state::Duration aCheckInterval)
+{
+  isWatching_ = aIsWatching;
+  checkInterval_ = aCheckInterval;
+}
+
+void
+ConfigurationWatch::Check(state::Instant aNow, Commands& aCommands)
+{
+  if (readCall_ != 0 || revision_ == 0) {
+    return;
+  }
+  if (nextCheck_ == state::Instant{ 0 }) {
+    // Nodes that start together look at different times.
+    nextCheck_ = aNow + random_.Between(state::Duration{ 0 }, checkInterval_);
+  }
+  if (aNow < nextCheck_) {
+    return;
+  }
+  nextCheck_ = aNow + random_.Between(checkInterval_ - checkInterval_ / 4,
+                                      checkInterval_ + checkInterval_ / 4);
+  readCall_ = numbers_.Next();
+  aCommands.push_back(CallStore{
+    readCall_, StoreGetIfChanged{ protocol::kConfigurationKey, revision_ } });
+}
+
 void
 ConfigurationWatch::Tick(state::Instant aNow, Commands& aCommands)
 {
-  if (isRefreshDue_ && readCall_ == 0) {
-    isRefreshDue_ = false;
+  Check(aNow, aCommands);
+  if (isReadDue_ && readCall_ == 0) {
+    isReadDue_ = false;
     readCall_ = numbers_.Next();
     aCommands.push_back(
       CallStore{ readCall_, StoreGet{ protocol::kConfigurationKey } });
   }
-  if (call_ != 0 || aNow < next_) {
+  if (!isWatching_ || call_ != 0 || aNow < next_) {
     return;
   }
   call_ = numbers_.Next();
@@ -69,11 +99,28 @@
 ConfigurationWatch::OnRead(const StoreResult& aResult, Commands& aCommands)
 {
   const auto* entry = std::get_if<protocol::StoreEntry>(&aResult);
+  isStoreReachable_ = entry != nullptr;
   if (entry != nullptr && entry->revision > revision_) {
     Take(*entry, aCommands);
   }
 }
 
+void
+ConfigurationWatch::TakeChanges(const ConfigurationChangeLog& aLog,
+                                Commands& aCommands)
+{
+  const auto newest =
+    active_ == nullptr
+      ? std::nullopt
+      : aLog.Advance(active_->Text(), active_->GetGeneration());
+  if (!newest) {
+    isReadDue_ = true;
+    return;
+  }
+  revision_ = std::max(revision_, newest->storeRevision);
+  PutInForce(newest->text, newest->generation, aCommands);
+}
+
 void
 ConfigurationWatch::Take(const protocol::StoreEntry& aEntry,
                          Commands& aCommands)
@@ -98,10 +145,18 @@
     }
     return;
   }
-  auto compiled = protocol::CompileConfiguration(stored.text(), generation);
+  PutInForce(stored.text(), generation, aCommands);
+}
+
+void
+ConfigurationWatch::PutInForce(const std::string& aText,
+                               state::Generation aGeneration,
+                               Commands& aCommands)
+{
+  auto compiled = protocol::CompileConfiguration(aText, aGeneration);
   if (!compiled) {
     Refuse(
-      generation, protocol::FormatErrors("text", compiled.error()), aCommands);
+      aGeneration, protocol::FormatErrors("text", compiled.error()), aCommands);
     return;
   }
   active_ = std::move(*compiled);
@@ -110,7 +165,7 @@
   aCommands.push_back(
     WriteLog{ LogLevel::Info,
               "config",
-              "Version in force. generation=" + std::to_string(generation) +
+              "Version in force. generation=" + std::to_string(aGeneration) +
                 " revision=" + std::to_string(revision_) +
                 " routes=" + std::to_string(active_->Routes().size()) });
 }
--- a/Libraries/Coordination/ConfigurationWatch.h
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/Backoff.h"
 #include "Coordination/CallNumbers.h"
+#include "Coordination/ConfigurationChangeLog.h"
 #include "Coordination/NodeEvents.h"
 
 namespace teaselhold::coordination {
@@ -17,6 +18,11 @@
   {
   }
 
+  /// Chooses between a watch of the whole configuration and, for nodes that
+  /// learn of changes in another way, a look now and then.
+  /// @param aCheckInterval time between two looks.
+  void SetWatching(bool aIsWatching, state::Duration aCheckInterval);
+
   /// Starts a watch if none is waiting.
   void Tick(state::Instant aNow, Commands& aCommands);
 
@@ -25,9 +31,9 @@
                      state::Instant aNow,
                      Commands& aCommands);
 
-  /// Reads the key again although a watch waits: the store dropped history or
-  /// cut watches, so the waiting one may never hear of a change.
-  void Refresh() { isRefreshDue_ = true; }
+  /// Applies changes to the version in force. If they do not lead to the newest
+  /// version, the whole configuration is read.
+  void TakeChanges(const ConfigurationChangeLog& aLog, Commands& aCommands);
 
   /// Takes a value of the configuration's key.
   void Take(const protocol::StoreEntry& aEntry, Commands& aCommands);
@@ -45,12 +51,19 @@
               std::string aReason,
               Commands& aCommands);
 
-  CallNumbers& numbers_;
   void OnRead(const StoreResult& aResult, Commands& aCommands);
+  void Check(state::Instant aNow, Commands& aCommands);
+  void PutInForce(const std::string& aText,
+                  state::Generation aGeneration,
+                  Commands& aCommands);
 
+  CallNumbers& numbers_;
+  bool isWatching_ = true;
+  state::Duration checkInterval_{ std::chrono::seconds(4) };
+  state::Instant nextCheck_{ 0 };
   std::uint64_t call_ = 0;
   std::uint64_t readCall_ = 0;
-  bool isRefreshDue_ = false;
+  bool isReadDue_ = false;
   RandomSource& random_;
   Backoff backoff_{ kFirstStorePause, kLongestStorePause };
   state::Instant next_{ 0 };
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -1,5 +1,6 @@
 #include "Coordination/DirectCore.h"
 
+#include "Coordination/ReaderSelection.h"
 #include "Protocol/ConfigurationText.h"
 #include "admin.pb.h"
 
@@ -14,6 +15,16 @@
 constexpr state::Duration kRestoreWait = std::chrono::seconds(3);
 /// A crash suspects the requests of one upstream, about a dozen.
 constexpr std::size_t kMaxCrashSuspects = 32;
+/// A larger text is read as a whole by a few nodes only: on a link of 5 Mbit/s
+/// the platform's form of 128 KiB of text takes about 0.25 s.
+constexpr std::size_t kLargeTextBytes = std::size_t{ 128 } * 1024;
+/// Hosts that start together have written their records after this time.
+constexpr state::Duration kFleetStartTime = std::chrono::seconds(3);
+/// A watch may miss a change that comes while the store drops its history, so
+/// nodes look for missed versions: followers together this often, each node no
+/// more often than the second figure.
+constexpr state::Duration kFleetCheckInterval = std::chrono::milliseconds(500);
+constexpr state::Duration kShortestCheckInterval = std::chrono::seconds(4);
 
 } // namespace
 
@@ -21,6 +32,8 @@
   : options_(std::move(aOptions))
   , random_(options_.randomSeed)
   , configuration_(numbers_, random_)
+  , follower_(numbers_, random_)
+  , publisher_(numbers_, random_)
   , directory_(options_.identity.name, numbers_, random_)
   , registration_(options_.identity.name, numbers_, random_)
 {
@@ -34,6 +47,7 @@
   self_.dataAddress = identity.dataAddress;
   self_.controlAddress = identity.controlAddress;
   self_.slots = identity.slots;
+  self_.capacity = identity.capacity;
   directory_.SetSelf(self_);
 }
 
@@ -51,15 +65,16 @@
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
     OnApply(*apply, commands);
   }
-  if (directory_.TakeDoubt()) {
-    configuration_.Refresh();
-  }
+  ChooseSource(aNow);
+  FollowChanges(aNow, commands);
   configuration_.Tick(aNow, commands);
+  publisher_.Tick(aNow, commands);
   directory_.Tick(aNow, commands);
   registration_.Tick(directory_, aNow, commands);
   RestoreOnce(aNow, commands);
   if (directory_.TakeChanged()) {
     CollectCrashes(aNow);
+    isReader_ = IsSelectedReader(directory_.Table(), self_.node);
     isPublishDue_ = true;
   }
   isPublishDue_ = crashGuard_.Expire(aNow) || isPublishDue_ ||
@@ -70,6 +85,47 @@
   return commands;
 }
 
+void
+DirectCore::ChooseSource(state::Instant aNow)
+{
+  const auto& active = configuration_.Active();
+  const bool isLarge =
+    active != nullptr && active->Text().size() >= kLargeTextBytes;
+  // Until the other nodes are known, every node would read.
+  const bool isFleetKnown =
+    directory_.IsListed() && aNow - *started_ >= kFleetStartTime;
+  isFollowing_ = isLarge && !(isReader_ && isFleetKnown);
+  const auto nodes =
+    static_cast<state::Duration::rep>(directory_.Table().Size());
+  const auto fleetInterval = kFleetCheckInterval * nodes;
+  configuration_.SetWatching(!isFollowing_,
+                             isFollowing_
+                               ? std::max(kShortestCheckInterval, fleetInterval)
+                               : kShortestCheckInterval);
+}
+
+void
+DirectCore::FollowChanges(state::Instant aNow, Commands& aCommands)
+{
+  if (!isFollowing_) {
+    return;
+  }
+  follower_.Tick(aNow, aCommands);
+  const auto generation = configuration_.Active()->GetGeneration();
+  if (const auto log = follower_.TakeNewer(generation)) {
+    configuration_.TakeChanges(*log, aCommands);
+  }
+}
+
+void
+DirectCore::PublishChange(state::ConfigurationPointer aBefore)
+{
+  const auto& active = configuration_.Active();
+  if (active != aBefore && active->Text().size() >= kLargeTextBytes) {
+    publisher_.OnVersion(std::move(aBefore), active, configuration_.Revision());
+  }
+}
+
 void
 DirectCore::OnUpstreamChanged(const UpstreamChanged& aChange)
 {
@@ -152,11 +208,18 @@
     OnSwapAnswer(aAnswer.result, aCommands);
     return;
   }
-  if (configuration_.OnStoreAnswer(aAnswer, aNow, aCommands) ||
-      directory_.OnStoreAnswer(aAnswer, aNow, aCommands)) {
+  // The pointer is copied, because the answer may replace what it points to.
+  auto before = configuration_.Active();
+  if (configuration_.OnStoreAnswer(aAnswer, aNow, aCommands)) {
+    PublishChange(std::move(before));
     return;
   }
-  registration_.OnStoreAnswer(aAnswer, aNow, aCommands);
+  const bool isTaken = directory_.OnStoreAnswer(aAnswer, aNow, aCommands) ||
+                       follower_.OnStoreAnswer(aAnswer, aNow) ||
+                       publisher_.OnStoreAnswer(aAnswer, aNow);
+  if (!isTaken) {
+    registration_.OnStoreAnswer(aAnswer, aNow, aCommands);
+  }
 }
 
 void
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Coordination/ChangeFollower.h"
+#include "Coordination/ChangePublisher.h"
 #include "Coordination/ConfigurationWatch.h"
 #include "Coordination/CrashGuard.h"
 #include "Coordination/NodeDirectory.h"
@@ -8,9 +10,10 @@
 namespace teaselhold::coordination {
 
 /// The decision logic of a node in a fleet without relays: every node watches
-/// the store for the configuration and for the records of the other nodes.
-/// Calls of the store grow with the fleet and its changes; docs/platform.md
-/// says up to which size that holds.
+/// the store for the records of the other nodes and for the configuration. A
+/// large configuration is read by a few nodes, which write its changes to the
+/// store for the others. Calls of the store grow with the fleet and its
+/// changes; docs/platform.md says up to which size that holds.
 class DirectCore
 {
 public:
@@ -33,6 +36,9 @@
   void RestoreOnce(state::Instant aNow, Commands& aCommands);
   void Register(std::uint64_t aSaveNumber);
   void CollectCrashes(state::Instant aNow);
+  void ChooseSource(state::Instant aNow);
+  void PublishChange(state::ConfigurationPointer aBefore);
+  void FollowChanges(state::Instant aNow, Commands& aCommands);
   void Publish(Commands& aCommands);
 
   NodeOptions options_;
@@ -40,12 +46,17 @@
   CallNumbers numbers_;
   RandomSource random_;
   ConfigurationWatch configuration_;
+  ChangeFollower follower_;
+  ChangePublisher publisher_;
   NodeDirectory directory_;
   NodeRegistration registration_;
   CrashGuard crashGuard_;
   state::ConfigurationPointer published_;
   std::optional<state::Instant> started_;
   bool isRestored_ = false;
+  /// This node reads the whole configuration for others.
+  bool isReader_ = true;
+  bool isFollowing_ = false;
   bool isPublishDue_ = true;
   std::uint64_t applyCall_ = 0;
   ApplyRequested apply_;
--- a/Libraries/Coordination/EndpointCodec.cpp
+++ b/Libraries/Coordination/EndpointCodec.cpp
@@ -23,6 +23,7 @@
   endpoint.set_upstream_sequence(aRecord.upstream.sequence);
   endpoint.mutable_crash_suspects()->Add(aRecord.crashSuspects.begin(),
                                          aRecord.crashSuspects.end());
+  endpoint.set_capacity(aRecord.capacity);
   return endpoint;
 }
 
@@ -86,6 +87,7 @@
   }
   record.crashSuspects = { aEndpoint.crash_suspects().begin(),
                            aEndpoint.crash_suspects().end() };
+  record.capacity = aEndpoint.capacity();
   return record;
 }
 
--- a/Libraries/Coordination/LoadReport.cpp
+++ b/Libraries/Coordination/LoadReport.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double kPerMille = 1000;
-constexpr std::size_t kFields = 5;
+constexpr std::size_t kFields = 6;
 
 } // namespace
 
@@ -20,7 +20,8 @@
          std::to_string(aReport.slots) + ";" +
          std::to_string(aReport.serviceTime.count()) + ";" +
          std::to_string(failures) + ";" +
-         std::to_string(aReport.ownServiceTime.count());
+         std::to_string(aReport.ownServiceTime.count()) + ";" +
+         std::to_string(aReport.residence.count());
 }
 
 std::optional<LoadReport>
@@ -45,6 +46,7 @@
   report.serviceTime = state::Duration(values[2]);
   report.failureShare = values[3] / kPerMille;
   report.ownServiceTime = state::Duration(values[4]);
+  report.residence = state::Duration(values[5]);
   return report;
 }
 
--- a/Libraries/Coordination/LoadReport.h
+++ b/Libraries/Coordination/LoadReport.h
@@ -21,6 +21,8 @@
   double failureShare = 0;
   /// How long the request of this answer held its slot; 0 if it did not run.
   state::Duration ownServiceTime{ 0 };
+  /// How long the node beside the upstream had the request of this answer.
+  state::Duration residence{ 0 };
 };
 
 /// Writes a report as it travels between nodes.
--- a/Libraries/Coordination/NodeDirectory.cpp
+++ b/Libraries/Coordination/NodeDirectory.cpp
@@ -2,18 +2,21 @@
 
 #include "Coordination/EndpointCodec.h"
 
+#include <algorithm>
 #include <set>
 
 namespace teaselhold::coordination {
 
 namespace {
 
-constexpr std::chrono::milliseconds kWatchWait{ 25000 };
-/// Records that change closely after each other are fetched by one call. The
-/// node beside an upstream refuses what a late record sends to it.
-constexpr state::Duration kPauseAfterChange = std::chrono::milliseconds(800);
+/// The records are read again this often. Each reading costs a call of every
+/// node and brings all records, so larger fleets wait longer. The node beside
+/// an upstream refuses what a late record sends to it.
+constexpr state::Duration kShortestInterval = std::chrono::milliseconds(800);
+constexpr state::Duration kLongestInterval = std::chrono::milliseconds(2500);
+constexpr state::Duration kIntervalPerNode = std::chrono::milliseconds(30);
 /// Owners that live write their records again within about 2 s after the store
-/// returns.
+/// returns; both sides see a change one interval later.
 constexpr state::Duration kVanishedGrace = std::chrono::milliseconds(3000);
 
 std::string
@@ -33,6 +36,14 @@
 {
 }
 
+state::Duration
+NodeDirectory::Interval() const
+{
+  const auto nodes = static_cast<state::Duration::rep>(table_.Size());
+  return std::clamp(
+    kIntervalPerNode * nodes, kShortestInterval, kLongestInterval);
+}
+
 void
 NodeDirectory::Tick(state::Instant aNow, Commands& aCommands)
 {
@@ -41,12 +52,11 @@
     return;
   }
   call_ = numbers_.Next();
-  if (isListingDue_) {
-    aCommands.push_back(CallStore{ call_, StoreList{ protocol::kNodePrefix } });
-    return;
-  }
-  aCommands.push_back(CallStore{
-    call_, StoreWatchPrefix{ protocol::kNodePrefix, revision_, kWatchWait } });
+  // What an earlier process of this node left must not be missed.
+  const auto consistency = isListed_ ? protocol::ReadConsistency::Stale
+                                     : protocol::ReadConsistency::Linearizable;
+  aCommands.push_back(
+    CallStore{ call_, StoreList{ protocol::kNodePrefix, consistency } });
 }
 
 bool
@@ -54,41 +64,29 @@
                              state::Instant aNow,
                              Commands& aCommands)
 {
-  if (aAnswer.call != call_) {
+  if (call_ == 0 || aAnswer.call != call_) {
     return false;
   }
   call_ = 0;
-  if (!std::holds_alternative<protocol::StoreError>(aAnswer.result)) {
-    backoff_.Reset();
-  }
-  if (const auto* listing =
-        std::get_if<protocol::StoreListing>(&aAnswer.result)) {
-    OnListing(*listing, aNow);
-    next_ = aNow;
+  const auto* listing = std::get_if<protocol::StoreListing>(&aAnswer.result);
+  if (listing == nullptr) {
+    next_ = aNow + backoff_.Next(random_);
     return true;
   }
-  if (const auto* changes =
-        std::get_if<protocol::StoreChanges>(&aAnswer.result)) {
-    next_ = aNow + (changes->changes.empty() ? state::Duration{ 0 }
-                                             : kPauseAfterChange);
-    OnChanges(*changes, aNow, aCommands);
-    return true;
+  backoff_.Reset();
+  // A stale answer may be older than the one before.
+  if (listing->revision >= revision_) {
+    OnListing(*listing, aNow, aCommands);
   }
-  const auto* error = std::get_if<protocol::StoreError>(&aAnswer.result);
-  const bool isHistoryLost =
-    error != nullptr && error->code == protocol::StoreErrorCode::HistoryLost;
-  // After a cut the next watch may miss what came before it, so the records
-  // are listed again.
-  isListingDue_ = true;
-  isInDoubt_ = isInDoubt_ || isListed_;
-  next_ =
-    aNow + (isHistoryLost ? state::Duration{ 0 } : backoff_.Next(random_));
+  const auto interval = Interval();
+  next_ = aNow + random_.Between(interval - interval / 4, interval);
   return true;
 }
 
 void
 NodeDirectory::OnListing(const protocol::StoreListing& aListing,
-                         state::Instant aNow)
+                         state::Instant aNow,
+                         Commands& aCommands)
 {
   std::set<std::string> listed;
   for (const auto& item : aListing.items) {
@@ -108,6 +106,11 @@
     }
   }
   for (const auto& key : missing) {
+    aCommands.push_back(
+      WriteLog{ LogLevel::Info,
+                "membership",
+                "Record vanished. node=" + NodeOfKey(key) +
+                  " revision=" + std::to_string(aListing.revision) });
     OnVanished(key, aListing.revision, aNow);
   }
   if (!listed.contains(ownKey_)) {
@@ -115,34 +118,6 @@
   }
   revision_ = aListing.revision;
   isListed_ = true;
-  isListingDue_ = false;
-}
-
-void
-NodeDirectory::OnChanges(const protocol::StoreChanges& aChanges,
-                         state::Instant aNow,
-                         Commands& aCommands)
-{
-  for (const auto& change : aChanges.changes) {
-    if (change.value) {
-      OnPut(change.key, *change.value, change.revision);
-      continue;
-    }
-    const auto known = revisions_.find(change.key);
-    // The own record may vanish before this watch saw it written.
-    const bool isNews = known == revisions_.end()
-                          ? change.key == ownKey_
-                          : known->second < change.revision;
-    if (isNews) {
-      OnVanished(change.key, change.revision, aNow);
-      aCommands.push_back(
-        WriteLog{ LogLevel::Info,
-                  "membership",
-                  "Record vanished. node=" + NodeOfKey(change.key) +
-                    " revision=" + std::to_string(change.revision) });
-    }
-  }
-  revision_ = std::max(revision_, aChanges.revision);
 }
 
 void
@@ -181,7 +156,8 @@
     ownAbsentRevision_ = aRevision;
     return;
   }
-  vanished_.try_emplace(aKey, aNow + kVanishedGrace);
+  const auto later = 2 * (Interval() - kShortestInterval);
+  vanished_.try_emplace(aKey, aNow + kVanishedGrace + later);
 }
 
 void
--- a/Libraries/Coordination/NodeDirectory.h
+++ b/Libraries/Coordination/NodeDirectory.h
@@ -9,9 +9,10 @@
 
 namespace teaselhold::coordination {
 
-/// Learns the other nodes from their records in the store: one listing, then a
-/// watch of what changes. A record that vanishes keeps its node in the table
-/// for a while, because records also vanish when the store was away.
+/// Learns the other nodes from their records in the store, which it reads again
+/// and again: stale reads are cheap, while a watch would cost a call of every
+/// node at every change of one. A record that vanishes keeps its node in the
+/// table for a while, because records also vanish when the store was away.
 class NodeDirectory
 {
 public:
@@ -33,9 +34,6 @@
   /// @return true once after each change of the table.
   bool TakeChanged() { return std::exchange(isChanged_, false); }
 
-  /// True once after the store dropped history or cut a watch.
-  bool TakeDoubt() { return std::exchange(isInDoubt_, false); }
-
   /// The store was listed at least once.
   bool IsListed() const { return isListed_; }
 
@@ -53,8 +51,8 @@
   std::uint64_t OwnAbsentRevision() const { return ownAbsentRevision_; }
 
 private:
-  void OnListing(const protocol::StoreListing& aListing, state::Instant aNow);
-  void OnChanges(const protocol::StoreChanges& aChanges,
+  state::Duration Interval() const;
+  void OnListing(const protocol::StoreListing& aListing,
                  state::Instant aNow,
                  Commands& aCommands);
   void OnPut(const std::string& aKey,
@@ -78,9 +76,7 @@
   std::uint64_t call_ = 0;
   state::Instant next_{ 0 };
   bool isListed_ = false;
-  bool isListingDue_ = true;
   bool isChanged_ = false;
-  bool isInDoubt_ = false;
   RandomSource& random_;
   Backoff backoff_{ kFirstStorePause, kLongestStorePause };
 };
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -37,8 +37,7 @@
                                  protocol::SwapResult,
                                  /* lease */ protocol::LeaseId,
                                  /* lease is alive */ bool,
-                                 protocol::StoreListing,
-                                 protocol::StoreChanges>;
+                                 protocol::StoreListing>;
 
 struct StoreAnswered
 {
@@ -100,6 +99,13 @@
   std::string key;
 };
 
+/// Answered with a StoreEntry; without a value if the key has the revision.
+struct StoreGetIfChanged
+{
+  std::string key;
+  std::uint64_t knownRevision;
+};
+
 struct StoreSwap
 {
   std::string key;
@@ -128,13 +134,8 @@
 struct StoreList
 {
   std::string prefix;
-};
-
-struct StoreWatchPrefix
-{
-  std::string prefix;
-  std::uint64_t afterRevision;
-  std::chrono::milliseconds wait;
+  protocol::ReadConsistency consistency =
+    protocol::ReadConsistency::Linearizable;
 };
 
 /// A call of the store; its StoreAnswered event carries the same number.
@@ -142,12 +143,12 @@
 {
   std::uint64_t call;
   std::variant<StoreGet,
+               StoreGetIfChanged,
                StoreSwap,
                StoreGrant,
                StoreKeepAlive,
                StoreWatch,
-               StoreList,
-               StoreWatchPrefix>
+               StoreList>
     request;
 };
 
@@ -235,6 +236,8 @@
   std::string dataAddress;
   std::string controlAddress;
   std::uint32_t slots = 0;
+  /// See state::EndpointRecord::capacity.
+  std::uint32_t capacity = 0;
 };
 
 struct NodeOptions
--- a/Libraries/Coordination/NodeRegistration.cpp
+++ b/Libraries/Coordination/NodeRegistration.cpp
@@ -45,8 +45,8 @@
                        state::Instant aNow,
                        Commands& aCommands)
 {
-  if (wanted_.empty() || !aDirectory.IsListed() ||
-      pending_ != Pending::None || aNow < next_) {
+  if (wanted_.empty() || !aDirectory.IsListed() || pending_ != Pending::None ||
+      aNow < next_) {
     return;
   }
   if (!written_.empty() && aDirectory.OwnAbsentRevision() > revision_) {
--- /dev/null
+++ b/Libraries/Coordination/ReaderSelection.cpp
@@ -0,0 +1,53 @@
+#include "Coordination/ReaderSelection.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+/// Enough that some survive the loss of a data centre or of half of all hosts.
+constexpr std::size_t kReaders = 4;
+
+bool
+IsStaying(const state::EndpointRecord& aRecord)
+{
+  return aRecord.state == state::EndpointState::Ready ||
+         aRecord.state == state::EndpointState::Starting;
+}
+
+} // namespace
+
+bool
+IsSelectedReader(const state::EndpointTable& aTable, std::string_view aNode)
+{
+  auto records = aTable.All();
+  std::erase_if(records,
+                [](const auto* aRecord) { return !IsStaying(*aRecord); });
+  // Records come ordered by name, so equal capacities keep that order.
+  std::ranges::stable_sort(records, [](const auto* aLeft, const auto* aRight) {
+    return aLeft->capacity > aRight->capacity;
+  });
+  std::map<std::string_view, std::size_t> perDataCentre;
+  for (const auto* record : records) {
+    perDataCentre.try_emplace(record->dataCentre, 0);
+  }
+  const auto dataCentres = std::max<std::size_t>(perDataCentre.size(), 1);
+  const auto share = (kReaders + dataCentres - 1) / dataCentres;
+  std::size_t selected = 0;
+  for (const auto* record : records) {
+    auto& count = perDataCentre[record->dataCentre];
+    if (selected >= kReaders || count >= share) {
+      continue;
+    }
+    ++count;
+    ++selected;
+    if (record->node == aNode) {
+      return true;
+    }
+  }
+  // Nobody else is known to read.
+  return selected == 0;
+}
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -12,6 +12,11 @@
 constexpr unsigned kOwnRegion = 2;
 /// Random draws before the neighbours of the last one are searched in order.
 constexpr unsigned kDraws = 4;
+/// Beyond this time under way, an upstream in another data centre may answer
+/// earlier than a near one behind a busy link.
+constexpr state::Duration kBusyTravelTime = std::chrono::milliseconds(40);
+/// Stands for upstreams that have told nothing of their load.
+constexpr state::Duration kUnknownServiceTime = std::chrono::milliseconds(100);
 
 /// Mixes all bits; the finalizer of SplitMix64.
 std::uint64_t
@@ -69,6 +74,19 @@
     return (health->Occupied(aNow) + 1) /
            health->UsableSlots(record->slots, aNow) * health->Cost(aNow);
   }
+
+  bool IsBehindBusyLink(state::Instant aNow) const
+  {
+    return health->TravelTime(aNow) > kBusyTravelTime;
+  }
+
+  /// Seconds until an answer may be expected.
+  double ExpectedTime(state::Instant aNow) const
+  {
+    const std::chrono::duration<double> travel = health->TravelTime(aNow);
+    const std::chrono::duration<double> service = kUnknownServiceTime;
+    return travel.count() + LoadWithOneMore(aNow) * service.count();
+  }
 };
 
 /// The ready upstreams of one service, nearest first.
@@ -221,6 +239,7 @@
     return SampleGroup(
       aList, 0, aList.candidates.size(), aTried, aIgnoreLoad, aNow);
   }
+  const Candidate* best = nullptr;
   for (std::size_t group = 0; group < kGroupCount; ++group) {
     const auto* candidate = SampleGroup(aList,
                                         aList.groupBegin[group],
@@ -228,11 +247,18 @@
                                         aTried,
                                         aIgnoreLoad,
                                         aNow);
-    if (candidate != nullptr) {
-      return candidate;
+    if (candidate == nullptr) {
+      continue;
+    }
+    if (best == nullptr ||
+        candidate->ExpectedTime(aNow) < best->ExpectedTime(aNow)) {
+      best = candidate;
+    }
+    if (!best->IsBehindBusyLink(aNow)) {
+      break;
     }
   }
-  return nullptr;
+  return best;
 }
 
 const Router::Candidate*
@@ -274,8 +300,8 @@
   if (second == nullptr) {
     return first;
   }
-  return second->LoadWithOneMore(aNow) < first->LoadWithOneMore(aNow) ? second
-                                                                      : first;
+  return second->ExpectedTime(aNow) < first->ExpectedTime(aNow) ? second
+                                                                : first;
 }
 
 EndpointPointer
@@ -361,6 +387,16 @@
   }
 }
 
+void
+Router::TakeTravelTime(const state::EndpointRecord& aEndpoint,
+                       state::Duration aTime,
+                       state::Instant aNow)
+{
+  if (auto* view = ViewOf(aEndpoint)) {
+    view->TakeTravelTime(aTime, aNow);
+  }
+}
+
 state::Duration
 Router::ServiceTime(const state::EndpointRecord& aEndpoint)
 {
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -71,6 +71,11 @@
                 state::Instant aNow);
 
   /// Takes the load that came with an answer, after Finished().
+  /// Takes how long a small request and its answer were under way.
+  void TakeTravelTime(const state::EndpointRecord& aEndpoint,
+                      state::Duration aTime,
+                      state::Instant aNow);
+
   void TakeReport(const state::EndpointRecord& aEndpoint,
                   const LoadReport& aReport,
                   state::Instant aNow);
--- a/Libraries/Coordination/UpstreamHealth.cpp
+++ b/Libraries/Coordination/UpstreamHealth.cpp
@@ -27,6 +27,10 @@
 /// gets no requests is tried again.
 constexpr double kFailureHalfLifeSeconds = 1.5;
 constexpr double kFailingShare = 0.2;
+/// Weight of the newest request in the time under way, and the time in which
+/// it fades by half.
+constexpr double kNewTravelWeight = 0.3;
+constexpr double kTravelHalfLifeSeconds = 2;
 /// Weight of a failure against the time that a request takes.
 constexpr double kFailureCost = 4;
 /// Stands for an upstream that has told nothing yet.
@@ -78,6 +82,25 @@
   others_ = aReport.occupied > inFlight_ ? aReport.occupied - inFlight_ : 0;
 }
 
+void
+UpstreamHealth::TakeTravelTime(state::Duration aTime, state::Instant aNow)
+{
+  const auto known = TravelTime(aNow);
+  const auto change = static_cast<double>((aTime - known).count());
+  travelTime_ = known + state::Duration(static_cast<state::Duration::rep>(
+                          change * kNewTravelWeight));
+  travelled_ = aNow;
+}
+
+state::Duration
+UpstreamHealth::TravelTime(state::Instant aNow) const
+{
+  const std::chrono::duration<double> age = aNow - travelled_;
+  const auto left = static_cast<double>(travelTime_.count()) *
+                    std::exp2(-age.count() / kTravelHalfLifeSeconds);
+  return state::Duration(static_cast<state::Duration::rep>(left));
+}
+
 double
 UpstreamHealth::Occupied(state::Instant aNow) const
 {
--- a/Libraries/Coordination/UpstreamHealth.h
+++ b/Libraries/Coordination/UpstreamHealth.h
@@ -33,6 +33,14 @@
   /// End() of the request that brought the report.
   void TakeReport(const LoadReport& aReport, state::Instant aNow);
 
+  /// Takes how long a small request and its answer were under way, without the
+  /// time that the node beside the upstream had them.
+  void TakeTravelTime(state::Duration aTime, state::Instant aNow);
+
+  /// Smoothed time under way; it fades while nothing is measured, so that an
+  /// upstream behind a busy link is tried again.
+  state::Duration TravelTime(state::Instant aNow) const;
+
   /// Requests that run or wait there, as far as this node knows.
   double Occupied(state::Instant aNow) const;
 
@@ -72,6 +80,8 @@
   state::Instant loadedUntil_{ 0 };
   unsigned inFlight_ = 0;
   LoadReport report_;
+  state::Duration travelTime_{ 0 };
+  state::Instant travelled_{ 0 };
   state::Instant reported_{ 0 };
   /// Requests of other nodes when the report was made.
   unsigned others_ = 0;
--- a/Libraries/Protocol/StoreClient.h
+++ b/Libraries/Protocol/StoreClient.h
@@ -88,6 +88,13 @@
   std::uint64_t revision = 0;
 };
 
+enum class ReadConsistency : std::uint8_t
+{
+  Linearizable,
+  /// May be seconds old; costs the store a fraction of the other.
+  Stale,
+};
+
 /// Names a lease; 0 means none.
 using LeaseId = std::uint64_t;
 
@@ -101,6 +108,13 @@
     const std::string& aKey,
     std::chrono::milliseconds aTimeout) = 0;
 
+  /// Reads a key whose value may be large only if it has changed.
+  /// @return nothing if the key still has the revision.
+  virtual tl::expected<std::optional<StoreEntry>, StoreError> GetIfChanged(
+    const std::string& aKey,
+    std::uint64_t aKnownRevision,
+    std::chrono::milliseconds aTimeout) = 0;
+
   /// Writes aValue if the key's revision is aExpectedRevision (0: absent).
   virtual tl::expected<SwapResult, StoreError> CompareAndSwap(
     const std::string& aKey,
@@ -128,6 +142,7 @@
   /// Reads every key that starts with the prefix.
   virtual tl::expected<StoreListing, StoreError> List(
     const std::string& aPrefix,
+    ReadConsistency aConsistency,
     std::chrono::milliseconds aTimeout) = 0;
 
   /// Waits for changes of keys that start with the prefix after a revision of
@@ -155,4 +170,8 @@
 /// The key of the accepted configuration, a wire::StoredConfiguration.
 inline constexpr const char* kConfigurationKey = "teaselhold/configuration";
 
+/// The key of the newest changes of the configuration, a
+/// wire::ConfigurationChanges, for nodes that do not read the whole of it.
+inline constexpr const char* kChangesKey = "teaselhold/changes";
+
 } // namespace teaselhold::protocol
--- a/Libraries/State/EndpointRecord.h
+++ b/Libraries/State/EndpointRecord.h
@@ -69,6 +69,8 @@
   UpstreamIdentity upstream;
   /// Fingerprints of the requests that ran when the upstream crashed lately.
   std::vector<std::uint64_t> crashSuspects;
+  /// Relative power of the host; duties go to the strongest hosts first.
+  std::uint32_t capacity = 0;
 
   bool operator==(const EndpointRecord&) const = default;
 };
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -24,6 +24,9 @@
 /// on the store is refused while nothing was delivered.
 constexpr std::chrono::seconds kStoreCallTimeout{ 2 };
 
+/// Larger bodies take noticeable time on a link of 5 Mbit/s themselves.
+constexpr std::size_t kSmallBytes = std::size_t{ 8 } * 1024;
+
 /// Callers that are refused come back after this time at the earliest.
 constexpr std::chrono::milliseconds kShortestRetryAfter{ 300 };
 
@@ -337,6 +340,7 @@
                               aCall.depth };
     const auto endpoint = attempt->endpoint;
     aCall.node = endpoint->node;
+    const auto sent = clock_.Now();
     auto exchange =
       co_await hop_.Send(aCall.request, load, *attempt, aCancellation);
     if (transport::IsCancelled(aCancellation)) {
@@ -346,11 +350,18 @@
     }
     const auto report =
       ParseLoadReport(ReadHeader(exchange.response, headers::kLoad));
+    const bool isSmall = aCall.request.body().size() <= kSmallBytes &&
+                         exchange.response.body().size() <= kSmallBytes;
     aCall.response = std::move(exchange.response);
     auto next = aCall.session.Finish(
       exchange.outcome, clock_.Now(), exchange.retriesLeft);
     if (report) {
-      environment_.router.TakeReport(*endpoint, *report, clock_.Now());
+      const auto now = clock_.Now();
+      environment_.router.TakeReport(*endpoint, *report, now);
+      if (isSmall) {
+        const auto travel = now - sent - report->residence;
+        environment_.router.TakeTravelTime(*endpoint, travel, now);
+      }
       environment_.serviceTimes.Learn(aCall.session.Route()->name,
                                       report->ownServiceTime);
     }
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -1,5 +1,6 @@
 #include "Services/teaselholdd/ControlPlane.h"
 
+#include <cmath>
 #include <spdlog/spdlog.h>
 
 namespace teaselhold::daemon {
@@ -13,6 +14,13 @@
 /// How long the relays have to answer before a status is put together.
 constexpr std::chrono::milliseconds kStatusGatherTime{ 300 };
 
+std::uint32_t
+CapacityOf(const Settings& aSettings)
+{
+  return static_cast<std::uint32_t>(
+    std::lround(aSettings.linkMegabits * aSettings.coreShare));
+}
+
 NodeOptions
 MakeOptions(const Settings& aSettings, std::uint64_t aIncarnation)
 {
@@ -20,7 +28,8 @@
   options.identity = { aSettings.nodeName,       aIncarnation,
                        aSettings.service,        aSettings.dataCentre,
                        aSettings.region,         aSettings.dataAddress,
-                       aSettings.controlAddress, aSettings.upstreamSlots };
+                       aSettings.controlAddress, aSettings.upstreamSlots,
+                       CapacityOf(aSettings) };
   options.seeds = aSettings.seeds;
   options.randomSeed =
     aIncarnation ^ std::hash<std::string>()(aSettings.nodeName);
--- a/Services/teaselholdd/Settings.cpp
+++ b/Services/teaselholdd/Settings.cpp
@@ -31,6 +31,8 @@
   { Environment::Platform, "platform" },
 } };
 
+constexpr unsigned kMaxLinkMegabits = 1000000;
+constexpr unsigned kMaxCores = 1024;
 constexpr std::uint32_t kMaxMilliseconds = 3600 * 1000;
 
 /// Stores a value; returns what was expected if the value is bad.
@@ -176,14 +178,14 @@
 }
 
 Reader
-ReadShare(double& aTarget)
+ReadDecimal(double& aTarget, unsigned aMax)
 {
-  return [&aTarget](const std::string& aValue) -> std::string {
+  return [&aTarget, aMax](const std::string& aValue) -> std::string {
     const auto* end = aValue.data() + aValue.size();
     const auto result = std::from_chars(aValue.data(), end, aTarget);
     const bool valid = result.ec == std::errc() && result.ptr == end &&
-                       aTarget >= 0 && aTarget <= 1;
-    return valid ? "" : "a number from 0 to 1";
+                       aTarget >= 0 && aTarget <= aMax;
+    return valid ? "" : "a number from 0 to " + std::to_string(aMax);
   };
 }
 
@@ -222,6 +224,11 @@
       "announcement_address",
       aIsForPlatform,
       ReadAddress(s.announcementAddress) },
+    { "node",
+      "link_megabits",
+      false,
+      ReadDecimal(s.linkMegabits, kMaxLinkMegabits) },
+    { "node", "core_share", false, ReadDecimal(s.coreShare, kMaxCores) },
     { "node", "drain_timeout", false, ReadTime(s.drainTimeout) },
     { "node", "distribution", false, ReadDistribution(s.distribution) },
     { "store", "address", true, ReadAddress(s.storeAddress) },
@@ -234,7 +241,7 @@
       false,
       ReadYesOrNo(s.upstreamShedIsNotRun) },
     { "upstream", "drain", false, ReadTime(s.upstreamDrain) },
-    { "retry", "ratio", false, ReadShare(s.retryRatio) },
+    { "retry", "ratio", false, ReadDecimal(s.retryRatio, 1) },
     { "retry", "slack", false, ReadNumber(s.retrySlack, 0, 1000000) },
     { "retry", "window", false, ReadTime(s.retryWindow) },
     { "log", "level", false, ReadLogLevel(s.logLevel) },
--- a/Services/teaselholdd/Settings.h
+++ b/Services/teaselholdd/Settings.h
@@ -54,6 +54,10 @@
   std::chrono::milliseconds upstreamProbeInterval{ 500 };
   /// An answer 503 with Teaselhold-Shed means that the upstream ran nothing.
   bool upstreamShedIsNotRun = false;
+  /// Bandwidth and share of a core of the host; the strongest hosts take on
+  /// duties for the others.
+  double linkMegabits = 1000;
+  double coreShare = 1;
   /// How long a stopping node waits for requests in flight.
   std::chrono::milliseconds drainTimeout{ 30000 };
   DistributionMode distribution = DistributionMode::Relay;
--- a/Services/teaselholdd/StoreWorker.cpp
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -29,6 +29,15 @@
   {
     return ToResult(client.Get(aCall.key, kCallTimeout));
   }
+  StoreResult operator()(const StoreGetIfChanged& aCall) const
+  {
+    return ToResult(
+      client.GetIfChanged(aCall.key, aCall.knownRevision, kCallTimeout)
+        .map([&](std::optional<protocol::StoreEntry> aEntry) {
+          return std::move(aEntry).value_or(
+            protocol::StoreEntry{ "", aCall.knownRevision });
+        }));
+  }
   StoreResult operator()(const StoreSwap& aCall) const
   {
     return ToResult(client.CompareAndSwap(aCall.key,
@@ -51,12 +60,7 @@
   }
   StoreResult operator()(const StoreList& aCall) const
   {
-    return ToResult(client.List(aCall.prefix, kCallTimeout));
-  }
-  StoreResult operator()(const StoreWatchPrefix& aCall) const
-  {
-    return ToResult(
-      client.WatchPrefix(aCall.prefix, aCall.afterRevision, aCall.wait));
+    return ToResult(client.List(aCall.prefix, aCall.consistency, kCallTimeout));
   }
 };
 
@@ -66,9 +70,9 @@
                          Answer aAnswer)
   : client_(std::move(aClient))
   , answer_(std::move(aAnswer))
-  , callThread_([this] { Run(calls_); })
+  , writeThread_([this] { Run(writes_); })
   , watchThread_([this] { Run(watches_); })
-  , prefixWatchThread_([this] { Run(prefixWatches_); })
+  , readThread_([this] { Run(reads_); })
 {
 }
 
@@ -95,27 +99,29 @@
   if (std::holds_alternative<StoreWatch>(aCall.request)) {
     return watches_;
   }
-  return std::holds_alternative<StoreWatchPrefix>(aCall.request)
-           ? prefixWatches_
-           : calls_;
+  const bool isRead =
+    std::holds_alternative<StoreGet>(aCall.request) ||
+    std::holds_alternative<StoreGetIfChanged>(aCall.request) ||
+    std::holds_alternative<StoreList>(aCall.request);
+  return isRead ? reads_ : writes_;
 }
 
 void
 StoreWorker::Stop()
 {
-  calls_.Close();
+  writes_.Close();
   watches_.Close();
-  prefixWatches_.Close();
+  reads_.Close();
   // A watch would hold up the stop for its whole wait of 10 s.
   client_->Close();
-  if (callThread_.joinable()) {
-    callThread_.join();
+  if (writeThread_.joinable()) {
+    writeThread_.join();
   }
   if (watchThread_.joinable()) {
     watchThread_.join();
   }
-  if (prefixWatchThread_.joinable()) {
-    prefixWatchThread_.join();
+  if (readThread_.joinable()) {
+    readThread_.join();
   }
 }
 
@@ -144,8 +150,7 @@
 void
 StoreWorker::Count(const CallStore& aCall, const StoreResult& aResult)
 {
-  const bool isWatch = std::holds_alternative<StoreWatch>(aCall.request) ||
-                       std::holds_alternative<StoreWatchPrefix>(aCall.request);
+  const bool isWatch = std::holds_alternative<StoreWatch>(aCall.request);
   ++(isWatch ? watchCount_ : otherCount_);
   const auto* error = std::get_if<protocol::StoreError>(&aResult);
   if (error != nullptr) {
--- a/Services/teaselholdd/StoreWorker.h
+++ b/Services/teaselholdd/StoreWorker.h
@@ -52,17 +52,17 @@
 
   std::unique_ptr<protocol::StoreClient> client_;
   Answer answer_;
-  Ring calls_{ 256 };
+  Ring writes_{ 256 };
   Ring watches_{ 4 };
-  Ring prefixWatches_{ 4 };
+  Ring reads_{ 4 };
   std::atomic<std::uint64_t> watchCount_ = 0;
   std::atomic<std::uint64_t> otherCount_ = 0;
   std::atomic<std::uint64_t> failureCount_ = 0;
   /// Whether the last call failed; its changes are logged.
   std::atomic<bool> failing_ = false;
-  std::thread callThread_;
+  std::thread writeThread_;
   std::thread watchThread_;
-  std::thread prefixWatchThread_;
+  std::thread readThread_;
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -145,6 +145,7 @@
   if (aRequest.target() == headers::kArrivalPath) {
     co_return AnswerArrival(aRequest);
   }
+  const auto arrived = clock_.Now();
   const std::string id(ReadHeader(aRequest, headers::kRequestId));
   const auto refused = CheckArrival(aRequest);
   Exchange exchange;
@@ -154,7 +155,7 @@
     exchange = co_await Serve(aRequest, std::move(aCancellation));
   }
   SetHeader(exchange.response, headers::kRequestId, id);
-  AddReport(exchange);
+  AddReport(exchange, arrived);
   co_return std::move(exchange.response);
 }
 
@@ -197,8 +198,9 @@
 UpstreamSide::ServeLocal(Request& aRequest,
                          transport::CancellationPointer aCancellation)
 {
+  const auto arrived = clock_.Now();
   auto exchange = co_await Serve(aRequest, std::move(aCancellation));
-  AddReport(exchange);
+  AddReport(exchange, arrived);
   co_return exchange;
 }
 
@@ -285,9 +287,10 @@
 }
 
 void
-UpstreamSide::AddReport(Exchange& aExchange) const
+UpstreamSide::AddReport(Exchange& aExchange, state::Instant aArrived) const
 {
   auto report = admission_->Report();
+  report.residence = clock_.Now() - aArrived;
   if (std::holds_alternative<Answered>(aExchange.outcome)) {
     report.ownServiceTime = aExchange.serviceTime;
   }
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -54,7 +54,7 @@
   Awaitable<Exchange> Run(Request& aRequest,
                           const coordination::AdmissionRequest& aAdmission,
                           transport::CancellationPointer aCancellation);
-  void AddReport(Exchange& aExchange) const;
+  void AddReport(Exchange& aExchange, state::Instant aArrived) const;
   void Learn(const coordination::Outcome& aOutcome,
              state::Duration aServiceTime);
   std::optional<coordination::AdmissionRequest> ReadAdmission(
--- a/Tests/Coordination/DirectCoreTest.cpp
+++ b/Tests/Coordination/DirectCoreTest.cpp
@@ -1,5 +1,6 @@
 #include "Coordination/DirectCore.h"
 #include "Coordination/EndpointCodec.h"
+#include "Coordination/ReaderSelection.h"
 #include "admin.pb.h"
 
 #include <catch2/catch.hpp>
@@ -146,18 +147,19 @@
   CHECK(bench.snapshot->configuration->GetGeneration() == 12);
 }
 
-TEST_CASE("the configuration is read again when the store dropped its history")
+TEST_CASE("a change that a waiting watch never hears of is found by a look")
 {
+  // Guards against a version that stays out of force because the store dropped
+  // its history while the watch of the configuration waited.
   Bench bench;
   bench.Answer<StoreWatch>(MakeVersion(7, 3));
   bench.Answer<StoreList>(protocol::StoreListing{ {}, 4 });
-  REQUIRE(bench.Pending<StoreWatchPrefix>() != nullptr);
-  // The watch of the configuration waits on and would never hear of it.
-  bench.Answer<StoreWatchPrefix>(StoreError{ StoreErrorCode::HistoryLost, "" });
-  REQUIRE(bench.Pending<StoreGet>() != nullptr);
-  bench.Answer<StoreGet>(MakeVersion(8, 6));
+  bench.Wait(5s);
+  REQUIRE(bench.Pending<StoreWatch>() != nullptr);
+  REQUIRE(bench.Pending<StoreGetIfChanged>() != nullptr);
+  CHECK(bench.Pending<StoreGetIfChanged>()->knownRevision == 3);
+  bench.Answer<StoreGetIfChanged>(MakeVersion(8, 6));
   CHECK(bench.snapshot->configuration->GetGeneration() == 8);
-  CHECK(bench.Pending<StoreList>() != nullptr);
 }
 
 TEST_CASE("a leaving is told as saved only once the store holds it")
@@ -203,8 +205,11 @@
   Bench bench;
   bench.Register();
   bench.Wait(1s);
-  bench.Answer<StoreWatchPrefix>(protocol::StoreChanges{
-    { { std::string(protocol::kNodePrefix) + "me", std::nullopt, 20 } }, 20 });
+  // A stale listing from before the record was written says nothing of it.
+  bench.Answer<StoreList>(protocol::StoreListing{ {}, 10 });
+  bench.Wait(1s);
+  CHECK(bench.Pending<StoreGrant>() == nullptr);
+  bench.Answer<StoreList>(protocol::StoreListing{ {}, 20 });
   bench.Wait(200ms);
   bench.Answer<StoreGrant>(protocol::LeaseId{ 100 });
   REQUIRE(bench.Pending<StoreSwap>() != nullptr);
@@ -230,8 +235,10 @@
     return bench.snapshot->endpoints->Find("other") != nullptr;
   };
   REQUIRE(knows());
-  bench.Answer<StoreWatchPrefix>(protocol::StoreChanges{
-    { { MakeItem(other, 8).key, std::nullopt, 12 } }, 12 });
+  bench.Wait(1s);
+  REQUIRE(bench.Pending<StoreList>()->consistency ==
+          protocol::ReadConsistency::Stale);
+  bench.Answer<StoreList>(protocol::StoreListing{ {}, 12 });
   bench.Wait(2s);
   CHECK(knows());
   bench.Wait(2s);
@@ -264,3 +271,194 @@
     protocol::StoreListing{ { MakeItem(one, 8), MakeItem(two, 9) }, 9 });
   CHECK(bench.snapshot->quarantined == std::set<std::uint64_t>{ 2 });
 }
+
+TEST_CASE("a stale listing that is older than the last one changes nothing")
+{
+  Bench bench;
+  const auto other = MakeRecord("other", EndpointState::Ready);
+  bench.Answer<StoreList>(protocol::StoreListing{ { MakeItem(other, 8) }, 9 });
+  bench.Wait(1s);
+  bench.Answer<StoreList>(protocol::StoreListing{ {}, 5 });
+  bench.Wait(5s);
+  CHECK(bench.snapshot->endpoints->Find("other") != nullptr);
+}
+
+namespace {
+
+/// A text above the size from which only a few nodes read all of it.
+std::string
+LargeText(unsigned aRoutes, const std::string& aTimeout)
+{
+  std::string text = "[service visits]\nentry = yes\n";
+  for (unsigned i = 0; i < aRoutes; ++i) {
+    const auto number = std::to_string(i);
+    text += "[route r" + number + "]\nmatch = ANY /path/number/" + number +
+            "/with/a/long/name\nservice = visits\nclass = lookup\n"
+            "idempotent = yes\ntimeout = " +
+            (i == 0 ? aTimeout : "900ms") + "\n";
+  }
+  return text;
+}
+
+constexpr unsigned kManyRoutes = 1600;
+
+protocol::StoreEntry
+MakeLargeVersion(std::uint64_t aGeneration,
+                 std::uint64_t aRevision,
+                 const std::string& aTimeout)
+{
+  wire::StoredConfiguration stored;
+  stored.set_generation(aGeneration);
+  stored.set_text(LargeText(kManyRoutes, aTimeout));
+  return { stored.SerializeAsString(), aRevision };
+}
+
+/// Records of four strong hosts, which read for the others.
+protocol::StoreListing
+StrongHosts()
+{
+  protocol::StoreListing listing{ {}, 9 };
+  for (const auto* name : { "a", "b", "c", "d" }) {
+    auto record = MakeRecord(name, EndpointState::Ready);
+    record.dataCentre = "one";
+    record.capacity = 50;
+    listing.items.push_back(MakeItem(record, 8));
+  }
+  return listing;
+}
+
+state::Duration
+FirstTimeout(const Bench& aBench)
+{
+  return aBench.snapshot->configuration->Routes().front().timeout;
+}
+
+/// A node that follows the changes of a large configuration at version 7.
+void
+Follow(Bench& aBench)
+{
+  aBench.Answer<StoreWatch>(MakeLargeVersion(7, 3, "900ms"));
+  aBench.Answer<StoreList>(StrongHosts());
+  aBench.Wait(4s);
+}
+
+} // namespace
+
+TEST_CASE("a node of many learns of a version by its change alone")
+{
+  Bench bench;
+  Follow(bench);
+  REQUIRE(bench.Pending<StoreWatch>() != nullptr);
+  CHECK(bench.Pending<StoreWatch>()->key == protocol::kChangesKey);
+  ConfigurationChangeLog log;
+  const ConfigurationVersion before{ LargeText(kManyRoutes, "900ms"), 7, 3 };
+  const ConfigurationVersion middle{ LargeText(kManyRoutes, "800ms"), 9, 5 };
+  const ConfigurationVersion newest{ LargeText(kManyRoutes, "700ms"), 12, 6 };
+  log.Append(&before, middle);
+  log.Append(&middle, newest);
+  CHECK(log.Serialize().size() < 2000);
+  bench.Answer<StoreWatch>(protocol::StoreEntry{ log.Serialize(), 7 });
+  CHECK(bench.snapshot->configuration->GetGeneration() == 12);
+  CHECK(FirstTimeout(bench) == 700ms);
+  CHECK(bench.Pending<StoreGet>() == nullptr);
+}
+
+TEST_CASE("a node that changes do not lead to the newest version reads it all")
+{
+  Bench bench;
+  Follow(bench);
+  ConfigurationChangeLog log;
+  const ConfigurationVersion other{ LargeText(kManyRoutes, "500ms"), 8, 4 };
+  SECTION("because its own version is not in the log")
+  {
+    const ConfigurationVersion newest{ LargeText(kManyRoutes, "700ms"), 12, 6 };
+    log.Append(&other, newest);
+  }
+  SECTION("because the change has no base")
+  {
+    log.Append(nullptr, other);
+  }
+  SECTION("because the result has another digest")
+  {
+    const ConfigurationVersion wrong{ LargeText(2, "900ms"), 7, 3 };
+    const ConfigurationVersion target{ LargeText(3, "900ms"), 8, 4 };
+    log.Append(&wrong, target);
+  }
+  bench.Answer<StoreWatch>(protocol::StoreEntry{ log.Serialize(), 7 });
+  CHECK(bench.snapshot->configuration->GetGeneration() == 7);
+  if (bench.Pending<StoreGetIfChanged>() != nullptr) {
+    // A look that is under way is answered first.
+    bench.Answer<StoreGetIfChanged>(protocol::StoreEntry{ "", 3 });
+  }
+  REQUIRE(bench.Pending<StoreGet>() != nullptr);
+  bench.Answer<StoreGet>(MakeLargeVersion(12, 6, "700ms"));
+  CHECK(bench.snapshot->configuration->GetGeneration() == 12);
+}
+
+TEST_CASE("a reader of a large configuration writes its changes")
+{
+  Bench bench;
+  bench.Answer<StoreWatch>(MakeLargeVersion(7, 3, "900ms"));
+  // No stronger host is known, so this node reads.
+  bench.Answer<StoreList>(protocol::StoreListing{ {}, 9 });
+  bench.Wait(4s);
+  bench.Answer<StoreWatch>(protocol::StoreEntry{});
+  bench.Wait(1s);
+  REQUIRE(bench.Pending<StoreWatch>()->key == protocol::kConfigurationKey);
+  bench.Answer<StoreWatch>(MakeLargeVersion(12, 6, "700ms"));
+  const auto* swap = bench.Pending<StoreSwap>();
+  REQUIRE(swap != nullptr);
+  CHECK(swap->key == protocol::kChangesKey);
+  const auto log = ConfigurationChangeLog::Parse(swap->value);
+  REQUIRE(log);
+  const auto newest = log->Advance(LargeText(kManyRoutes, "900ms"), 7);
+  REQUIRE(newest);
+  CHECK(newest->text == LargeText(kManyRoutes, "700ms"));
+  SECTION("once, if another reader was faster")
+  {
+    bench.Answer<StoreSwap>(
+      protocol::SwapResult{ false, { log->Serialize(), 20 } });
+    bench.Wait(1s);
+    CHECK(bench.Pending<StoreSwap>() == nullptr);
+  }
+  SECTION("after the versions that another reader has written")
+  {
+    ConfigurationChangeLog other;
+    const ConfigurationVersion before{ LargeText(kManyRoutes, "900ms"), 7, 3 };
+    const ConfigurationVersion middle{ LargeText(kManyRoutes, "800ms"), 9, 5 };
+    other.Append(&before, middle);
+    bench.Answer<StoreSwap>(
+      protocol::SwapResult{ false, { other.Serialize(), 20 } });
+    REQUIRE(bench.Pending<StoreSwap>() != nullptr);
+    CHECK(bench.Pending<StoreSwap>()->expectedRevision == 20);
+    const auto joined =
+      ConfigurationChangeLog::Parse(bench.Pending<StoreSwap>()->value);
+    const auto fromMiddle = joined->Advance(middle.text, 9);
+    REQUIRE(fromMiddle);
+    CHECK(fromMiddle->generation == 12);
+  }
+}
+
+TEST_CASE("strong hosts in several data centres read for the others")
+{
+  state::EndpointTable table;
+  for (int i = 0; i < 40; ++i) {
+    auto record =
+      MakeRecord("n" + std::to_string(10 + i), EndpointState::Ready);
+    record.dataCentre = "dc" + std::to_string(i % 4);
+    record.capacity = i < 20 ? 50 : 1;
+    table.Merge(record);
+  }
+  std::set<std::string> dataCentres;
+  int readers = 0;
+  for (const auto* record : table.All()) {
+    if (IsSelectedReader(table, record->node)) {
+      ++readers;
+      dataCentres.insert(record->dataCentre);
+      CHECK(record->capacity == 50);
+    }
+  }
+  CHECK(readers == 4);
+  CHECK(dataCentres.size() == 4);
+  CHECK(IsSelectedReader(state::EndpointTable(), "alone"));
+}
--- a/Tests/Coordination/LoadPolicyTest.cpp
+++ b/Tests/Coordination/LoadPolicyTest.cpp
@@ -177,6 +177,38 @@
   CHECK(router.Pick("visits", {}, 4s)->node == "near");
 }
 
+TEST_CASE("a near upstream behind a busy link gives way to a far one")
+{
+  // Guards against the load of a data centre with few upstreams of a service:
+  // their links are full while their slots are free.
+  Router router(kRouterOptions);
+  router.Use(MakeTable({ MakeEndpoint("near"), MakeEndpoint("far", "bud2") }),
+             0s);
+  const auto first = router.Pick("visits", {}, 1s);
+  REQUIRE(first->node == "near");
+  router.Finished(*first, kAnswer, 1s);
+  SECTION("until the delay fades")
+  {
+    router.TakeTravelTime(*first, 400ms, 1s);
+    CHECK(router.Pick("visits", {}, 1s)->node == "far");
+    CHECK(router.Pick("visits", {}, 9s)->node == "near");
+  }
+  SECTION("unless that one is behind a busier link")
+  {
+    router.TakeTravelTime(*first, 400ms, 1s);
+    const auto other = router.Pick("visits", {}, 1s);
+    REQUIRE(other->node == "far");
+    router.Finished(*other, kAnswer, 1s);
+    router.TakeTravelTime(*other, 900ms, 1s);
+    CHECK(router.Pick("visits", {}, 1s)->node == "near");
+  }
+  SECTION("but not for the time that a busy processor takes")
+  {
+    router.TakeTravelTime(*first, 30ms, 1s);
+    CHECK(router.Pick("visits", {}, 1s)->node == "near");
+  }
+}
+
 TEST_CASE("an upstream that fails while it looks healthy is avoided")
 {
   Router router(kRouterOptions);
@@ -191,7 +223,7 @@
 
 TEST_CASE("a load report survives its journey and bad ones are dropped")
 {
-  const LoadReport report{ 7, 12, 123ms, 0.25, 45ms };
+  const LoadReport report{ 7, 12, 123ms, 0.25, 45ms, 67ms };
   const auto read = ParseLoadReport(FormatLoadReport(report));
   REQUIRE(read);
   CHECK(read->occupied == 7);
@@ -199,8 +231,9 @@
   CHECK(read->serviceTime == 123ms);
   CHECK(read->failureShare == 0.25);
   CHECK(read->ownServiceTime == 45ms);
+  CHECK(read->residence == 67ms);
   for (const auto* bad :
-       { "", "1;2;3;4", "1;2;3;4;5;6", "a;2;3;4;5", "1;2;3;4;5 " }) {
+       { "", "1;2;3;4;5", "1;2;3;4;5;6;7", "a;2;3;4;5;6", "1;2;3;4;5;6 " }) {
     CHECK_FALSE(ParseLoadReport(bad));
   }
 }
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -104,7 +104,8 @@
 {
   RunningStore store;
   const auto client = store.Client();
-  const auto listing = client->List("a/", 1s);
+  const auto listing =
+    client->List("a/", protocol::ReadConsistency::Linearizable, 1s);
   REQUIRE(listing);
   CHECK(listing->items.empty());
   const auto one = client->CompareAndSwap("a/1", 0, "one", 0, 1s);
@@ -130,7 +131,8 @@
       aState.Apply({ {}, { { "a/" + std::to_string(i), "value", 0 } }, {} });
     }
   });
-  const auto listing = store.Client()->List("a/", 5s);
+  const auto listing =
+    store.Client()->List("a/", protocol::ReadConsistency::Stale, 5s);
   REQUIRE(listing);
   CHECK(listing->items.size() == kKeys);
 }
@@ -195,3 +197,19 @@
   REQUIRE_FALSE(written);
   CHECK(written.error().code == StoreErrorCode::Unavailable);
 }
+
+TEST_CASE("an unchanged value is not sent again")
+{
+  RunningStore store;
+  const auto client = store.Client();
+  const auto written = client->CompareAndSwap("a/key", 0, "one", 0, 1s);
+  const auto same =
+    client->GetIfChanged("a/key", written->current.revision, 1s);
+  REQUIRE(same);
+  CHECK_FALSE(*same);
+  const auto changed = client->GetIfChanged("a/key", 1, 1s);
+  REQUIRE(changed);
+  REQUIRE(*changed);
+  CHECK((*changed)->value == "one");
+  CHECK((*changed)->revision == written->current.revision);
+}
