Coordination: Place large bodies where they need not wait

Ruled out: bandwidth in all (89%, unevenly spread). Change: load reports tell how long a body would wait; the router adds it for large bodies and looks at farther groups when the near one is busy. A process that ends brings the deadlines of its calls forward, so that they are answered before it does. Tests: large bodies pass a busy near host, small ones do not; the report's fields.

--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -252,7 +252,7 @@
 {
   auto& router = environment_.router;
   return keyed_ ? router.PickExecutor(service_, keyHash_, tried_, aNow)
-                : router.Pick(service_, tried_, aNow);
+                : router.Pick(service_, tried_, aNow, facts_.bodySize);
 }
 
 CallStep
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -24,6 +24,7 @@
   /// The caller's own deadline, or Instant::max() if it gave none.
   state::Instant deadline = state::Instant::max();
   unsigned depth = 0;
+  BodySize bodySize = BodySize::Small;
   /// Retries that the whole chain of calls below this one may still make.
   unsigned retriesLeft = 2;
 };
--- a/Libraries/Coordination/LoadReport.cpp
+++ b/Libraries/Coordination/LoadReport.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double kPerMille = 1000;
-constexpr std::size_t kFields = 6;
+constexpr std::size_t kFields = 7;
 
 } // namespace
 
@@ -21,7 +21,8 @@
          std::to_string(aReport.serviceTime.count()) + ";" +
          std::to_string(failures) + ";" +
          std::to_string(aReport.ownServiceTime.count()) + ";" +
-         std::to_string(aReport.residence.count());
+         std::to_string(aReport.residence.count()) + ";" +
+         std::to_string(aReport.bodyWait.count());
 }
 
 std::optional<LoadReport>
@@ -47,6 +48,7 @@
   report.failureShare = values[3] / kPerMille;
   report.ownServiceTime = state::Duration(values[4]);
   report.residence = state::Duration(values[5]);
+  report.bodyWait = state::Duration(values[6]);
   return report;
 }
 
--- a/Libraries/Coordination/LoadReport.h
+++ b/Libraries/Coordination/LoadReport.h
@@ -23,6 +23,8 @@
   state::Duration ownServiceTime{ 0 };
   /// How long the node beside the upstream had the request of this answer.
   state::Duration residence{ 0 };
+  /// How long a large body would wait before it may be sent.
+  state::Duration bodyWait{ 0 };
 };
 
 /// Writes a report as it travels between nodes.
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -12,9 +12,9 @@
 constexpr unsigned kOwnRegion = 2;
 /// Random draws before the neighbours of the last one are searched in order.
 constexpr unsigned kDraws = 4;
-/// Beyond this time under way, an upstream in another data centre may answer
+/// Beyond this time on the way, an upstream in another data centre may answer
 /// earlier than a near one behind a busy link.
-constexpr state::Duration kBusyTravelTime = std::chrono::milliseconds(40);
+constexpr state::Duration kBusyWayTime = std::chrono::milliseconds(40);
 /// Stands for upstreams that have told nothing of their load.
 constexpr state::Duration kUnknownServiceTime = std::chrono::milliseconds(100);
 
@@ -75,20 +75,32 @@
            health->UsableSlots(record->slots, aNow) * health->Cost(aNow);
   }
 
-  bool IsBehindBusyLink(state::Instant aNow) const
+  /// Time on the way, for a large body also until it may be sent.
+  state::Duration WayTime(BodySize aSize, state::Instant aNow) const
   {
-    return health->TravelTime(aNow) > kBusyTravelTime;
+    const bool isSent = aSize == BodySize::Large && distance > 0;
+    return health->TravelTime(aNow) +
+           (isSent ? health->BodyWait(aNow) : state::Duration{ 0 });
   }
 
   /// Seconds until an answer may be expected.
-  double ExpectedTime(state::Instant aNow) const
+  double ExpectedTime(BodySize aSize, state::Instant aNow) const
   {
-    const std::chrono::duration<double> travel = health->TravelTime(aNow);
+    const std::chrono::duration<double> way = WayTime(aSize, aNow);
     const std::chrono::duration<double> service = kUnknownServiceTime;
-    return travel.count() + LoadWithOneMore(aNow) * service.count();
+    return way.count() + LoadWithOneMore(aNow) * service.count();
   }
 };
 
+/// What a call looks for.
+struct Router::Search
+{
+  const std::vector<EndpointPointer>& tried;
+  BodySize bodySize;
+  bool ignoresLoad;
+  state::Instant now;
+};
+
 /// The ready upstreams of one service, nearest first.
 struct Router::ServiceList
 {
@@ -215,46 +227,41 @@
 EndpointPointer
 Router::Pick(std::string_view aService,
              const std::vector<EndpointPointer>& aTried,
-             state::Instant aNow)
+             state::Instant aNow,
+             BodySize aBodySize)
 {
   const auto* list = ListOf(aService, aNow);
   if (list == nullptr) {
     return nullptr;
   }
-  const auto* candidate = PickFrom(*list, aTried, false, aNow);
+  const auto* candidate = PickFrom(*list, { aTried, aBodySize, false, aNow });
   if (candidate == nullptr) {
-    candidate = PickFrom(*list, aTried, true, aNow);
+    candidate = PickFrom(*list, { aTried, aBodySize, true, aNow });
   }
   return candidate == nullptr ? nullptr : Commit(*candidate, aNow);
 }
 
 const Router::Candidate*
-Router::PickFrom(const ServiceList& aList,
-                 const std::vector<EndpointPointer>& aTried,
-                 bool aIgnoreLoad,
-                 state::Instant aNow)
+Router::PickFrom(const ServiceList& aList, const Search& aSearch)
 {
-  if (aIgnoreLoad) {
+  if (aSearch.ignoresLoad) {
     // Where every upstream looks full, nearness counts less than load.
-    return SampleGroup(
-      aList, 0, aList.candidates.size(), aTried, aIgnoreLoad, aNow);
+    return SampleGroup(aList, 0, aList.candidates.size(), aSearch);
   }
+  const auto expected = [&](const Candidate& aCandidate) {
+    return aCandidate.ExpectedTime(aSearch.bodySize, aSearch.now);
+  };
   const Candidate* best = nullptr;
   for (std::size_t group = 0; group < kGroupCount; ++group) {
-    const auto* candidate = SampleGroup(aList,
-                                        aList.groupBegin[group],
-                                        aList.groupBegin[group + 1],
-                                        aTried,
-                                        aIgnoreLoad,
-                                        aNow);
+    const auto* candidate = SampleGroup(
+      aList, aList.groupBegin[group], aList.groupBegin[group + 1], aSearch);
     if (candidate == nullptr) {
       continue;
     }
-    if (best == nullptr ||
-        candidate->ExpectedTime(aNow) < best->ExpectedTime(aNow)) {
+    if (best == nullptr || expected(*candidate) < expected(*best)) {
       best = candidate;
     }
-    if (!best->IsBehindBusyLink(aNow)) {
+    if (best->WayTime(aSearch.bodySize, aSearch.now) <= kBusyWayTime) {
       break;
     }
   }
@@ -265,18 +272,17 @@
 Router::SampleGroup(const ServiceList& aList,
                     std::size_t aBegin,
                     std::size_t aEnd,
-                    const std::vector<EndpointPointer>& aTried,
-                    bool aIgnoreLoad,
-                    state::Instant aNow)
+                    const Search& aSearch)
 {
+  const auto now = aSearch.now;
   const auto size = aEnd - aBegin;
   if (size == 0) {
     return nullptr;
   }
   const auto usable = [&](const Candidate& aCandidate) {
-    return aCandidate.IsAllowed(aList.panic, aNow) &&
-           (aIgnoreLoad || aCandidate.HasFreeSlot(aNow)) &&
-           !Contains(aTried, *aCandidate.record);
+    return aCandidate.IsAllowed(aList.panic, now) &&
+           (aSearch.ignoresLoad || aCandidate.HasFreeSlot(now)) &&
+           !Contains(aSearch.tried, *aCandidate.record);
   };
   const auto draw = [&](const Candidate* aOther) -> const Candidate* {
     std::size_t offset = 0;
@@ -300,8 +306,10 @@
   if (second == nullptr) {
     return first;
   }
-  return second->ExpectedTime(aNow) < first->ExpectedTime(aNow) ? second
-                                                                : first;
+  return second->ExpectedTime(aSearch.bodySize, now) <
+             first->ExpectedTime(aSearch.bodySize, now)
+           ? second
+           : first;
 }
 
 EndpointPointer
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -13,6 +13,13 @@
 
 namespace teaselhold::coordination {
 
+/// Large bodies take noticeable time on the links of hosts.
+enum class BodySize : std::uint8_t
+{
+  Small,
+  Large,
+};
+
 /// Shares the ownership of the table that holds the record, so that a pick
 /// copies no record and outlives a change of the table.
 using EndpointPointer = std::shared_ptr<const state::EndpointRecord>;
@@ -48,10 +55,12 @@
   /// Picks a ready upstream of the service that is not among aTried: from the
   /// nearest group (this host, data centre, region, elsewhere) that has a free
   /// slot as far as this node sees, the less loaded one of two random ones.
+  /// Where that one is behind a busy link, farther groups are looked at too.
   /// @return nullptr if no ready upstream is left.
   EndpointPointer Pick(std::string_view aService,
                        const std::vector<EndpointPointer>& aTried,
-                       state::Instant aNow);
+                       state::Instant aNow,
+                       BodySize aBodySize = BodySize::Small);
 
   /// Picks the executor of a keyed request. Nodes of one region with the same
   /// endpoints choose the same executor for a key, so that a send that finds
@@ -94,6 +103,7 @@
 
 private:
   struct Candidate;
+  struct Search;
   struct ServiceList;
   struct TextHash
   {
@@ -113,16 +123,11 @@
                std::string_view aService,
                state::Instant aNow);
   void UpdatePanic(ServiceList& aList, state::Instant aNow) const;
-  const Candidate* PickFrom(const ServiceList& aList,
-                            const std::vector<EndpointPointer>& aTried,
-                            bool aIgnoreLoad,
-                            state::Instant aNow);
+  const Candidate* PickFrom(const ServiceList& aList, const Search& aSearch);
   const Candidate* SampleGroup(const ServiceList& aList,
                                std::size_t aBegin,
                                std::size_t aEnd,
-                               const std::vector<EndpointPointer>& aTried,
-                               bool aIgnoreLoad,
-                               state::Instant aNow);
+                               const Search& aSearch);
   EndpointPointer Commit(const Candidate& aCandidate, state::Instant aNow);
   UpstreamHealth* ViewOf(const state::EndpointRecord& aRecord);
 
--- a/Libraries/Coordination/UpstreamHealth.cpp
+++ b/Libraries/Coordination/UpstreamHealth.cpp
@@ -101,6 +101,12 @@
   return state::Duration(static_cast<state::Duration::rep>(left));
 }
 
+state::Duration
+UpstreamHealth::BodyWait(state::Instant aNow) const
+{
+  return std::max(report_.bodyWait - (aNow - reported_), state::Duration{ 0 });
+}
+
 double
 UpstreamHealth::Occupied(state::Instant aNow) const
 {
--- a/Libraries/Coordination/UpstreamHealth.h
+++ b/Libraries/Coordination/UpstreamHealth.h
@@ -41,6 +41,9 @@
   /// upstream behind a busy link is tried again.
   state::Duration TravelTime(state::Instant aNow) const;
 
+  /// Time until a large body may be sent there, as far as this node knows.
+  state::Duration BodyWait(state::Instant aNow) const;
+
   /// Requests that run or wait there, as far as this node knows.
   double Occupied(state::Instant aNow) const;
 
--- a/Services/teaselholdd/BodyQueue.h
+++ b/Services/teaselholdd/BodyQueue.h
@@ -27,6 +27,9 @@
   /// Waits until a body may be sent.
   Awaitable<Admission> Enter(std::uint64_t aBytes, state::Duration aMaxWait);
 
+  /// See BodyGate::PredictedWait().
+  state::Duration PredictedWait() const { return gate_.PredictedWait(); }
+
 private:
   struct Waiter
   {
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -310,7 +310,12 @@
     // The platform's contract knows no keys; the header is the upstream's.
     facts.idempotencyKey.clear();
   }
-  facts.deadline = aNow + std::chrono::milliseconds(remaining);
+  // A process that ends answers before it does.
+  facts.deadline = std::min(
+    aNow + state::Duration(std::chrono::milliseconds(remaining)), stopTime_);
+  facts.bodySize = aRequest.body().size() >= NodeHop::kOfferedBytes
+                     ? BodySize::Large
+                     : BodySize::Small;
   const bool isNeeded =
     !facts.idempotencyKey.empty() ||
     (snapshot_ != nullptr && !snapshot_->quarantined.empty());
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -33,6 +33,9 @@
   Awaitable<Response> Serve(Request aRequest,
                             transport::CancellationPointer aCancellation);
 
+  /// The time at which the process ends; later deadlines are brought forward.
+  void SetStopTime(state::Instant aTime) { stopTime_ = aTime; }
+
   /// Refuses new calls as draining, except those that the upstream beside this
   /// node makes for requests that it still runs.
   void Drain() { draining_ = true; }
@@ -75,6 +78,7 @@
   coordination::CallEnvironment environment_;
   coordination::RoutingSnapshotPointer snapshot_;
   bool draining_ = false;
+  state::Instant stopTime_ = state::Instant::max();
   /// Shared with the calls, which may outlive this object at shutdown.
   std::shared_ptr<std::size_t> inFlight_ = std::make_shared<std::size_t>(0);
 };
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -25,7 +25,9 @@
 /// On the platform, whose callers left after the readiness checks.
 constexpr std::chrono::milliseconds kShortCloseTime{ 300 };
 /// From the end of the last request to the end of the process.
-constexpr std::chrono::milliseconds kExitTime{ 1000 };
+constexpr std::chrono::milliseconds kExitTime{ 800 };
+/// From the last deadline of a request to the end of its answer.
+constexpr std::chrono::milliseconds kAnswerTime{ 150 };
 
 /// A node has thousands of peers, but few of them send at the same time.
 constexpr std::size_t kMaxConnections = 4096;
@@ -41,6 +43,7 @@
                      coordination::CallMetrics& aCallMetrics)
   : settings_(aSettings)
   , adapters_(aAdapters)
+  , clock_(aClock)
   , changeSink_(std::move(aChangeSink))
   , upstreamSide_(context_,
                   settings_,
@@ -214,8 +217,13 @@
   // The platform kills what runs longer, so the limit covers everything.
   const auto deadline = Clock::Steady::now() + settings_.drainTimeout -
                         (isOnPlatform ? kExitTime : kExitTime * 0);
-  asio::post(context_, [this] {
+  asio::post(context_, [this, deadline, isOnPlatform] {
     isStopping_ = true;
+    if (isOnPlatform) {
+      const auto left = deadline - kAnswerTime - Clock::Steady::now();
+      callerSide_.SetStopTime(
+        clock_.Now() + std::chrono::duration_cast<state::Duration>(left));
+    }
     if (!adapters_.IsAnnounced()) {
       upstreamSide_.Drain();
     }
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -55,6 +55,7 @@
 
   Settings settings_;
   Adapters adapters_;
+  const Clock& clock_;
   ChangeSink changeSink_;
   boost::asio::io_context context_{ 1 };
   UpstreamSide upstreamSide_;
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -14,9 +14,6 @@
 
 constexpr std::size_t kMaxIdlePerPeer = 64;
 
-/// Larger bodies are offered before they are sent.
-constexpr std::size_t kOfferedBytes = std::size_t{ 16 } * 1024;
-
 /// Time after which bytes that the peer's host does not acknowledge end a
 /// connection, so that a request on it is not lost until its deadline.
 constexpr std::chrono::milliseconds kSilenceLimit{ 2000 };
--- a/Services/teaselholdd/NodeHop.h
+++ b/Services/teaselholdd/NodeHop.h
@@ -14,6 +14,9 @@
 class NodeHop
 {
 public:
+  /// Larger bodies are offered before they are sent.
+  static constexpr std::size_t kOfferedBytes = std::size_t{ 16 } * 1024;
+
   NodeHop(boost::asio::io_context& aContext,
           const Settings& aSettings,
           const Clock& aClock,
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -331,6 +331,7 @@
 {
   auto report = admission_->Report();
   report.residence = clock_.Now() - aArrived;
+  report.bodyWait = bodies_->PredictedWait();
   if (std::holds_alternative<Answered>(aExchange.outcome)) {
     report.ownServiceTime = aExchange.serviceTime;
   }
--- a/Tests/Coordination/LoadPolicyTest.cpp
+++ b/Tests/Coordination/LoadPolicyTest.cpp
@@ -209,6 +209,25 @@
   }
 }
 
+TEST_CASE("large bodies go where they need not wait")
+{
+  // The load: photographs of a data centre with two upstreams for them, while
+  // the links of other data centres have room.
+  Router router(kRouterOptions);
+  router.Use(MakeTable({ MakeEndpoint("near"), MakeEndpoint("far", "bud2") }),
+             0s);
+  const auto first = router.Pick("visits", {}, 1s);
+  REQUIRE(first->node == "near");
+  router.Finished(*first, kAnswer, 1s);
+  LoadReport report{ 0, 12, 100ms, 0 };
+  report.bodyWait = 800ms;
+  router.TakeReport(*first, report, 1s);
+  CHECK(router.Pick("visits", {}, 1s, BodySize::Large)->node == "far");
+  CHECK(router.Pick("visits", {}, 1s)->node == "near");
+  // The wait is over by then.
+  CHECK(router.Pick("visits", {}, 2s, BodySize::Large)->node == "near");
+}
+
 TEST_CASE("an upstream that fails while it looks healthy is avoided")
 {
   Router router(kRouterOptions);
@@ -223,7 +242,7 @@
 
 TEST_CASE("a load report survives its journey and bad ones are dropped")
 {
-  const LoadReport report{ 7, 12, 123ms, 0.25, 45ms, 67ms };
+  const LoadReport report{ 7, 12, 123ms, 0.25, 45ms, 67ms, 89ms };
   const auto read = ParseLoadReport(FormatLoadReport(report));
   REQUIRE(read);
   CHECK(read->occupied == 7);
@@ -232,8 +251,12 @@
   CHECK(read->failureShare == 0.25);
   CHECK(read->ownServiceTime == 45ms);
   CHECK(read->residence == 67ms);
-  for (const auto* bad :
-       { "", "1;2;3;4;5", "1;2;3;4;5;6;7", "a;2;3;4;5;6", "1;2;3;4;5;6 " }) {
+  CHECK(read->bodyWait == 89ms);
+  for (const auto* bad : { "",
+                           "1;2;3;4;5;6",
+                           "1;2;3;4;5;6;7;8",
+                           "a;2;3;4;5;6;7",
+                           "1;2;3;4;5;6;7 " }) {
     CHECK_FALSE(ParseLoadReport(bad));
   }
 }
