teaselholdd: Block signals before the thread of the logs starts

Cause: spdlog's flushing thread was started before the signals were blocked. While the main thread waited for a signal it took them all; once SIGTERM had come, a SIGHUP went to the flushing thread and ended the process at once, with its requests. Change: signals are blocked before the logs are set up. Bodies on slow links: the next one is invited before the last bytes of the one before; one that is not invited before the deadline is a certain not-run without a question to the peer, and the question itself takes 220 ms at most. Tests: signals after SIGTERM (failed before: ended by a signal); invitation before the last bytes; a body that is not invited.

--- a/Libraries/Coordination/BodyGate.cpp
+++ b/Libraries/Coordination/BodyGate.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Small requests wait behind bodies for about this long at most.
-constexpr std::chrono::duration<double> kLongestQueue{ 0.05 };
+/// Small requests wait behind bodies for about this long at most, or behind one
+/// body that is longer.
+constexpr std::chrono::duration<double> kLongestQueue{ 0.13 };
 
 } // namespace
 
--- a/Libraries/Coordination/BodyGate.h
+++ b/Libraries/Coordination/BodyGate.h
@@ -32,7 +32,9 @@
 /// Decides when other nodes send large bodies to this one. The load that it
 /// answers: uploads that nearly fill a slow link of the host. Bodies that all
 /// come at once would queue in the link, and small requests behind them; here
-/// they wait at their senders, in order of arrival. A refusal costs none of the
+/// they wait at their senders, in order of arrival. The next one is invited
+/// before the last bytes of the one before have come, so that the link does not
+/// idle. A refusal costs none of the
 /// body's bytes. Belongs to one thread.
 class BodyGate
 {
@@ -40,11 +42,11 @@
   /// @param aBytesPerSecond bandwidth of the link.
   explicit BodyGate(double aBytesPerSecond);
 
-  /// An invited body ends with exactly one Finish(), a waiting one with a
-  /// release and Finish() or with GiveUp().
+  /// All bytes of an invited body are given back with Finish(); a waiting one
+  /// ends with a release and Finish(), or with GiveUp().
   BodyDecision Decide(const BodyRequest& aRequest, state::Instant aNow);
 
-  /// The body has arrived, or its sender is gone.
+  /// Bytes of an invited body have arrived, or will not come.
   /// @return waiting bodies that are invited now.
   std::vector<std::uint64_t> Finish(std::uint64_t aBytes);
 
--- a/Libraries/Transport/HttpClientConnection.cpp
+++ b/Libraries/Transport/HttpClientConnection.cpp
@@ -39,6 +39,16 @@
   return { TransportErrorCode::PartialAnswer, aError.message() };
 }
 
+/// Without its body a request cannot run, so the failure is a certain one.
+TransportError
+ToOfferError(TransportError aError)
+{
+  const bool isLate = aError.code == TransportErrorCode::Timeout;
+  return { isLate ? TransportErrorCode::NotInvited
+                  : TransportErrorCode::ConnectFailed,
+           std::move(aError.message) };
+}
+
 /// By number, because Beast does not know the name of each interim status.
 bool
 IsInterim(const HttpResponse& aResponse)
@@ -159,7 +169,7 @@
         co_return tl::make_unexpected(TransportError{
           TransportErrorCode::Cancelled, "the caller is gone" });
       }
-      co_return tl::make_unexpected(std::move(instead.error()));
+      co_return tl::make_unexpected(ToOfferError(std::move(instead.error())));
     }
   }
   if (aRequest.body().size() <= kSmallBodyBytes) {
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -20,6 +20,8 @@
   std::optional<HttpResponse> refusal;
   /// Held until the body has arrived.
   std::shared_ptr<void> permit;
+  /// Called with the number of bytes of each part that arrives; may be empty.
+  std::function<void(std::uint64_t)> onReceived;
 };
 
 using BodyAdmitter =
--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -322,18 +322,17 @@
   const bool isOffered =
     !parser.is_done() &&
     boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
-  std::shared_ptr<void> permit;
+  BodyAdmission admission;
   if (isOffered) {
     deadline_ = Steady::time_point::max();
-    auto admission = co_await InviteBody(parser.get());
+    admission = co_await InviteBody(parser.get());
     if (admission.refusal) {
       exchange->response = std::move(admission.refusal);
       co_return exchange;
     }
-    permit = std::move(admission.permit);
   }
   SetDeadline(shared_->options.bodyTimeout);
-  const bool complete = co_await ReadBody(parser, *exchange);
+  const bool complete = co_await ReadBody(parser, *exchange, admission);
   deadline_ = Steady::time_point::max();
   if (!complete) {
     co_return nullptr;
@@ -369,15 +368,21 @@
 }
 
 asio::awaitable<bool>
-HttpServerConnection::ReadBody(Parser& aParser, Exchange& aExchange)
+HttpServerConnection::ReadBody(Parser& aParser,
+                               Exchange& aExchange,
+                               const BodyAdmission& aAdmission)
 {
   boost::system::error_code error;
   while (!aParser.is_done()) {
+    const auto before = aParser.get().body().size();
     co_await http::async_read_some(
       socket_,
       buffer_,
       aParser,
       asio::redirect_error(asio::use_awaitable, error));
+    if (aAdmission.onReceived) {
+      aAdmission.onReceived(aParser.get().body().size() - before);
+    }
     if (error) {
       co_await WaitForAnswers();
       co_await Reject(error);
--- a/Libraries/Transport/HttpServerConnection.h
+++ b/Libraries/Transport/HttpServerConnection.h
@@ -49,7 +49,9 @@
   Awaitable<ExchangePointer> ReadExchange();
   /// Invites a body that the client offers, unless the server refuses it.
   Awaitable<BodyAdmission> InviteBody(const HttpRequest& aHead);
-  Awaitable<bool> ReadBody(Parser& aParser, Exchange& aExchange);
+  Awaitable<bool> ReadBody(Parser& aParser,
+                           Exchange& aExchange,
+                           const BodyAdmission& aAdmission);
   Awaitable<void> Handle(ExchangePointer aExchange);
   Awaitable<void> WriteAnswers();
   bool PrepareNextAnswer(Exchange& aExchange);
--- a/Libraries/Transport/TransportError.h
+++ b/Libraries/Transport/TransportError.h
@@ -16,6 +16,8 @@
   /// The connection ended after the request may have been sent.
   ConnectionLost,
   Timeout,
+  /// The peer did not invite the body in time; nothing of it was sent.
+  NotInvited,
   /// The answer ended before its announced length.
   PartialAnswer,
   /// The answer belongs to another request.
@@ -24,13 +26,14 @@
   Cancelled,
 };
 
-inline constexpr std::array<state::EnumName<TransportErrorCode>, 8>
+inline constexpr std::array<state::EnumName<TransportErrorCode>, 9>
   kTransportErrorNames{ {
     { TransportErrorCode::InvalidAddress, "invalid address" },
     { TransportErrorCode::BindFailed, "bind failed" },
     { TransportErrorCode::ConnectFailed, "connect failed" },
     { TransportErrorCode::ConnectionLost, "connection lost" },
     { TransportErrorCode::Timeout, "timeout" },
+    { TransportErrorCode::NotInvited, "not invited" },
     { TransportErrorCode::PartialAnswer, "partial answer" },
     { TransportErrorCode::ForeignAnswer, "foreign answer" },
     { TransportErrorCode::Cancelled, "cancelled" },
--- a/Services/teaselholdd/BodyQueue.cpp
+++ b/Services/teaselholdd/BodyQueue.cpp
@@ -1,5 +1,7 @@
 #include "Services/teaselholdd/BodyQueue.h"
 
+#include <algorithm>
+
 namespace teaselhold::daemon {
 
 namespace {
@@ -34,7 +36,8 @@
       co_return Admission{ refused, nullptr };
     }
   }
-  co_return Admission{ std::nullopt, MakePermit(aBytes) };
+  co_return Admission{ std::nullopt,
+                       std::make_shared<Permit>(shared_from_this(), aBytes) };
 }
 
 asio::awaitable<bool>
@@ -51,12 +54,12 @@
   co_return waiter->isInvited;
 }
 
-std::shared_ptr<void>
-BodyQueue::MakePermit(std::uint64_t aBytes)
+void
+BodyQueue::Permit::Receive(std::uint64_t aBytes)
 {
-  return { nullptr, [self = shared_from_this(), aBytes](void*) {
-            self->Finish(aBytes);
-          } };
+  const auto received = std::min(aBytes, bytes_);
+  bytes_ -= received;
+  queue_->Finish(received);
 }
 
 void
--- a/Services/teaselholdd/BodyQueue.h
+++ b/Services/teaselholdd/BodyQueue.h
@@ -17,11 +17,32 @@
             const Clock& aClock,
             double aBytesPerSecond);
 
+  /// A body that was invited, held until it has arrived.
+  class Permit
+  {
+  public:
+    Permit(std::shared_ptr<BodyQueue> aQueue, std::uint64_t aBytes)
+      : queue_(std::move(aQueue))
+      , bytes_(aBytes)
+    {
+    }
+    ~Permit() { queue_->Finish(bytes_); }
+    Permit(const Permit&) = delete;
+    Permit& operator=(const Permit&) = delete;
+
+    /// A part of the body has arrived.
+    void Receive(std::uint64_t aBytes);
+
+  private:
+    std::shared_ptr<BodyQueue> queue_;
+    /// Still to come.
+    std::uint64_t bytes_;
+  };
+
   struct Admission
   {
     std::optional<coordination::NotRun> refused;
-    /// Held until the body has arrived.
-    std::shared_ptr<void> permit;
+    std::shared_ptr<Permit> permit;
   };
 
   /// Waits until a body may be sent.
@@ -38,7 +59,6 @@
   };
 
   Awaitable<bool> WaitForInvitation(std::uint64_t aId, state::Instant aUntil);
-  std::shared_ptr<void> MakePermit(std::uint64_t aBytes);
   void Finish(std::uint64_t aBytes);
 
   boost::asio::io_context& context_;
--- a/Services/teaselholdd/Exchange.cpp
+++ b/Services/teaselholdd/Exchange.cpp
@@ -92,6 +92,8 @@
       return NotRun{ NotRunReason::ConnectFailed };
     case transport::TransportErrorCode::Timeout:
       return Unknown{ UnknownReason::Timeout };
+    case transport::TransportErrorCode::NotInvited:
+      return NotRun{ NotRunReason::DeadlineExceeded };
     case transport::TransportErrorCode::PartialAnswer:
       return Unknown{ UnknownReason::PartialAnswer };
     case transport::TransportErrorCode::ForeignAnswer:
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -19,8 +19,8 @@
 constexpr std::chrono::milliseconds kSilenceLimit{ 2000 };
 
 /// The caller has waited until its deadline already, so the question whether a
-/// request arrived is short. Regions are at most about 100 ms apart.
-constexpr std::chrono::milliseconds kArrivalTimeout{ 400 };
+/// request arrived is short.
+constexpr std::chrono::milliseconds kArrivalTimeout{ 220 };
 
 transport::HttpClientOptions
 MakePoolOptions(const Settings& aSettings)
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -147,7 +147,7 @@
   const auto arrived = clock_.Now();
   const auto admission = ReadAdmission(aHead);
   std::optional<NotRun> refused;
-  std::shared_ptr<void> permit;
+  std::shared_ptr<BodyQueue::Permit> permit;
   if (!admission) {
     refused = NotRun{ NotRunReason::BadRequest };
   } else if (ReadHeader(aHead, headers::kService) != settings_.service) {
@@ -163,14 +163,19 @@
     permit = std::move(body.permit);
   }
   if (!refused) {
-    co_return transport::BodyAdmission{ std::nullopt, std::move(permit) };
+    const auto onReceived = [permit](std::uint64_t aBytes) {
+      permit->Receive(aBytes);
+    };
+    co_return transport::BodyAdmission{ std::nullopt, permit, onReceived };
   }
   auto exchange = MakeExchange(*refused);
   SetHeader(exchange.response,
             headers::kRequestId,
             ReadHeader(aHead, headers::kRequestId));
   AddReport(exchange, arrived);
-  co_return transport::BodyAdmission{ std::move(exchange.response), nullptr };
+  co_return transport::BodyAdmission{ std::move(exchange.response),
+                                      nullptr,
+                                      {} };
 }
 
 asio::awaitable<Response>
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -216,8 +216,9 @@
     std::cout << FLAGS_config << ": valid\n";
     return kExitDone;
   }
-  daemon::SetUpLogs(settings->logLevel);
-  // Blocked before any thread starts, so that sigwait receives the signals.
+  // Blocked before any thread starts, that of the logs included: a thread that
+  // does not block them would take signals that come after SIGTERM, and end the
+  // process.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
@@ -225,6 +226,7 @@
   sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  daemon::SetUpLogs(settings->logLevel);
   const int code = Run(*settings, FLAGS_config, signals);
   daemon::FinishLogs();
   return code;
--- a/Tests/Services/FailureProcessTest.cpp
+++ b/Tests/Services/FailureProcessTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <thread>
 
 using namespace teaselhold::tests;
 
@@ -71,6 +72,19 @@
   CHECK(outcomes["answered"] == 2 * kLoadCount);
 }
 
+TEST_CASE("Signals that follow SIGTERM do not end a draining node early")
+{
+  // Guards against a thread that takes a signal which the main thread waited
+  // for until SIGTERM came.
+  Mesh mesh(1);
+  mesh[0].node->Signal(SIGTERM);
+  for (const int signal : { SIGHUP, SIGTERM, SIGINT }) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    mesh[0].node->Signal(signal);
+  }
+  CHECK(mesh[0].node->Wait() == 0);
+}
+
 TEST_CASE("An upstream that drains itself gets no new work in the end")
 {
   Mesh mesh(2);
--- a/Tests/Transport/HttpServerTest.cpp
+++ b/Tests/Transport/HttpServerTest.cpp
@@ -283,33 +283,43 @@
 
 namespace {
 
+constexpr std::chrono::seconds kLongTime{ 10 };
+
 /// Sends one request with an offered body through a client pool.
-HttpResponse
-SendOffered(HttpClientPool& aPool,
-            asio::io_context& aContext,
-            const std::string& aAddress,
-            const std::string& aBody)
+tl::expected<HttpResponse, TransportError>
+TrySendOffered(HttpClientPool& aPool,
+               asio::io_context& aContext,
+               const std::string& aAddress,
+               const std::string& aBody,
+               std::chrono::milliseconds aTime)
 {
   HttpRequest request(http::verb::post, "/photo", 11);
   request.set(http::field::host, "test");
   request.set(http::field::expect, "100-continue");
   request.body() = aBody;
   request.prepare_payload();
-  std::optional<HttpResponse> answer;
+  std::optional<tl::expected<HttpResponse, TransportError>> result;
   asio::co_spawn(
     aContext,
     [&]() -> asio::awaitable<void> {
-      auto result = co_await aPool.Send(aAddress,
-                                        request,
-                                        std::chrono::steady_clock::now() +
-                                          std::chrono::seconds(10));
-      REQUIRE(result);
-      answer = std::move(*result);
+      const auto deadline = std::chrono::steady_clock::now() + aTime;
+      result = co_await aPool.Send(aAddress, request, deadline);
     },
     asio::detached);
   aContext.restart();
   aContext.run();
-  return std::move(*answer);
+  return std::move(*result);
+}
+
+HttpResponse
+SendOffered(HttpClientPool& aPool,
+            asio::io_context& aContext,
+            const std::string& aAddress,
+            const std::string& aBody)
+{
+  auto result = TrySendOffered(aPool, aContext, aAddress, aBody, kLongTime);
+  REQUIRE(result);
+  return std::move(*result);
 }
 
 } // namespace
@@ -352,13 +362,15 @@
 {
   std::atomic<bool> isHeld = false;
   std::atomic<bool> wasHeldAtOffer = false;
+  std::atomic<std::uint64_t> parts = 0;
   HttpServerOptions options;
   options.admitBody =
     [&](const HttpRequest&) -> asio::awaitable<BodyAdmission> {
     wasHeldAtOffer = isHeld.exchange(true);
     co_return BodyAdmission{ std::nullopt,
                              std::shared_ptr<void>(
-                               nullptr, [&](void*) { isHeld = false; }) };
+                               nullptr, [&](void*) { isHeld = false; }),
+                             [&](std::uint64_t aBytes) { parts += aBytes; } };
   };
   RunningServer server(
     [&](HttpRequest, CancellationPointer) -> asio::awaitable<HttpResponse> {
@@ -373,4 +385,34 @@
     SendOffered(pool, context, server.Address(), body);
     CHECK_FALSE(wasHeldAtOffer);
   }
+  CHECK(parts == 2 * body.size());
+}
+
+TEST_CASE("a body that is not invited in time certainly did not run")
+{
+  // Guards against a question to the peer after the deadline, which would hold
+  // the caller longer.
+  std::atomic<int> handled = 0;
+  HttpServerOptions options;
+  options.admitBody = [](const HttpRequest&) -> asio::awaitable<BodyAdmission> {
+    asio::steady_timer timer(co_await asio::this_coro::executor, kLongTime);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_return BodyAdmission{};
+  };
+  RunningServer server(
+    [&](HttpRequest, CancellationPointer) -> asio::awaitable<HttpResponse> {
+      ++handled;
+      co_return HttpResponse(http::status::ok, 11);
+    },
+    options);
+  asio::io_context context;
+  HttpClientPool pool(context, 4);
+  const auto result = TrySendOffered(pool,
+                                     context,
+                                     server.Address(),
+                                     std::string(100000, 'x'),
+                                     std::chrono::milliseconds(200));
+  REQUIRE_FALSE(result);
+  CHECK(result.error().code == TransportErrorCode::NotInvited);
+  CHECK(handled == 0);
 }
