Coordination: Bound the wait of uploads by their objective

Ruled out: slots of the upload service (43 of 144 in use by photographs). Test: an upload waits no longer than its objective, a call until its end.

--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -208,9 +208,10 @@
   }
   const auto service = ServiceTime();
   const auto left = deadline_ - aNow - service - service / 2;
-  if (isFinalTry_) {
+  if (isFinalTry_ && facts_.bodySize == BodySize::Small) {
     // Often a running request waits for this one, and a refusal wastes its
-    // work too.
+    // work too. Uploads are nobody's calls: on a full link a long queue would
+    // make all of them late.
     return std::max(left, state::Duration{ 0 });
   }
   if (objective_ != state::Instant::max()) {
--- a/Tests/Coordination/LoadPolicyTest.cpp
+++ b/Tests/Coordination/LoadPolicyTest.cpp
@@ -133,6 +133,24 @@
   CHECK(maxWait(100ms) == 0ms);
 }
 
+TEST_CASE("an upload waits no longer than its objective, a call until its end")
+{
+  // The load: photographs that a link cannot carry all. Callers of this kind
+  // give no time for another try, so that a queue would grow up to their
+  // deadline and make every photograph late.
+  auto environment = MakeEnvironment();
+  environment.policy = CallPolicy::WithLoadReports();
+  const auto maxWait = [&](BodySize aSize) {
+    auto facts = MakeTimedFacts(false, 1400ms);
+    facts.bodySize = aSize;
+    CallSession session(std::move(facts), FourUpstreams(), environment);
+    const auto step = session.Start(0s);
+    return *std::get<Attempt>(step).maxWait;
+  };
+  CHECK(maxWait(BodySize::Large) < 500ms);
+  CHECK(maxWait(BodySize::Small) > 1s);
+}
+
 TEST_CASE("a node refuses at once what would wait too long for a slot")
 {
   Admission admission(AdmissionOptions{ 2, 100, false, 0s });
