Coordination: Repeat a whole read that failed

Cause, found by reading the change: a follower whose changes do not lead to the newest version asked for the whole configuration once. If that read failed, it stayed behind until the next change or its next look, 41 s later at 82 nodes. Ruled out: nodes that watch the whole configuration; their watch reads it again. Change: the read stays due until it succeeds, with a back-off of 0.3 to 1.5 s. Test: a whole read that fails is repeated soon (failed before).

--- a/Libraries/Coordination/ConfigurationWatch.cpp
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -39,6 +39,7 @@
   nextCheck_ = aNow + random_.Between(checkInterval_ - checkInterval_ / 4,
                                       checkInterval_ + checkInterval_ / 4);
   readCall_ = numbers_.Next();
+  isLook_ = true;
   aCommands.push_back(CallStore{
     readCall_, StoreGetIfChanged{ protocol::kConfigurationKey, revision_ } });
 }
@@ -47,9 +48,9 @@
 ConfigurationWatch::Tick(state::Instant aNow, Commands& aCommands)
 {
   Check(aNow, aCommands);
-  if (isReadDue_ && readCall_ == 0) {
-    isReadDue_ = false;
+  if (isReadDue_ && readCall_ == 0 && aNow >= nextRead_) {
     readCall_ = numbers_.Next();
+    isLook_ = false;
     aCommands.push_back(
       CallStore{ readCall_, StoreGet{ protocol::kConfigurationKey } });
   }
@@ -68,7 +69,7 @@
 {
   if (readCall_ != 0 && aAnswer.call == readCall_) {
     readCall_ = 0;
-    OnRead(aAnswer.result, aCommands);
+    OnRead(aAnswer.result, aNow, aCommands);
     return true;
   }
   if (aAnswer.call != call_) {
@@ -96,11 +97,21 @@
 }
 
 void
-ConfigurationWatch::OnRead(const StoreResult& aResult, Commands& aCommands)
+ConfigurationWatch::OnRead(const StoreResult& aResult,
+                           state::Instant aNow,
+                           Commands& aCommands)
 {
   const auto* entry = std::get_if<protocol::StoreEntry>(&aResult);
   isStoreReachable_ = entry != nullptr;
-  if (entry != nullptr && entry->revision > revision_) {
+  if (entry == nullptr) {
+    nextRead_ = aNow + readBackoff_.Next(random_);
+    return;
+  }
+  readBackoff_.Reset();
+  // A look that found nothing new is older than the changes that asked for the
+  // whole.
+  isReadDue_ = isReadDue_ && entry->revision <= revision_ && isLook_;
+  if (entry->revision > revision_) {
     Take(*entry, aCommands);
   }
 }
--- a/Libraries/Coordination/ConfigurationWatch.h
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -51,7 +51,9 @@
               std::string aReason,
               Commands& aCommands);
 
-  void OnRead(const StoreResult& aResult, Commands& aCommands);
+  void OnRead(const StoreResult& aResult,
+              state::Instant aNow,
+              Commands& aCommands);
   void Check(state::Instant aNow, Commands& aCommands);
   void PutInForce(const std::string& aText,
                   state::Generation aGeneration,
@@ -63,7 +65,11 @@
   state::Instant nextCheck_{ 0 };
   std::uint64_t call_ = 0;
   std::uint64_t readCall_ = 0;
+  /// The read under way only looks for a newer version.
+  bool isLook_ = false;
   bool isReadDue_ = false;
+  state::Instant nextRead_{ 0 };
+  Backoff readBackoff_{ kFirstStorePause, kLongestStorePause };
   RandomSource& random_;
   Backoff backoff_{ kFirstStorePause, kLongestStorePause };
   state::Instant next_{ 0 };
--- a/Tests/Coordination/DirectCoreTest.cpp
+++ b/Tests/Coordination/DirectCoreTest.cpp
@@ -395,6 +395,27 @@
   CHECK(bench.snapshot->configuration->GetGeneration() == 12);
 }
 
+TEST_CASE("a whole read that fails is repeated soon")
+{
+  // Guards against a follower that stays behind until its next look, which a
+  // large fleet makes rarely.
+  Bench bench;
+  Follow(bench);
+  ConfigurationChangeLog log;
+  const ConfigurationVersion newest{ LargeText(kManyRoutes, "700ms"), 12, 6 };
+  log.Append(nullptr, newest);
+  bench.Answer<StoreWatch>(protocol::StoreEntry{ log.Serialize(), 7 });
+  if (bench.Pending<StoreGetIfChanged>() != nullptr) {
+    bench.Answer<StoreGetIfChanged>(protocol::StoreEntry{ "", 3 });
+  }
+  bench.Answer<StoreGet>(StoreError{ StoreErrorCode::Unknown, "" });
+  CHECK(bench.Pending<StoreGet>() == nullptr);
+  bench.Wait(500ms);
+  REQUIRE(bench.Pending<StoreGet>() != nullptr);
+  bench.Answer<StoreGet>(MakeLargeVersion(12, 6, "700ms"));
+  CHECK(bench.snapshot->configuration->GetGeneration() == 12);
+}
+
 TEST_CASE("a reader of a large configuration writes its changes")
 {
   Bench bench;
