--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -101,6 +101,12 @@
         self.process = self.fleet.processes_fleet.spawn(
             f"{self.name}.node", "teaselholdd", f"--config={path}")
 
+    def restart_node(self, ended):
+        """Starts a node in place of one that ended, unless another fault did
+        so already."""
+        if self.process is ended:
+            self.start_node()
+
     def stop(self):
         if self.backend.is_up:
             self.backend.crash()
@@ -278,11 +284,12 @@
         if machine.process.poll() is not None:
             return
         machine.note_unplanned()
-        machine.process.kill()
-        machine.process.wait()
+        process = machine.process
+        process.kill()
+        process.wait()
         await asyncio.sleep(self.random.uniform(0.1, 2.0))
         machine.note_unplanned()
-        machine.start_node()
+        machine.restart_node(process)
 
     async def terminate(self, machine):
         process = machine.process
@@ -298,8 +305,7 @@
         if code is None:
             process.kill()
             process.wait()
-        if machine.process is process:
-            machine.start_node()
+        machine.restart_node(process)
 
     async def pause(self, machine):
         if machine.process.poll() is not None or machine.is_paused:
