--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -1,5 +1,6 @@
 #include "Services/teaselholdd/CallerSide.h"
 
+#include "Coordination/ReturnTime.h"
 #include "Protocol/Headers.h"
 #include "Services/teaselholdd/HttpHeaders.h"
 #include "Services/teaselholdd/RequestFingerprint.h"
@@ -27,9 +28,6 @@
 /// Larger bodies take noticeable time on a link of 5 Mbit/s themselves.
 constexpr std::size_t kSmallBytes = std::size_t{ 8 } * 1024;
 
-/// Callers that are refused come back after this time at the earliest.
-constexpr std::chrono::milliseconds kShortestRetryAfter{ 300 };
-
 /// Reads an optional number.
 /// @return false if it is malformed or stands more than once.
 template<typename Number>
@@ -401,14 +399,12 @@
       aResponse.result() != boost::beast::http::status::service_unavailable) {
     return;
   }
-  // Half at random, so that refused callers do not return together.
   constexpr double kRange = std::minstd_rand::max();
-  const auto wait =
-    std::max(notRun->retryAfter, state::Duration(kShortestRetryAfter));
-  const std::chrono::duration<double> seconds = wait;
-  const double jitter = static_cast<double>(environment_.random()) / kRange;
-  const auto milliseconds =
-    static_cast<unsigned>(seconds.count() * (1 + jitter) * 1000);
+  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+    ChooseReturnTime(ReturnPolicy{},
+                     *notRun,
+                     static_cast<double>(environment_.random()) / kRange));
+  const auto milliseconds = wait.count();
   SetHeader(aResponse,
             "Retry-After",
             std::to_string(milliseconds / 1000) + "." +
