--- a/Tests/Coordination/AdmissionTest.cpp
+++ b/Tests/Coordination/AdmissionTest.cpp
@@ -231,3 +231,54 @@
     REQUIRE(admission.Waiting() + running == open.size());
   }
 }
+
+TEST_CASE("A request that is late already does not make the next one late")
+{
+  Admission admission(AdmissionOptions{ 1, 100, false, 0s });
+  admission.SetState(EndpointState::Ready, 0s);
+  const auto ask = [&](std::uint64_t aId, state::Duration aMaxWait) {
+    AdmissionRequest request;
+    request.id = aId;
+    request.deadline = 10s;
+    request.maxWait = aMaxWait;
+    return admission.Decide(request, 0s);
+  };
+  REQUIRE(std::holds_alternative<Admit>(ask(1, 1s)));
+  REQUIRE(std::holds_alternative<Wait>(ask(2, 300ms)));
+  REQUIRE(std::holds_alternative<Wait>(ask(3, 600ms)));
+  // The first one runs for longer than predicted.
+  const auto first = admission.Finish(1, 400ms);
+  REQUIRE(first.size() == 1);
+  CHECK(first[0].id == 3);
+  const auto second = admission.Finish(3, 450ms);
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].id == 2);
+}
+
+TEST_CASE("A prediction counts the urgent requests that will overtake")
+{
+  Admission admission(AdmissionOptions{ 1, 100, false, 0s });
+  admission.SetState(EndpointState::Ready, 0s);
+  std::uint64_t next = 0;
+  const auto ask = [&](state::RequestClass aClass) {
+    AdmissionRequest request;
+    request.id = ++next;
+    request.requestClass = aClass;
+    request.deadline = 10s;
+    request.maxWait = 150ms;
+    return admission.Decide(request, 0s);
+  };
+  const auto isRefused = [&](state::RequestClass aClass) {
+    return std::holds_alternative<NotRun>(ask(aClass));
+  };
+  // Two of three starts are orders.
+  for (int round = 0; round < 100; ++round) {
+    for (const auto each : { Order, Order, Lookup }) {
+      REQUIRE(std::holds_alternative<Admit>(ask(each)));
+      admission.Finish(next, 0s);
+    }
+  }
+  REQUIRE(std::holds_alternative<Admit>(ask(Order)));
+  CHECK(isRefused(Lookup));
+  CHECK_FALSE(isRefused(Order));
+}
