--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
 
 namespace teaselhold::coordination {
 
@@ -24,11 +23,6 @@
 constexpr unsigned kBadRequest = 400;
 /// Weight of the newest request in the smoothed figures.
 constexpr double kNewWeight = 0.08;
-/// Weight of the newest start in the shares of the queues, about a second of
-/// the starts of one upstream.
-constexpr double kStartWeight = 0.03;
-/// Requests of a class get at least this share of the slots in predictions.
-constexpr double kLeastShare = 0.1;
 /// Until a request has ended.
 constexpr state::Duration kFirstServiceTime = std::chrono::milliseconds(100);
 /// A wait that turns out longer than predicted goes on for this much more
@@ -96,26 +90,11 @@
 {
   std::size_t ahead = 0;
   for (std::size_t queue = 0; queue <= aQueue; ++queue) {
-    ahead += static_cast<std::size_t>(
-      std::ranges::count_if(queues_[queue], [&](const Entry& aEntry) {
-        return aNow <= aEntry.usefulUntil;
-      }));
+    ahead += queues_[queue].size();
   }
-  const std::chrono::duration<double> service =
+  const auto service =
     serviceTime_.count() > 0 ? serviceTime_ : kFirstServiceTime;
-  // More urgent requests that come later go first as well.
-  const double slots = std::max(UsableSlots(aNow), 1U) *
-                       std::max(1 - OvertakingShare(aQueue), kLeastShare);
-  return std::chrono::duration_cast<state::Duration>(
-    service * static_cast<double>(ahead + 1) / slots);
-}
-
-double
-Admission::OvertakingShare(std::size_t aQueue) const
-{
-  return std::accumulate(startShares_.begin(),
-                         startShares_.begin() + static_cast<long>(aQueue),
-                         0.0);
+  return service * (ahead + 1) / std::max(UsableSlots(aNow), 1U);
 }
 
 bool
@@ -202,9 +181,6 @@
   }
   auto& entry = Add(aRequest);
   entry.until = until;
-  if (aRequest.maxWait) {
-    entry.usefulUntil = aNow + *aRequest.maxWait;
-  }
   queues_[QueueOf(aRequest)].push_back(entry);
   ++waiting_;
   return decision;
@@ -238,11 +214,6 @@
 {
   aEntry.isRunning = true;
   ++running_;
-  const auto own = QueueOf(aEntry.request);
-  for (std::size_t queue = 0; queue < startShares_.size(); ++queue) {
-    auto& share = startShares_[queue];
-    share += kStartWeight * ((queue == own ? 1 : 0) - share);
-  }
   bulkRunning_ += IsBulk(aEntry.request.requestClass) ? 1 : 0;
 }
 
@@ -313,21 +284,12 @@
   }
 }
 
-Admission::Entry&
-Admission::NextOf(Queue& aQueue, state::Instant aNow)
-{
-  // Serving those first that are late already would make the others late too.
-  const auto useful = std::ranges::find_if(
-    aQueue, [&](const Entry& aEntry) { return aNow <= aEntry.usefulUntil; });
-  return useful == aQueue.end() ? aQueue.front() : *useful;
-}
-
 void
 Admission::Promote(state::Instant aNow, Releases& aReleases)
 {
   for (auto& queue : queues_) {
     while (!queue.empty() && HasRoom(queue.front().request, aNow)) {
-      auto& entry = NextOf(queue, aNow);
+      auto& entry = queue.front();
       Unqueue(entry);
       Run(entry);
       aReleases.push_back({ entry.request.id, std::nullopt });
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -128,8 +128,6 @@
   {
     AdmissionRequest request;
     state::Instant until{ 0 };
-    /// Started later than this, the answer misses the route's objective.
-    state::Instant usefulUntil = state::Instant::max();
     bool isRunning = false;
   };
   using Queue = boost::intrusive::list<Entry>;
@@ -137,7 +135,6 @@
 
   static std::size_t QueueOf(const AdmissionRequest& aRequest);
   state::Duration PredictedWait(std::size_t aQueue, state::Instant aNow) const;
-  static Entry& NextOf(Queue& aQueue, state::Instant aNow);
   std::optional<NotRunReason> Refusal(const AdmissionRequest& aRequest,
                                       state::Instant aNow) const;
   bool HasRoom(const AdmissionRequest& aRequest, state::Instant aNow) const;
@@ -147,7 +144,6 @@
   std::optional<std::uint64_t> Displace(std::size_t aQueue);
   Entry& Add(const AdmissionRequest& aRequest);
   void Run(Entry& aEntry);
-  double OvertakingShare(std::size_t aQueue) const;
   void Unqueue(Entry& aEntry);
   void Remove(std::uint64_t aId);
   void RefuseWaiting(NotRunReason aReason, Releases& aReleases);
@@ -161,8 +157,6 @@
   /// One queue for final tries, then one for each class, in order of
   /// arrival; destroyed before the entries.
   std::array<Queue, state::kRequestClassNames.size() + 1> queues_;
-  /// Smoothed share of the started requests that came from each queue.
-  std::array<double, state::kRequestClassNames.size() + 1> startShares_{};
   std::unordered_map<std::string, std::uint32_t> perTenant_;
   std::size_t running_ = 0;
   /// Uploads and batches among the running ones.
