teaselholdd: Block signals before anything else in main

A SIGHUP in the first milliseconds of a process ended it by its default action. Cause: the signals were blocked only after the flags and settings were read. Change: they are blocked first in main. Signals before main (the dynamic loader) can only be blocked by the starting process. Test: the node reads its settings from a pipe, so that the signal meets it while it reads them, and 0, 2 and 20 ms after.

Observability: the load generator prints each request that was not answered with outcome, reason, node and error, and the drain test prints this with the warnings of the nodes. The outcomes that FinishLoad printed were never shown, because the message ended before the assertion that used them.

--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -192,11 +192,29 @@
   return kExitDone;
 }
 
+/// Blocks the signals that WaitForStop takes. Called before anything else: a
+/// signal that comes while the process starts waits, and each later thread
+/// blocks them too. One that did not would take signals that come after
+/// SIGTERM, and end the process with its requests.
+sigset_t
+BlockSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
 } // namespace
 
 int
 main(int aCount, char** aArguments)
 {
+  const auto signals = BlockSignals();
   gflags::SetUsageMessage(
     "teaselholdd --config FILE | --config_variable NAME [--check-config]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
@@ -216,16 +234,6 @@
     std::cout << FLAGS_config << ": valid\n";
     return kExitDone;
   }
-  // Blocked before any thread starts, that of the logs included: a thread that
-  // does not block them would take signals that come after SIGTERM, and end the
-  // process.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
   daemon::SetUpLogs(settings->logLevel);
   const int code = Run(*settings, FLAGS_config, signals);
   daemon::FinishLogs();
--- a/Tests/Services/FailureProcessTest.cpp
+++ b/Tests/Services/FailureProcessTest.cpp
@@ -70,6 +70,7 @@
   CHECK(mesh[1].node->Wait() == 0);
   auto outcomes = mesh.FinishLoad();
   mesh.CheckPromises();
+  INFO(mesh.FailureReport());
   CHECK(outcomes["answered"] == 2 * kLoadCount);
 }
 
@@ -86,6 +87,27 @@
   CHECK(mesh[0].node->Wait() == 0);
 }
 
+TEST_CASE("A signal while a node starts does not end it")
+{
+  // Guards against SIGHUP that comes before the signals are blocked.
+  using std::chrono::milliseconds;
+  Mesh mesh(1);
+  const std::vector<std::optional<milliseconds>> delays{
+    std::nullopt, milliseconds(0), milliseconds(2), milliseconds(20)
+  };
+  for (const auto& delay : delays) {
+    INFO((delay ? std::to_string(delay->count()) : "none"));
+    mesh.RestartNodeWithSignal(mesh[0], SIGHUP, delay);
+    CHECK(WaitUntil([&] {
+      return !mesh[0].node->IsRunning() ||
+             Call(mesh[0].caller, "GET", "/passes/1").Outcome() == "answered";
+    }));
+    CHECK(mesh[0].node->IsRunning());
+    mesh[0].node->Signal(SIGTERM);
+    CHECK(mesh[0].node->Wait() == 0);
+  }
+}
+
 TEST_CASE("An upstream that drains itself gets no new work in the end")
 {
   Mesh mesh(2);
--- a/Tests/Services/Mesh.cpp
+++ b/Tests/Services/Mesh.cpp
@@ -10,6 +10,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
+#include <sys/stat.h>
+#include <thread>
 
 namespace teaselhold::tests {
 
@@ -172,6 +174,12 @@
 Mesh::StartNode(Node& aNode)
 {
   std::ofstream(Path(aNode.name + ".ini")) << SettingsOf(aNode);
+  LaunchNode(aNode);
+}
+
+void
+Mesh::LaunchNode(Node& aNode)
+{
   aNode.node = std::make_unique<Process>(
     Program("teaselholdd"),
     std::vector<std::string>{ "--config=" + Path(aNode.name + ".ini") },
@@ -196,6 +204,32 @@
   StartNode(aNode);
 }
 
+void
+Mesh::RestartNodeWithSignal(Node& aNode,
+                            int aSignal,
+                            std::optional<std::chrono::milliseconds> aDelay)
+{
+  aNode.node.reset();
+  const auto path = Path(aNode.name + ".ini");
+  std::filesystem::remove(path);
+  REQUIRE(mkfifo(path.c_str(), S_IRUSR | S_IWUSR) == 0);
+  LaunchNode(aNode);
+  // Opens when the node does, so the node waits for its settings now.
+  std::ofstream pipe(path);
+  std::filesystem::remove(path);
+  // Read by the node when it takes the signal.
+  std::ofstream(path) << SettingsOf(aNode);
+  pipe << SettingsOf(aNode) << std::flush;
+  if (!aDelay) {
+    aNode.node->Signal(aSignal);
+  }
+  pipe.close();
+  if (aDelay) {
+    std::this_thread::sleep_for(*aDelay);
+    aNode.node->Signal(aSignal);
+  }
+}
+
 int
 Mesh::Apply(const Node& aNode, unsigned aVersion)
 {
@@ -314,11 +348,28 @@
       total += count;
     }
   }
-  CHECK(total == loadCount_);
   INFO(log.str());
+  CHECK(total == loadCount_);
   return outcomes;
 }
 
+std::string
+Mesh::FailureReport() const
+{
+  auto report = Read("load.log");
+  for (const auto& node : nodes_) {
+    report += node.name + " callers=" + node.caller + "\n";
+    std::stringstream log(Read(node.name + ".log"));
+    for (std::string line; std::getline(log, line);) {
+      const bool isOfDrain = line.find("[node]") != std::string::npos;
+      if (isOfDrain || line.find(" warning ") != std::string::npos) {
+        report += line + "\n";
+      }
+    }
+  }
+  return report;
+}
+
 void
 Mesh::CheckPromises() const
 {
--- a/Tests/Services/Mesh.h
+++ b/Tests/Services/Mesh.h
@@ -59,6 +59,12 @@
   /// Kills the node's process if it runs and starts a new one.
   void RestartNode(Node& aNode);
 
+  /// Restarts the node and sends it the signal while it reads its settings, or
+  /// aDelay after it has read them.
+  void RestartNodeWithSignal(Node& aNode,
+                             int aSignal,
+                             std::optional<std::chrono::milliseconds> aDelay);
+
   /// Applies a text that differs with aVersion.
   /// @return the exit code of teaselctl.
   int Apply(const Node& aNode, unsigned aVersion);
@@ -88,6 +94,9 @@
   /// @return its outcomes, summed over the classes.
   std::map<std::string, unsigned> FinishLoad();
 
+  /// The load's output and the warnings of all nodes, to trace a failure.
+  std::string FailureReport() const;
+
   /// Asserts after the load that told outcomes are true: not-run did not run,
   /// no order ran twice, no answer belongs to another request.
   void CheckPromises() const;
@@ -101,6 +110,7 @@
 private:
   std::string SettingsOf(const Node& aNode) const;
   void StartNode(Node& aNode);
+  void LaunchNode(Node& aNode);
   std::string Path(const std::string& aName) const;
   std::string Read(const std::string& aName) const;
 
--- a/Tests/StandIns/LoadGenerator/Load.cpp
+++ b/Tests/StandIns/LoadGenerator/Load.cpp
@@ -78,7 +78,8 @@
   }
   const auto begin = Clock::now();
   auto verdict = co_await SendToNodes(request, node);
-  results_.latencies.push_back(Milliseconds(Clock::now() - begin));
+  const auto time = Milliseconds(Clock::now() - begin);
+  results_.latencies.push_back(time);
   if (!options_.straight.empty() && aNumber % 2 == 1) {
     co_await SendStraight(request);
   }
@@ -95,6 +96,12 @@
   if (verdict.outcome == "not-run") {
     results_.notRun.push_back(id);
   }
+  if (verdict.outcome != "answered") {
+    results_.unanswered.push_back(
+      id + " class=" + kind.requestClass + " outcome=" + verdict.outcome +
+      " reason=" + verdict.reason + " node=" + verdict.node + " error=\"" +
+      verdict.error + "\" milliseconds=" + std::to_string(time));
+  }
   ++results_.outcomes[kind.requestClass][verdict.outcome];
 }
 
@@ -107,6 +114,8 @@
     const auto answer = co_await pool_.Send(
       options_.nodes[place], aRequest, Clock::now() + options_.timeout);
     verdict = Judge(aRequest, answer);
+    verdict.node = options_.nodes[place];
+    verdict.error = answer ? "" : answer.error().message;
     // Nothing was run, and another node may take the request.
     const bool isRefused =
       verdict.outcome == "not-run" &&
--- a/Tests/StandIns/LoadGenerator/Load.h
+++ b/Tests/StandIns/LoadGenerator/Load.h
@@ -40,6 +40,8 @@
   std::vector<double> straightLatencies;
   /// Run identifiers of requests that the system reported as not run.
   std::vector<std::string> notRun;
+  /// One line on each request that got no answer of an upstream.
+  std::vector<std::string> unanswered;
   unsigned otherNodeTried = 0;
   unsigned resent = 0;
 };
@@ -64,6 +66,9 @@
   {
     std::string outcome;
     std::string reason;
+    /// The node that was asked last, and the transport's error if any.
+    std::string node = {};
+    std::string error = {};
   };
 
   boost::asio::awaitable<void> SendOne(unsigned aNumber);
--- a/Tests/StandIns/LoadGenerator/main.cpp
+++ b/Tests/StandIns/LoadGenerator/main.cpp
@@ -84,6 +84,9 @@
   for (const auto& id : aResults.notRun) {
     std::cout << "not-run " << id << "\n";
   }
+  for (const auto& line : aResults.unanswered) {
+    std::cout << "unanswered " << line << "\n";
+  }
   std::cout << "tried-other-node " << aResults.otherNodeTried << "\n"
             << "resent " << aResults.resent << "\n";
   auto& through = aResults.latencies;
