Transport: Answer requests that meet a draining server's idle connections

Callers saw: one request of 2,400 without an answer while a node drained ("Draining a node under load ...", known red). Cause: Drain() ended idle connections at once, also those that had just been accepted and whose request was on the way or in the socket already. While a node drains each answer ends its connection, so each request comes on a new one, and the one that meets Drain() was closed without an answer and read by the lingering close. Ruled out: hops between nodes (the caller itself saw the end of stream), load and sheds (1.4 ms, no refusal), the early end of the process (exit code 0). Change: Drain() stops accepting and ends no connection; each ends after its next answer. EndIdle(), 500 ms later (200 ms on the platform), ends those that served a request before; a new one may still send its request. A read that is cancelled as bytes arrive reads them. The node waits for requests that came in this time.

--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -139,6 +139,11 @@
     }
   }
   acceptor_.close(error);
+}
+
+void
+HttpServer::EndIdle()
+{
   for (auto& connection : shared_->connections) {
     connection.EndIfIdle();
   }
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -80,10 +80,14 @@
   /// Ends each connection after its next answer; still accepts new ones.
   void CloseAfterAnswers();
 
-  /// Stops accepting and ends idle connections; the others end after their
-  /// current request. Connections that wait to be accepted are still served.
+  /// Stops accepting; each connection ends after its next answer. Connections
+  /// that wait to be accepted are still served.
   void Drain();
 
+  /// Ends idle connections that served a request before. One in whose socket
+  /// the bytes of a request wait goes on, and so does a new one.
+  void EndIdle();
+
   /// Requests that are being received, handled or answered.
   std::size_t InFlight() const;
 
--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -165,6 +165,7 @@
       break;
     }
     open = exchange->keepAlive;
+    hasServed_ = true;
     exchanges_.push_back(exchange);
     asio::co_spawn(
       socket_.get_executor(),
@@ -197,7 +198,8 @@
 void
 HttpServerConnection::EndIfIdle()
 {
-  if (idle_ && exchanges_.empty()) {
+  // A client that has just connected is about to send its request.
+  if (idle_ && exchanges_.empty() && hasServed_) {
     boost::system::error_code error;
     socket_.cancel(error);
   }
@@ -284,12 +286,16 @@
   }
   boost::system::error_code error;
   idle_ = true;
-  const auto size = co_await socket_.async_read_some(
-    buffer_.prepare(kFirstReadBytes),
-    asio::redirect_error(asio::use_awaitable, error));
+  do {
+    const auto size = co_await socket_.async_read_some(
+      buffer_.prepare(kFirstReadBytes),
+      asio::redirect_error(asio::use_awaitable, error));
+    buffer_.commit(size);
+    // The wait may end as a request arrives; its client would lose it.
+  } while (error == asio::error::operation_aborted && !isClosing_ &&
+           !isBroken_ && HasMoreToRead());
   idle_ = false;
-  buffer_.commit(size);
-  const bool isReceived = !error && size > 0;
+  const bool isReceived = !error && buffer_.size() > 0;
   if (!isReceived && error != asio::error::operation_aborted) {
     isBroken_ = !exchanges_.empty();
     CancelExchanges();
@@ -477,6 +483,13 @@
   return error && error != asio::error::would_block;
 }
 
+bool
+HttpServerConnection::HasMoreToRead() const
+{
+  boost::system::error_code error;
+  return buffer_.size() > 0 || socket_.available(error) > 0;
+}
+
 asio::awaitable<bool>
 HttpServerConnection::Write(HttpResponse& aResponse)
 {
--- a/Libraries/Transport/HttpServerConnection.h
+++ b/Libraries/Transport/HttpServerConnection.h
@@ -27,7 +27,7 @@
   /// Answers that the server has too many connections, without reading.
   boost::asio::awaitable<void> Refuse();
 
-  /// Ends the connection if no request is in progress.
+  /// Ends the connection if it served requests and none is in progress.
   void EndIfIdle();
 
   /// Ends the connection if the client took too long.
@@ -68,6 +68,8 @@
   Awaitable<void> Reject(const boost::system::error_code& aError);
   Awaitable<void> LingeringClose();
   bool IsClosedByClient();
+  /// True if bytes of a further request have arrived.
+  bool HasMoreToRead() const;
   void SetDeadline(std::chrono::milliseconds aTime);
 
   boost::asio::ip::tcp::socket socket_;
@@ -85,6 +87,7 @@
   bool isClosing_ = false;
   bool isBroken_ = false;
   bool idle_ = false;
+  bool hasServed_ = false;
 };
 
 struct HttpServer::Shared
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -20,10 +20,14 @@
 /// Two failed readiness checks, one each second, with their answers.
 constexpr std::chrono::milliseconds kReadyChecksTime{ 2300 };
 
+/// Idle connections are served for this time after the last request, because
+/// clients may use them again until they see them end.
+constexpr std::chrono::milliseconds kIdleTime{ 500 };
 /// Time for clients to close the connections that this node ended.
-constexpr std::chrono::milliseconds kCloseTime{ 2500 };
+constexpr std::chrono::milliseconds kCloseTime{ 2000 };
 /// On the platform, whose callers left after the readiness checks.
-constexpr std::chrono::milliseconds kShortCloseTime{ 300 };
+constexpr std::chrono::milliseconds kShortIdleTime{ 200 };
+constexpr std::chrono::milliseconds kShortCloseTime{ 100 };
 /// From the end of the last request to the end of the process.
 constexpr std::chrono::milliseconds kExitTime{ 800 };
 /// From the last deadline of a request to the end of its answer.
@@ -259,10 +263,19 @@
     spdlog::warn("[node] Drain timeout. requests_in_flight={}",
                  OnDataThread(inFlight));
   }
-  const auto closeTime = isOnPlatform ? kShortCloseTime : kCloseTime;
-  WaitUntil(Clock::Steady::now() + closeTime, [this] {
+  const auto noneOpen = [this] {
     return callerServer_->Connections() + nodeServer_->Connections() == 0;
+  };
+  const auto idleTime = isOnPlatform ? kShortIdleTime : kIdleTime;
+  WaitUntil(Clock::Steady::now() + idleTime, noneOpen);
+  asio::post(context_, [this] {
+    callerServer_->EndIdle();
+    nodeServer_->EndIdle();
   });
+  const auto closeTime = isOnPlatform ? kShortCloseTime : kCloseTime;
+  WaitUntil(Clock::Steady::now() + closeTime, noneOpen);
+  // Requests that came on the last connections.
+  WaitUntil(deadline, [inFlight] { return inFlight() == 0; });
   if (!adapters_.IsAnnounced()) {
     changeSink_({ state::EndpointState::Gone });
   }
--- a/Tests/Services/FailureProcessTest.cpp
+++ b/Tests/Services/FailureProcessTest.cpp
@@ -60,8 +60,7 @@
   mesh.CheckPromises();
 }
 
-TEST_CASE("Draining a node under load cuts no request and refuses none",
-          "[known-red]")
+TEST_CASE("Draining a node under load cuts no request and refuses none")
 {
   Mesh mesh(3);
   mesh.StartLoad(2 * kLoadCount, kLoadRate);
--- a/Tests/Transport/HttpServerTest.cpp
+++ b/Tests/Transport/HttpServerTest.cpp
@@ -281,6 +281,65 @@
   CHECK(answer.find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("Draining answers a request that arrives at the same moment")
+{
+  // Guards against an idle connection that is closed while the bytes of a
+  // request wait in its socket.
+  RunningServer server(Echo);
+  const std::string request = "GET / HTTP/1.1\r\n\r\n";
+  auto fresh = server.Connect();
+  auto kept = server.Connect();
+  asio::write(kept, asio::buffer(request));
+  std::string first;
+  asio::read_until(kept, asio::dynamic_buffer(first), "\r\n\r\n<>");
+  while (server.OnServer([](auto& aServer) {
+    return aServer.Connections() < 2 || aServer.InFlight() > 0;
+  })) {
+    std::this_thread::yield();
+  }
+  server.OnServer([&](auto& aServer) {
+    // The server's thread is here, so it has not seen the bytes.
+    asio::write(fresh, asio::buffer(request));
+    asio::write(kept, asio::buffer(request));
+    aServer.Drain();
+    aServer.EndIdle();
+    return true;
+  });
+  for (auto* socket : { &fresh, &kept }) {
+    const auto answer = RunningServer::ReadToEnd(*socket);
+    CHECK(answer.find("<>") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+  }
+}
+
+TEST_CASE("A request that follows its connection into a drain is answered")
+{
+  // Guards against a connection that is closed between its acceptance and the
+  // arrival of its first request, or just before a client uses it again.
+  RunningServer server(Echo);
+  const std::string request = "GET / HTTP/1.1\r\n\r\n";
+  auto fresh = server.Connect();
+  auto kept = server.Connect();
+  asio::write(kept, asio::buffer(request));
+  std::string first;
+  asio::read_until(kept, asio::dynamic_buffer(first), "\r\n\r\n<>");
+  while (server.OnServer([](auto& aServer) {
+    return aServer.Connections() < 2 || aServer.InFlight() > 0;
+  })) {
+    std::this_thread::yield();
+  }
+  server.OnServer([](auto& aServer) {
+    aServer.Drain();
+    return true;
+  });
+  for (auto* socket : { &fresh, &kept }) {
+    asio::write(*socket, asio::buffer(request));
+    const auto answer = RunningServer::ReadToEnd(*socket);
+    CHECK(answer.find("<>") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+  }
+}
+
 namespace {
 
 constexpr std::chrono::seconds kLongTime{ 10 };
