Transport: End a draining connection after the last request that has arrived

Cause: while a server ends its connections, an answer ended the connection if no other request had been handed on; one that was sent behind it, and was in the socket or half read, was closed without an answer. Change: an answer ends the connection only if no byte of a further request has arrived. Test: a second request is sent while the first is handled on a connection that is about to end; failed before (one answer instead of two), passed after, three runs of transport_tests of three.

--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -154,7 +154,9 @@
     if (!isReceived) {
       break;
     }
+    isReading_ = true;
     const auto exchange = co_await ReadExchange();
+    isReading_ = false;
     if (exchange == nullptr || isClosing_) {
       break;
     }
@@ -437,9 +439,9 @@
   auto& response = *aExchange.response;
   response.version(aExchange.version);
   PrepareAnswer(response, aExchange.isHead);
-  // Later requests of this connection were handed on already, so only the last
-  // answer may end it.
-  const bool isLast = exchanges_.size() == 1;
+  // Later requests of this connection were handed on already or have arrived,
+  // so only the last answer may end it.
+  const bool isLast = exchanges_.size() == 1 && !isReading_ && !HasMoreToRead();
   const bool endsHere = !response.keep_alive() || shared_->closeAfterAnswers;
   response.keep_alive(aExchange.keepAlive && !(isLast && endsHere));
   return response.keep_alive();
--- a/Libraries/Transport/HttpServerConnection.h
+++ b/Libraries/Transport/HttpServerConnection.h
@@ -87,6 +87,8 @@
   bool isClosing_ = false;
   bool isBroken_ = false;
   bool idle_ = false;
+  /// From the first byte of a request until its handler has it.
+  bool isReading_ = false;
   bool hasServed_ = false;
 };
 
--- a/Tests/Transport/HttpServerTest.cpp
+++ b/Tests/Transport/HttpServerTest.cpp
@@ -340,6 +340,37 @@
   }
 }
 
+TEST_CASE("The last answer of a draining connection leaves no request unread")
+{
+  // Guards against an answer that ends the connection while a request that was
+  // sent behind it is in the socket.
+  std::promise<void> started;
+  std::promise<void> sent;
+  bool isFirst = true;
+  RunningServer server(
+    [&](HttpRequest, CancellationPointer) -> asio::awaitable<HttpResponse> {
+      if (std::exchange(isFirst, false)) {
+        started.set_value();
+        sent.get_future().get();
+      }
+      co_return HttpResponse();
+    });
+  server.OnServer([](auto& aServer) {
+    aServer.CloseAfterAnswers();
+    return true;
+  });
+  auto socket = server.Connect();
+  const std::string request = "GET / HTTP/1.1\r\n\r\n";
+  asio::write(socket, asio::buffer(request));
+  started.get_future().get();
+  asio::write(socket, asio::buffer(request));
+  sent.set_value();
+  const auto answers = RunningServer::ReadToEnd(socket);
+  const auto first = answers.find("HTTP/1.1 200");
+  REQUIRE(first != std::string::npos);
+  CHECK(answers.find("HTTP/1.1 200", first + 1) != std::string::npos);
+}
+
 namespace {
 
 constexpr std::chrono::seconds kLongTime{ 10 };
