--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -154,7 +154,9 @@
     if (!isReceived) {
       break;
     }
+    isReading_ = true;
     const auto exchange = co_await ReadExchange();
+    isReading_ = false;
     if (exchange == nullptr || isClosing_) {
       break;
     }
@@ -165,6 +167,7 @@
       break;
     }
     open = exchange->keepAlive;
+    hasServed_ = true;
     exchanges_.push_back(exchange);
     asio::co_spawn(
       socket_.get_executor(),
@@ -197,7 +200,8 @@
 void
 HttpServerConnection::EndIfIdle()
 {
-  if (idle_ && exchanges_.empty()) {
+  // A client that has just connected is about to send its request.
+  if (idle_ && exchanges_.empty() && hasServed_) {
     boost::system::error_code error;
     socket_.cancel(error);
   }
@@ -284,12 +288,16 @@
   }
   boost::system::error_code error;
   idle_ = true;
-  const auto size = co_await socket_.async_read_some(
-    buffer_.prepare(kFirstReadBytes),
-    asio::redirect_error(asio::use_awaitable, error));
+  do {
+    const auto size = co_await socket_.async_read_some(
+      buffer_.prepare(kFirstReadBytes),
+      asio::redirect_error(asio::use_awaitable, error));
+    buffer_.commit(size);
+    // The wait may end as a request arrives; its client would lose it.
+  } while (error == asio::error::operation_aborted && !isClosing_ &&
+           !isBroken_ && HasMoreToRead());
   idle_ = false;
-  buffer_.commit(size);
-  const bool isReceived = !error && size > 0;
+  const bool isReceived = !error && buffer_.size() > 0;
   if (!isReceived && error != asio::error::operation_aborted) {
     isBroken_ = !exchanges_.empty();
     CancelExchanges();
@@ -431,9 +439,9 @@
   auto& response = *aExchange.response;
   response.version(aExchange.version);
   PrepareAnswer(response, aExchange.isHead);
-  // Later requests of this connection were handed on already, so only the last
-  // answer may end it.
-  const bool isLast = exchanges_.size() == 1;
+  // Later requests of this connection were handed on already or have arrived,
+  // so only the last answer may end it.
+  const bool isLast = exchanges_.size() == 1 && !isReading_ && !HasMoreToRead();
   const bool endsHere = !response.keep_alive() || shared_->closeAfterAnswers;
   response.keep_alive(aExchange.keepAlive && !(isLast && endsHere));
   return response.keep_alive();
@@ -477,6 +485,13 @@
   return error && error != asio::error::would_block;
 }
 
+bool
+HttpServerConnection::HasMoreToRead() const
+{
+  boost::system::error_code error;
+  return buffer_.size() > 0 || socket_.available(error) > 0;
+}
+
 asio::awaitable<bool>
 HttpServerConnection::Write(HttpResponse& aResponse)
 {
