teaselholdd: Sample the lines of ordinary calls

The lines that could tell the hypotheses apart (Draining, Settings read again, Stopped, versions in force, states of upstreams) were crowded out.

Cause: each call got a line, and ordinary calls shared their bound of 400 lines a second with every other line that is not a warning.

Change: LogPolicy, without clocks or I/O, decides what is written. 3 ordinary calls a second get a line, the others are counted in a line every 10 s and at the end. Refused and failed calls, ordinary lines and changes of belief each have a bound of their own of 400 lines a second. A call that is refused before it is routed gets a line too, which it had not. Once a draining node refuses new calls, each call still in flight gets its line. The decision comes before the line is formatted, and lines of calls no longer pass through the memory of equal lines, which their identities filled.

--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -2,11 +2,12 @@
 
 #include "Protocol/Headers.h"
 #include "Services/teaselholdd/HttpHeaders.h"
+#include "Services/teaselholdd/Logs.h"
 #include "Services/teaselholdd/RequestFingerprint.h"
+#include "Services/teaselholdd/RequestLines.h"
 #include "Services/teaselholdd/UpstreamSide.h"
 
 #include <algorithm>
-#include <spdlog/spdlog.h>
 
 namespace teaselhold::daemon {
 
@@ -60,15 +61,21 @@
   return aRequest.count(aName) <= 1 && value.size() <= aMaxBytes && visible;
 }
 
+/// @return 0 if no configuration is in force.
+std::uint64_t
+GenerationOf(const RoutingSnapshotPointer& aSnapshot)
+{
+  const bool isKnown =
+    aSnapshot != nullptr && aSnapshot->configuration != nullptr;
+  return isKnown ? aSnapshot->configuration->GetGeneration() : 0;
+}
+
 /// Tells the caller which configuration routed its request.
 void
 SetGeneration(Response& aResponse, const RoutingSnapshotPointer& aSnapshot)
 {
-  const bool isKnown =
-    aSnapshot != nullptr && aSnapshot->configuration != nullptr;
-  const auto generation =
-    isKnown ? aSnapshot->configuration->GetGeneration() : 0;
-  SetHeader(aResponse, headers::kGeneration, std::to_string(generation));
+  SetHeader(
+    aResponse, headers::kGeneration, std::to_string(GenerationOf(aSnapshot)));
 }
 
 /// Counts a call until the end of its scope.
@@ -176,15 +183,7 @@
     refused = NotRunReason::Draining;
   }
   if (refused) {
-    // Nothing has been routed yet, so the class is not known.
-    callMetrics_.Record(state::RequestClass::Lookup,
-                        ReadHeader(aRequest, headers::kTenant),
-                        NotRun{ *refused },
-                        clock_.Now() - now);
-    auto response = MakeResponse(NotRun{ *refused });
-    FinishAnswer(response, NotRun{ *refused });
-    SetGeneration(response, snapshot_);
-    co_return response;
+    co_return Refuse(aRequest, *refused, clock_.Now() - now);
   }
   const CallCount count(inFlight_);
   RemoveHopHeaders(aRequest);
@@ -192,9 +191,7 @@
   // A chunked body goes on with its length.
   aRequest.prepare_payload();
   const auto& names = adapters_.headers;
-  std::string id(names.requestId.empty()
-                   ? std::string_view()
-                   : ReadHeader(aRequest, names.requestId));
+  std::string id(ReadId(aRequest, names));
   if (!names.callerService.empty()) {
     SetHeader(aRequest, names.callerService, settings_.service);
   }
@@ -221,60 +218,44 @@
                       tenant,
                       respond.outcome,
                       clock_.Now() - now);
-  LogCall(call, respond.outcome, clock_.Now() - now);
+  LogCallEnd({ call.id,
+               route == nullptr ? "none" : route->name,
+               call.session.Service(),
+               call.node,
+               call.session.Attempts(),
+               call.session.Placements(),
+               GenerationOf(call.snapshot) },
+             respond.outcome,
+             clock_.Now() - now);
   co_return Finish(call, respond);
 }
 
 void
-CallerSide::LogCall(const Call& aCall,
-                    const Outcome& aOutcome,
-                    state::Duration aTime) const
+CallerSide::Drain()
 {
-  struct Texts
-  {
-    std::string_view outcome;
-    std::string_view reason;
-    unsigned status = 0;
-  };
-  struct Namer
-  {
-    Texts operator()(const Answered& aAnswered) const
-    {
-      return { "answered", "none", aAnswered.status };
-    }
-    Texts operator()(const NotRun& aNotRun) const
-    {
-      return { "not-run",
-               state::FindEnumName(kNotRunReasonNames, aNotRun.reason) };
-    }
-    Texts operator()(const Unknown& aUnknown) const
-    {
-      return { "unknown",
-               state::FindEnumName(kUnknownReasonNames, aUnknown.reason) };
-    }
-  };
-  const auto texts = std::visit(Namer{}, aOutcome);
-  const auto* route = aCall.session.Route();
-  const auto& configuration =
-    aCall.snapshot == nullptr ? nullptr : aCall.snapshot->configuration;
-  constexpr unsigned kFirstServerError = 500;
-  const bool isFailure =
-    texts.outcome != "answered" || texts.status >= kFirstServerError;
-  spdlog::log(
-    isFailure ? spdlog::level::warn : spdlog::level::info,
-    "[call] Ended. id={} route={} service={} node={} outcome={} reason={} "
-    "status={} attempts={} placements={} generation={} milliseconds={}",
-    aCall.id,
-    route == nullptr ? "none" : route->name,
-    aCall.session.Service(),
-    aCall.node,
-    texts.outcome,
-    texts.reason,
-    texts.status,
-    aCall.session.Attempts(),
-    aCall.session.Placements(),
-    configuration == nullptr ? 0 : configuration->GetGeneration(),
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+  draining_ = true;
+  LogEachRequest(RequestHop::Call);
+}
+
+Response
+CallerSide::Refuse(const Request& aRequest,
+                   NotRunReason aReason,
+                   state::Duration aTime)
+{
+  const NotRun outcome{ aReason };
+  // Nothing has been routed yet, so the class is not known.
+  callMetrics_.Record(state::RequestClass::Lookup,
+                      ReadHeader(aRequest, headers::kTenant),
+                      outcome,
+                      aTime);
+  CallEnd end;
+  end.id = ReadId(aRequest, adapters_.headers);
+  end.generation = GenerationOf(snapshot_);
+  LogCallEnd(end, outcome, aTime);
+  auto response = MakeResponse(outcome);
+  FinishAnswer(response, outcome);
+  SetGeneration(response, snapshot_);
+  return response;
 }
 
 bool
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -38,7 +38,7 @@
 
   /// Refuses new calls as draining, except those that the upstream beside this
   /// node makes for requests that it still runs.
-  void Drain() { draining_ = true; }
+  void Drain();
 
   /// Calls that were not refused for draining and have no answer yet.
   std::size_t InFlight() const { return *inFlight_; }
@@ -51,9 +51,9 @@
 
   void FinishAnswer(Response& aResponse, const coordination::Outcome& aOutcome);
   void ShareRetryBudget();
-  void LogCall(const Call& aCall,
-               const coordination::Outcome& aOutcome,
-               state::Duration aTime) const;
+  Response Refuse(const Request& aRequest,
+                  coordination::NotRunReason aReason,
+                  state::Duration aTime);
   bool IsRefusedForDraining(const coordination::CallFacts& aFacts) const;
   std::optional<coordination::CallFacts> ReadFacts(const Request& aRequest,
                                                    state::Instant aNow) const;
--- a/Services/teaselholdd/Logs.cpp
+++ b/Services/teaselholdd/Logs.cpp
@@ -3,11 +3,11 @@
 #include "Services/teaselholdd/LogWriter.h"
 #include "Services/teaselholdd/RepeatLimiter.h"
 
-#include <array>
 #include <mutex>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
+#include <utility>
 
 namespace teaselhold::daemon {
 
@@ -16,51 +16,89 @@
 constexpr std::chrono::milliseconds kRepeatInterval{ 10000 };
 constexpr std::chrono::seconds kFlushInterval{ 1 };
 
-/// Lines in one second, for ordinary lines and for warnings each; the rest is
-/// dropped and counted.
-constexpr unsigned kMaxLinesPerSecond = 400;
+using Clock = std::chrono::steady_clock;
 
 /// Writes to standard output without waiting for its reader, and leaves out
-/// equal lines and lines beyond the bound.
+/// equal lines and lines beyond the bounds.
 class LimitedSink final : public spdlog::sinks::base_sink<std::mutex>
 {
+public:
+  bool AdmitOrdinary(RequestHop aHop)
+  {
+    const std::lock_guard lock(mutex_);
+    return policy_.AdmitOrdinary(aHop, Clock::now());
+  }
+
+  void LogEachRequest(RequestHop aHop)
+  {
+    const std::lock_guard lock(mutex_);
+    policy_.EndSampling(aHop);
+  }
+
+  /// Writes the counts that are not due yet.
+  void Finish()
+  {
+    const std::lock_guard lock(mutex_);
+    WriteLeftOut(true);
+    WriteDropped();
+  }
+
 protected:
   void sink_it_(const spdlog::details::log_msg& aMessage) override
   {
-    WriteSummaries();
-    // The level goes in front, so that a summary can be written with it.
-    std::string line(1, static_cast<char>(aMessage.level));
-    line.append(aMessage.payload.data(), aMessage.payload.size());
-    if (!limiter_.Admit(line, std::chrono::steady_clock::now())) {
-      return;
-    }
     const bool isWarning = aMessage.level >= spdlog::level::warn;
-    if (++written_[isWarning ? 1 : 0] > kMaxLinesPerSecond) {
-      ++dropped_;
-      return;
+    const std::string_view text(aMessage.payload.data(),
+                                aMessage.payload.size());
+    const auto kind = ClassifyLine(text, isWarning);
+    const auto now = Clock::now();
+    if (kind == LineKind::Belief) {
+      WriteSummaries();
+      // The level goes in front, so that a summary can be written with it.
+      std::string line(1, static_cast<char>(aMessage.level));
+      line.append(text);
+      if (!limiter_.Admit(line, now)) {
+        return;
+      }
+    }
+    if (policy_.AdmitLine(kind, now)) {
+      Write(aMessage);
     }
-    Write(aMessage);
   }
 
   /// Called every second, so that a summary does not wait for the next line.
   void flush_() override
   {
     WriteSummaries();
-    written_ = {};
-    dropped_ += writer_.TakeDropped();
-    if (dropped_ > 0) {
+    WriteLeftOut(false);
+    WriteDropped();
+  }
+
+private:
+  void WriteLeftOut(bool aIsEnd)
+  {
+    for (const auto& leftOut : policy_.TakeLeftOut(Clock::now(), aIsEnd)) {
+      const std::string part(
+        kRequestParts[static_cast<std::size_t>(leftOut.hop)]);
+      Write({ "",
+              spdlog::level::info,
+              part + "Ordinary requests without a line. count=" +
+                std::to_string(leftOut.count) });
+    }
+  }
+
+  void WriteDropped()
+  {
+    const auto dropped = policy_.TakeDropped() + writer_.TakeDropped();
+    if (dropped > 0) {
       Write({ "",
               spdlog::level::warn,
-              "[log] Lines dropped. count=" + std::to_string(dropped_) });
-      dropped_ = 0;
+              "[log] Lines dropped. count=" + std::to_string(dropped) });
     }
   }
 
-private:
   void WriteSummaries()
   {
-    for (const auto& summary :
-         limiter_.TakeSummaries(std::chrono::steady_clock::now())) {
+    for (const auto& summary : limiter_.TakeSummaries(Clock::now())) {
       const auto level =
         static_cast<spdlog::level::level_enum>(summary.line.front());
       const auto line = summary.line.substr(1) +
@@ -77,28 +115,54 @@
   }
 
   LogWriter writer_{ STDOUT_FILENO };
-  std::array<unsigned, 2> written_{};
-  std::uint64_t dropped_ = 0;
-
+  LogPolicy policy_;
   RepeatLimiter limiter_{ kRepeatInterval };
 };
 
+/// The sink of the process's logs; nullptr before they are set up, after their
+/// end, and in tests that do without.
+std::shared_ptr<LimitedSink>&
+Sink()
+{
+  static std::shared_ptr<LimitedSink> sink;
+  return sink;
+}
+
 } // namespace
 
 void
 SetUpLogs(const std::string& aLevel)
 {
-  auto logger =
-    std::make_shared<spdlog::logger>("", std::make_shared<LimitedSink>());
+  const auto sink = std::make_shared<LimitedSink>();
+  Sink() = sink;
+  auto logger = std::make_shared<spdlog::logger>("", sink);
   logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e%z %l %v");
   logger->set_level(spdlog::level::from_str(aLevel));
   spdlog::set_default_logger(std::move(logger));
   spdlog::flush_every(kFlushInterval);
 }
 
+bool
+AdmitOrdinaryLine(RequestHop aHop)
+{
+  const auto& sink = Sink();
+  return sink == nullptr || sink->AdmitOrdinary(aHop);
+}
+
+void
+LogEachRequest(RequestHop aHop)
+{
+  if (const auto& sink = Sink()) {
+    sink->LogEachRequest(aHop);
+  }
+}
+
 void
 FinishLogs()
 {
+  if (const auto sink = std::exchange(Sink(), nullptr)) {
+    sink->Finish();
+  }
   spdlog::shutdown();
 }
 
--- /dev/null
+++ b/Services/teaselholdd/RequestLines.cpp
@@ -0,0 +1,111 @@
+#include "Services/teaselholdd/RequestLines.h"
+
+#include "Services/teaselholdd/HttpHeaders.h"
+#include "Services/teaselholdd/Logs.h"
+
+#include <spdlog/spdlog.h>
+
+namespace teaselhold::daemon {
+
+namespace {
+
+using namespace coordination;
+
+constexpr unsigned kFirstServerError = 500;
+
+struct OutcomeTexts
+{
+  std::string_view outcome;
+  std::string_view reason;
+  unsigned status = 0;
+};
+
+struct OutcomeNamer
+{
+  OutcomeTexts operator()(const Answered& aAnswered) const
+  {
+    return { "answered", "none", aAnswered.status };
+  }
+  OutcomeTexts operator()(const NotRun& aNotRun) const
+  {
+    return { "not-run",
+             state::FindEnumName(kNotRunReasonNames, aNotRun.reason) };
+  }
+  OutcomeTexts operator()(const Unknown& aUnknown) const
+  {
+    return { "unknown",
+             state::FindEnumName(kUnknownReasonNames, aUnknown.reason) };
+  }
+};
+
+std::int64_t
+ToMilliseconds(state::Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+/// Tells whether the line of a request is written. Asked before the line is
+/// formatted, which costs more than the decision.
+bool
+IsWritten(RequestHop aHop, bool aIsFailure)
+{
+  return aIsFailure ||
+         (spdlog::should_log(spdlog::level::info) && AdmitOrdinaryLine(aHop));
+}
+
+} // namespace
+
+std::string_view
+ReadId(const Request& aRequest, const protocol::CallHeaders& aNames)
+{
+  return aNames.requestId.empty() ? std::string_view()
+                                  : ReadHeader(aRequest, aNames.requestId);
+}
+
+bool
+IsFailure(const Outcome& aOutcome)
+{
+  const auto* answered = std::get_if<Answered>(&aOutcome);
+  return answered == nullptr || answered->status >= kFirstServerError;
+}
+
+std::string
+FormatOutcome(const Outcome& aOutcome)
+{
+  const auto texts = std::visit(OutcomeNamer{}, aOutcome);
+  return fmt::format("outcome={} reason={} status={}",
+                     texts.outcome,
+                     texts.reason,
+                     texts.status);
+}
+
+std::string
+FormatCallEnd(const CallEnd& aEnd,
+              const Outcome& aOutcome,
+              state::Duration aTime)
+{
+  return fmt::format("[call] Ended. id={} route={} service={} node={} {} "
+                     "attempts={} placements={} generation={} milliseconds={}",
+                     aEnd.id,
+                     aEnd.route,
+                     aEnd.service,
+                     aEnd.node,
+                     FormatOutcome(aOutcome),
+                     aEnd.attempts,
+                     aEnd.placements,
+                     aEnd.generation,
+                     ToMilliseconds(aTime));
+}
+
+void
+LogCallEnd(const CallEnd& aEnd, const Outcome& aOutcome, state::Duration aTime)
+{
+  const bool isFailure = IsFailure(aOutcome);
+  if (IsWritten(RequestHop::Call, isFailure)) {
+    spdlog::log(isFailure ? spdlog::level::warn : spdlog::level::info,
+                "{}",
+                FormatCallEnd(aEnd, aOutcome, aTime));
+  }
+}
+
+} // namespace teaselhold::daemon
--- /dev/null
+++ b/Services/teaselholdd/RequestLines.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Coordination/CallTypes.h"
+#include "Protocol/CallHeaders.h"
+#include "Services/teaselholdd/Exchange.h"
+
+#include <string>
+#include <string_view>
+
+namespace teaselhold::daemon {
+
+/// What is known of a call at the node that its caller reached when it ends.
+struct CallEnd
+{
+  std::string_view id;
+  std::string_view route = "none";
+  std::string_view service;
+  /// The last node asked.
+  std::string_view node;
+  unsigned attempts = 0;
+  unsigned placements = 0;
+  std::uint64_t generation = 0;
+};
+
+/// @return the caller's identity of a request, or none if it carries none.
+std::string_view
+ReadId(const Request& aRequest, const protocol::CallHeaders& aNames);
+
+/// The request was refused or failed, or its outcome is unknown.
+bool
+IsFailure(const coordination::Outcome& aOutcome);
+
+/// Writes the fields of an outcome: outcome, reason and status.
+std::string
+FormatOutcome(const coordination::Outcome& aOutcome);
+
+/// Writes the line of a call.
+std::string
+FormatCallEnd(const CallEnd& aEnd,
+              const coordination::Outcome& aOutcome,
+              state::Duration aTime);
+
+/// Logs a call that ended, unless it is an ordinary one beyond the sample.
+void
+LogCallEnd(const CallEnd& aEnd,
+           const coordination::Outcome& aOutcome,
+           state::Duration aTime);
+
+} // namespace teaselhold::daemon
