teaselholdd: Log requests at the node beside the upstream

A refusal or a loss was seen only by the node that the caller reached: its line names the last node asked, but not what that node knew when it decided.

Change: "[delivery] Ended." at the node beside the upstream, for each request that was refused, failed, is unknown or was answered after its deadline, and for a sample of the ordinary ones. It carries the caller's identity of the request, the node that sent it, the upstream and the start of its process, and what decided: state and its age, requests running and waiting, slots, predicted wait, longest wait and time left. Both lines of a request are joined by id, which goes from node to node in the platform's own header; a standalone node has no such header and writes no id. Admission::Inputs() tells what Decide() goes by.

The tests are of new code, so none failed before.

--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -151,6 +151,15 @@
                    : std::nullopt;
 }
 
+AdmissionInputs
+Admission::Inputs(const AdmissionRequest& aRequest, state::Instant aNow) const
+{
+  return {
+    state_,   aNow - stateSince_, running_,
+    waiting_, UsableSlots(aNow),  PredictedWait(QueueOf(aRequest), aNow)
+  };
+}
+
 AdmissionDecision
 Admission::Decide(const AdmissionRequest& aRequest, state::Instant aNow)
 {
@@ -318,6 +327,7 @@
   if (aState == EndpointState::Ready && wasCold) {
     readySince_ = aNow;
   }
+  stateSince_ = aState == state_ ? stateSince_ : aNow;
   state_ = aState;
   if (aState == EndpointState::Starting) {
     RefuseWaiting(NotRunReason::Starting, releases);
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -55,6 +55,18 @@
   std::optional<NotRunReason> refused;
 };
 
+/// What a decision goes by, for the logs.
+struct AdmissionInputs
+{
+  state::EndpointState state = state::EndpointState::Starting;
+  /// How long the upstream has been in this state.
+  state::Duration stateAge{ 0 };
+  std::size_t running = 0;
+  std::size_t waiting = 0;
+  std::uint32_t slots = 0;
+  state::Duration predictedWait{ 0 };
+};
+
 struct AdmissionOptions
 {
   /// Requests that the upstream runs at the same time.
@@ -85,6 +97,10 @@
   std::optional<NotRun> Preview(const AdmissionRequest& aRequest,
                                 state::Instant aNow) const;
 
+  /// What Decide() would go by.
+  AdmissionInputs Inputs(const AdmissionRequest& aRequest,
+                         state::Instant aNow) const;
+
   /// A delivered request ended, or a waiting one was given up by its caller.
   /// Returns decisions on waiting requests.
   std::vector<AdmissionRelease> Finish(std::uint64_t aId, state::Instant aNow);
@@ -152,6 +168,7 @@
 
   AdmissionOptions options_;
   state::EndpointState state_ = state::EndpointState::Starting;
+  state::Instant stateSince_{ 0 };
   state::Instant readySince_{ 0 };
   std::unordered_map<std::uint64_t, Entry> entries_;
   /// One queue for final tries, then one for each class, in order of
--- a/Services/teaselholdd/AdmissionQueue.h
+++ b/Services/teaselholdd/AdmissionQueue.h
@@ -50,6 +50,13 @@
     return admission_.Preview(aRequest, clock_.Now());
   }
 
+  /// See Admission::Inputs().
+  coordination::AdmissionInputs Inputs(
+    const coordination::AdmissionRequest& aRequest) const
+  {
+    return admission_.Inputs(aRequest, clock_.Now());
+  }
+
   void SetState(state::EndpointState aState);
 
   /// Takes the number of slots that the upstream announced.
--- a/Services/teaselholdd/RequestLines.cpp
+++ b/Services/teaselholdd/RequestLines.cpp
@@ -108,4 +108,45 @@
   }
 }
 
+std::string
+FormatDeliveryEnd(const DeliveryStart& aStart,
+                  const Outcome& aOutcome,
+                  state::Duration aTime)
+{
+  const auto& inputs = aStart.inputs;
+  return fmt::format(
+    "[delivery] Ended. id={} from={} service={} class={} upstream={} born={} "
+    "{} state={} state_milliseconds={} running={} waiting={} slots={} "
+    "predicted_wait={} max_wait={} left={} milliseconds={}",
+    aStart.id,
+    aStart.from,
+    aStart.service,
+    state::FindEnumName(state::kRequestClassNames, aStart.requestClass),
+    aStart.upstream,
+    aStart.born,
+    FormatOutcome(aOutcome),
+    state::FindEnumName(state::kEndpointStateNames, inputs.state),
+    ToMilliseconds(inputs.stateAge),
+    inputs.running,
+    inputs.waiting,
+    inputs.slots,
+    ToMilliseconds(inputs.predictedWait),
+    aStart.maxWait ? std::to_string(ToMilliseconds(*aStart.maxWait)) : "none",
+    ToMilliseconds(aStart.left),
+    ToMilliseconds(aTime));
+}
+
+void
+LogDeliveryEnd(const DeliveryStart& aStart,
+               const Outcome& aOutcome,
+               state::Duration aTime)
+{
+  const bool isFailure = IsFailure(aOutcome) || aTime > aStart.left;
+  if (IsWritten(RequestHop::Delivery, isFailure)) {
+    spdlog::log(isFailure ? spdlog::level::warn : spdlog::level::info,
+                "{}",
+                FormatDeliveryEnd(aStart, aOutcome, aTime));
+  }
+}
+
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/RequestLines.h
+++ b/Services/teaselholdd/RequestLines.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Coordination/CallTypes.h"
+#include "Coordination/Admission.h"
 #include "Protocol/CallHeaders.h"
 #include "Services/teaselholdd/Exchange.h"
 
@@ -22,6 +22,25 @@
   std::uint64_t generation = 0;
 };
 
+/// What the node beside an upstream knew of a request when it came.
+struct DeliveryStart
+{
+  /// The caller's identity of the request, by which its lines are joined.
+  std::string id;
+  /// The node that sent it.
+  std::string from;
+  std::string service;
+  state::RequestClass requestClass = state::RequestClass::Lookup;
+  /// The upstream beside this node and the start of its process.
+  std::string upstream;
+  std::uint64_t born = 0;
+  coordination::AdmissionInputs inputs;
+  /// How long the request may wait, if its sender says so.
+  std::optional<state::Duration> maxWait;
+  /// Time left until its deadline.
+  state::Duration left{ 0 };
+};
+
 /// @return the caller's identity of a request, or none if it carries none.
 std::string_view
 ReadId(const Request& aRequest, const protocol::CallHeaders& aNames);
@@ -46,4 +65,17 @@
            const coordination::Outcome& aOutcome,
            state::Duration aTime);
 
+/// Writes the line of a request beside the upstream.
+std::string
+FormatDeliveryEnd(const DeliveryStart& aStart,
+                  const coordination::Outcome& aOutcome,
+                  state::Duration aTime);
+
+/// Logs a request that ended beside the upstream, unless it is an ordinary one
+/// beyond the sample. An answer after the deadline counts as a failure.
+void
+LogDeliveryEnd(const DeliveryStart& aStart,
+               const coordination::Outcome& aOutcome,
+               state::Duration aTime);
+
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -3,6 +3,7 @@
 #include "Coordination/ClaimBinding.h"
 #include "Protocol/Headers.h"
 #include "Services/teaselholdd/HttpHeaders.h"
+#include "Services/teaselholdd/Logs.h"
 #include "Services/teaselholdd/RequestFingerprint.h"
 
 namespace teaselhold::daemon {
@@ -134,6 +135,7 @@
 void
 UpstreamSide::Drain()
 {
+  LogEachRequest(RequestHop::Delivery);
   if (announced_ != nullptr) {
     announced_->Close();
   } else {
@@ -168,6 +170,7 @@
     };
     co_return transport::BodyAdmission{ std::nullopt, permit, onReceived };
   }
+  LogDeliveryEnd(Describe(aHead, admission), *refused, clock_.Now() - arrived);
   auto exchange = MakeExchange(*refused);
   SetHeader(exchange.response,
             headers::kRequestId,
@@ -196,6 +199,8 @@
   Exchange exchange;
   if (refused) {
     exchange = MakeExchange(*refused);
+    LogDeliveryEnd(
+      Describe(aRequest, ReadAdmission(aRequest)), *refused, state::Duration{});
   } else {
     exchange = co_await Serve(aRequest, std::move(aCancellation));
   }
@@ -252,26 +257,68 @@
 asio::awaitable<Exchange>
 UpstreamSide::Serve(Request& aRequest,
                     transport::CancellationPointer aCancellation)
+{
+  const auto arrived = clock_.Now();
+  const auto admission = ReadAdmission(aRequest);
+  // The delivery changes the request's headers.
+  const auto start = Describe(aRequest, admission);
+  auto exchange =
+    co_await Decide(aRequest, admission, std::move(aCancellation));
+  LogDeliveryEnd(start, exchange.outcome, clock_.Now() - arrived);
+  co_return exchange;
+}
+
+asio::awaitable<Exchange>
+UpstreamSide::Decide(Request& aRequest,
+                     const OptionalAdmission& aAdmission,
+                     transport::CancellationPointer aCancellation)
 {
   if (ReadHeader(aRequest, headers::kService) != settings_.service) {
     co_return Refuse(NotRunReason::WrongService);
   }
-  const auto admission = ReadAdmission(aRequest);
-  if (!admission) {
+  if (!aAdmission) {
     co_return Refuse(NotRunReason::BadRequest);
   }
   Exchange exchange;
   if (aRequest.count(headers::kClaim) > 0) {
-    exchange = co_await RunKeyed(aRequest, *admission);
+    exchange = co_await RunKeyed(aRequest, *aAdmission);
   } else {
-    exchange = co_await Run(aRequest, *admission, std::move(aCancellation));
+    exchange = co_await Run(aRequest, *aAdmission, std::move(aCancellation));
   }
   if (const auto* notRun = std::get_if<NotRun>(&exchange.outcome)) {
-    callMetrics_.RecordRefusal(admission->requestClass, notRun->reason);
+    callMetrics_.RecordRefusal(aAdmission->requestClass, notRun->reason);
   }
   co_return exchange;
 }
 
+DeliveryStart
+UpstreamSide::Describe(const Request& aRequest,
+                       const OptionalAdmission& aAdmission) const
+{
+  DeliveryStart start;
+  start.id = ReadId(aRequest, adapters_.headers);
+  const auto sender = ReadHeader(aRequest, headers::kRequestId);
+  // A request that entered at this node carries no identity between nodes.
+  start.from = sender.empty() ? std::string_view(settings_.nodeName)
+                              : sender.substr(0, sender.find('/'));
+  start.service = ReadHeader(aRequest, headers::kService);
+  if (announced_ != nullptr) {
+    const auto& upstream = announced_->Upstream();
+    start.upstream = upstream.id;
+    start.born = upstream.bornMilliseconds;
+  } else {
+    start.upstream = settings_.upstreamAddress;
+    start.born = incarnation_;
+  }
+  start.inputs = admission_->Inputs(aAdmission.value_or(AdmissionRequest{}));
+  if (aAdmission) {
+    start.requestClass = aAdmission->requestClass;
+    start.maxWait = aAdmission->maxWait;
+    start.left = aAdmission->deadline - clock_.Now();
+  }
+  return start;
+}
+
 asio::awaitable<Exchange>
 UpstreamSide::RunKeyed(Request& aRequest, const AdmissionRequest& aAdmission)
 {
@@ -355,7 +402,7 @@
   admission_->Learn(aServiceTime, isServed);
 }
 
-std::optional<AdmissionRequest>
+UpstreamSide::OptionalAdmission
 UpstreamSide::ReadAdmission(const Request& aRequest)
 {
   const auto requestClass = state::FindEnumValue(
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -4,6 +4,7 @@
 #include "Services/teaselholdd/AdmissionQueue.h"
 #include "Services/teaselholdd/BodyQueue.h"
 #include "Services/teaselholdd/KeyedRuns.h"
+#include "Services/teaselholdd/RequestLines.h"
 #include "Services/teaselholdd/UpstreamLink.h"
 #include "State/ArrivalLog.h"
 #include "Transport/HttpServer.h"
@@ -49,8 +50,15 @@
   std::size_t InFlight() const { return admission_->InFlight(); }
 
 private:
+  using OptionalAdmission = std::optional<coordination::AdmissionRequest>;
+
   Awaitable<Exchange> Serve(Request& aRequest,
                             transport::CancellationPointer aCancellation);
+  Awaitable<Exchange> Decide(Request& aRequest,
+                             const OptionalAdmission& aAdmission,
+                             transport::CancellationPointer aCancellation);
+  DeliveryStart Describe(const Request& aRequest,
+                         const OptionalAdmission& aAdmission) const;
   Response AnswerArrival(const Request& aRequest);
   std::optional<coordination::Outcome> CheckArrival(const Request& aRequest);
   Awaitable<Exchange> RunKeyed(
@@ -62,8 +70,7 @@
   void AddReport(Exchange& aExchange, state::Instant aArrived) const;
   void Learn(const coordination::Outcome& aOutcome,
              state::Duration aServiceTime);
-  std::optional<coordination::AdmissionRequest> ReadAdmission(
-    const Request& aRequest);
+  OptionalAdmission ReadAdmission(const Request& aRequest);
 
   boost::asio::io_context& context_;
   const Settings& settings_;
--- a/Tests/Coordination/AdmissionTest.cpp
+++ b/Tests/Coordination/AdmissionTest.cpp
@@ -231,3 +231,25 @@
     REQUIRE(admission.Waiting() + running == open.size());
   }
 }
+
+TEST_CASE("the inputs of a decision name the state, its age and the queue")
+{
+  // Guards against a log line whose figures are not those that decided.
+  Admission admission(AdmissionOptions{ 1, 4, false });
+  admission.SetState(EndpointState::Ready, 1s);
+  admission.Learn(40ms, true);
+  admission.Decide({ 1, Check, "tenant" }, kWarm);
+  admission.Decide({ 2, Check, "tenant" }, kWarm);
+  const auto inputs = admission.Inputs({ 3, Check, "tenant" }, kWarm);
+  CHECK(inputs.state == EndpointState::Ready);
+  CHECK(inputs.stateAge == kWarm - 1s);
+  CHECK(inputs.running == 1);
+  CHECK(inputs.waiting == 1);
+  CHECK(inputs.slots == 1);
+  CHECK(inputs.predictedWait == 80ms);
+  admission.SetState(EndpointState::Ready, kWarm + 1s);
+  CHECK(admission.Inputs({ 3, Check, "tenant" }, kWarm + 2s).stateAge ==
+        kWarm + 1s);
+  admission.SetState(EndpointState::Draining, kWarm + 2s);
+  CHECK(admission.Inputs({ 3, Check, "tenant" }, kWarm + 5s).stateAge == 3s);
+}
--- a/Tests/Services/teaselholdd/RequestLinesTest.cpp
+++ b/Tests/Services/teaselholdd/RequestLinesTest.cpp
@@ -27,3 +27,28 @@
   CHECK(IsFailure(NotRun{ NotRunReason::Draining }));
   CHECK(IsFailure(Unknown{ UnknownReason::ConnectionLost }));
 }
+
+TEST_CASE("The line beside the upstream names the inputs of the decision")
+{
+  DeliveryStart start;
+  start.id = "b46a";
+  start.from = "sidecar-1";
+  start.service = "jese";
+  start.requestClass = teaselhold::state::RequestClass::Check;
+  start.upstream = "i-463f";
+  start.born = 1767;
+  start.inputs = {
+    teaselhold::state::EndpointState::Ready, 5s, 12, 3, 12, 40ms
+  };
+  start.maxWait = 25ms;
+  start.left = 900ms;
+  CHECK(FormatDeliveryEnd(start, NotRun{ NotRunReason::Full }, 0ms) ==
+        "[delivery] Ended. id=b46a from=sidecar-1 service=jese class=check "
+        "upstream=i-463f born=1767 outcome=not-run reason=full status=0 "
+        "state=ready state_milliseconds=5000 running=12 waiting=3 slots=12 "
+        "predicted_wait=40 max_wait=25 left=900 milliseconds=0");
+  start.maxWait = std::nullopt;
+  CHECK(FormatDeliveryEnd(start, Answered{ 200 }, 7ms)
+          .find("predicted_wait=40 max_wait=none left=900 milliseconds=7") !=
+        std::string::npos);
+}
