teaselholdd: Log the end of a drain and what it broke off

A log of a draining process did not tell how many requests were in flight when it began, when new calls were refused and at its end, nor which requests ended with the process. A signal that came meanwhile, such as SIGHUP, left no line.

Change: "[node] Drained." names requests in flight at each step, those broken off, connections and time; "Broken off by the end of the drain." stands for each call and each request beside the upstream that is still in flight; a thread that lives as long as the drain logs the signals that come. Requests in flight are in intrusive lists which they leave on their own.

--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -4,10 +4,10 @@
 #include "Services/teaselholdd/HttpHeaders.h"
 #include "Services/teaselholdd/Logs.h"
 #include "Services/teaselholdd/RequestFingerprint.h"
-#include "Services/teaselholdd/RequestLines.h"
 #include "Services/teaselholdd/UpstreamSide.h"
 
 #include <algorithm>
+#include <boost/intrusive/list.hpp>
 
 namespace teaselhold::daemon {
 
@@ -98,7 +98,10 @@
 } // namespace
 
 struct CallerSide::Call
+  : boost::intrusive::list_base_hook<
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
+  state::Instant start;
   Request request;
   RoutingSnapshotPointer snapshot;
   unsigned depth;
@@ -111,6 +114,12 @@
   std::string node;
 };
 
+struct CallerSide::Calls
+{
+  boost::intrusive::list<Call, boost::intrusive::constant_time_size<false>>
+    list;
+};
+
 CallerSide::CallerSide(asio::io_context& aContext,
                        const Settings& aSettings,
                        const Adapters& aAdapters,
@@ -133,6 +142,7 @@
                    !aAdapters.IsAnnounced() },
                  aIncarnation,
                  aSettings.service)
+  , calls_(std::make_shared<Calls>())
 {
   if (aAdapters.IsAnnounced()) {
     environment_.policy = CallPolicy::WithLoadReports();
@@ -198,7 +208,9 @@
   const auto depth = facts->depth;
   const auto tenantLimit = TenantLimit(facts->tenant);
   const auto tenant = facts->tenant;
-  Call call{ std::move(aRequest),
+  Call call{ {},
+             now,
+             std::move(aRequest),
              snapshot_,
              depth,
              tenantLimit,
@@ -207,6 +219,7 @@
              {},
              std::move(id),
              {} };
+  calls_->list.push_back(call);
   auto step = call.session.Start(now);
   while (!std::holds_alternative<Respond>(step)) {
     step = co_await TakeStep(call, step, aCancellation);
@@ -218,15 +231,7 @@
                       tenant,
                       respond.outcome,
                       clock_.Now() - now);
-  LogCallEnd({ call.id,
-               route == nullptr ? "none" : route->name,
-               call.session.Service(),
-               call.node,
-               call.session.Attempts(),
-               call.session.Placements(),
-               GenerationOf(call.snapshot) },
-             respond.outcome,
-             clock_.Now() - now);
+  LogCallEnd(Describe(call), respond.outcome, clock_.Now() - now);
   co_return Finish(call, respond);
 }
 
@@ -237,6 +242,31 @@
   LogEachRequest(RequestHop::Call);
 }
 
+void
+CallerSide::LogBrokenOff() const
+{
+  const auto now = clock_.Now();
+  for (const auto& call : calls_->list) {
+    LogCallBrokenOff(Describe(call), now - call.start);
+  }
+}
+
+CallEnd
+CallerSide::Describe(const Call& aCall)
+{
+  CallEnd end;
+  end.id = aCall.id;
+  if (const auto* route = aCall.session.Route()) {
+    end.route = route->name;
+  }
+  end.service = aCall.session.Service();
+  end.node = aCall.node;
+  end.attempts = aCall.session.Attempts();
+  end.placements = aCall.session.Placements();
+  end.generation = GenerationOf(aCall.snapshot);
+  return end;
+}
+
 Response
 CallerSide::Refuse(const Request& aRequest,
                    NotRunReason aReason,
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -3,6 +3,7 @@
 #include "Coordination/CallMetrics.h"
 #include "Services/teaselholdd/Adapters.h"
 #include "Services/teaselholdd/NodeHop.h"
+#include "Services/teaselholdd/RequestLines.h"
 #include "Services/teaselholdd/StoreCalls.h"
 
 namespace teaselhold::daemon {
@@ -43,14 +44,19 @@
   /// Calls that were not refused for draining and have no answer yet.
   std::size_t InFlight() const { return *inFlight_; }
 
+  /// Logs each call that is still in flight; the process ends without it.
+  void LogBrokenOff() const;
+
   /// Ends the threads that call the store.
   void Stop() { store_.Stop(); }
 
 private:
   struct Call;
+  struct Calls;
 
   void FinishAnswer(Response& aResponse, const coordination::Outcome& aOutcome);
   void ShareRetryBudget();
+  static CallEnd Describe(const Call& aCall);
   Response Refuse(const Request& aRequest,
                   coordination::NotRunReason aReason,
                   state::Duration aTime);
@@ -81,6 +87,8 @@
   state::Instant stopTime_ = state::Instant::max();
   /// Shared with the calls, which may outlive this object at shutdown.
   std::shared_ptr<std::size_t> inFlight_ = std::make_shared<std::size_t>(0);
+  /// The same calls; they leave it on their own.
+  std::shared_ptr<Calls> calls_;
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -213,6 +213,14 @@
 void
 DataPlane::DrainAndStop()
 {
+  const auto start = Clock::Steady::now();
+  const auto callsInFlight = [this] {
+    return callerSide_.InFlight() + upstreamSide_.InFlight();
+  };
+  const auto connections = [this] {
+    return callerServer_->Connections() + nodeServer_->Connections();
+  };
+  const auto atStart = OnDataThread(callsInFlight);
   const bool isOnPlatform = adapters_.IsAnnounced();
   // The platform kills what runs longer, so the limit covers everything.
   const auto deadline = Clock::Steady::now() + settings_.drainTimeout -
@@ -243,9 +251,9 @@
     std::this_thread::sleep_for(kReadyChecksTime - kAnnouncementTime);
   }
   asio::post(context_, [this] { callerSide_.Drain(); });
-  WaitUntil(deadline, [this] {
-    return callerSide_.InFlight() + upstreamSide_.InFlight() == 0;
-  });
+  const auto whenRefusing = OnDataThread(callsInFlight);
+  WaitUntil(deadline, [callsInFlight] { return callsInFlight() == 0; });
+  const auto openAtEnd = OnDataThread(connections);
   asio::post(context_, [this] {
     callerServer_->Drain();
     nodeServer_->Drain();
@@ -258,11 +266,26 @@
   if (!finished) {
     spdlog::warn("[node] Drain timeout. requests_in_flight={}",
                  OnDataThread(inFlight));
+    OnDataThread([this] {
+      callerSide_.LogBrokenOff();
+      upstreamSide_.LogBrokenOff();
+      return true;
+    });
   }
   const auto closeTime = isOnPlatform ? kShortCloseTime : kCloseTime;
-  WaitUntil(Clock::Steady::now() + closeTime, [this] {
-    return callerServer_->Connections() + nodeServer_->Connections() == 0;
-  });
+  WaitUntil(Clock::Steady::now() + closeTime,
+            [connections] { return connections() == 0; });
+  spdlog::info(
+    "[node] Drained. in_flight_at_start={} in_flight_when_refusing={} "
+    "broken_off={} connections_at_end={} connections_left={} milliseconds={}",
+    atStart,
+    whenRefusing,
+    finished ? 0 : OnDataThread(callsInFlight),
+    openAtEnd,
+    OnDataThread(connections),
+    std::chrono::duration_cast<std::chrono::milliseconds>(Clock::Steady::now() -
+                                                          start)
+      .count());
   if (!adapters_.IsAnnounced()) {
     changeSink_({ state::EndpointState::Gone });
   }
--- a/Services/teaselholdd/RequestLines.cpp
+++ b/Services/teaselholdd/RequestLines.cpp
@@ -12,6 +12,9 @@
 using namespace coordination;
 
 constexpr unsigned kFirstServerError = 500;
+/// The outcome of a request whose end this process does not see.
+constexpr std::string_view kBrokenOff =
+  "outcome=unknown reason=broken-off status=0";
 
 struct OutcomeTexts
 {
@@ -44,6 +47,52 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
 }
 
+std::string
+FormatCall(const CallEnd& aEnd,
+           std::string_view aOutcome,
+           state::Duration aTime)
+{
+  return fmt::format("id={} route={} service={} node={} {} "
+                     "attempts={} placements={} generation={} milliseconds={}",
+                     aEnd.id,
+                     aEnd.route,
+                     aEnd.service,
+                     aEnd.node,
+                     aOutcome,
+                     aEnd.attempts,
+                     aEnd.placements,
+                     aEnd.generation,
+                     ToMilliseconds(aTime));
+}
+
+std::string
+FormatDelivery(const DeliveryStart& aStart,
+               std::string_view aOutcome,
+               state::Duration aTime)
+{
+  const auto& inputs = aStart.inputs;
+  return fmt::format(
+    "id={} from={} service={} class={} upstream={} born={} "
+    "{} state={} state_milliseconds={} running={} waiting={} slots={} "
+    "predicted_wait={} max_wait={} left={} milliseconds={}",
+    aStart.id,
+    aStart.from,
+    aStart.service,
+    state::FindEnumName(state::kRequestClassNames, aStart.requestClass),
+    aStart.upstream,
+    aStart.born,
+    aOutcome,
+    state::FindEnumName(state::kEndpointStateNames, inputs.state),
+    ToMilliseconds(inputs.stateAge),
+    inputs.running,
+    inputs.waiting,
+    inputs.slots,
+    ToMilliseconds(inputs.predictedWait),
+    aStart.maxWait ? std::to_string(ToMilliseconds(*aStart.maxWait)) : "none",
+    ToMilliseconds(aStart.left),
+    ToMilliseconds(aTime));
+}
+
 /// Tells whether the line of a request is written. Asked before the line is
 /// formatted, which costs more than the decision.
 bool
@@ -84,17 +133,14 @@
               const Outcome& aOutcome,
               state::Duration aTime)
 {
-  return fmt::format("[call] Ended. id={} route={} service={} node={} {} "
-                     "attempts={} placements={} generation={} milliseconds={}",
-                     aEnd.id,
-                     aEnd.route,
-                     aEnd.service,
-                     aEnd.node,
-                     FormatOutcome(aOutcome),
-                     aEnd.attempts,
-                     aEnd.placements,
-                     aEnd.generation,
-                     ToMilliseconds(aTime));
+  return "[call] Ended. " + FormatCall(aEnd, FormatOutcome(aOutcome), aTime);
+}
+
+void
+LogCallBrokenOff(const CallEnd& aEnd, state::Duration aTime)
+{
+  spdlog::warn("[call] Broken off by the end of the drain. {}",
+               FormatCall(aEnd, kBrokenOff, aTime));
 }
 
 void
@@ -113,27 +159,15 @@
                   const Outcome& aOutcome,
                   state::Duration aTime)
 {
-  const auto& inputs = aStart.inputs;
-  return fmt::format(
-    "[delivery] Ended. id={} from={} service={} class={} upstream={} born={} "
-    "{} state={} state_milliseconds={} running={} waiting={} slots={} "
-    "predicted_wait={} max_wait={} left={} milliseconds={}",
-    aStart.id,
-    aStart.from,
-    aStart.service,
-    state::FindEnumName(state::kRequestClassNames, aStart.requestClass),
-    aStart.upstream,
-    aStart.born,
-    FormatOutcome(aOutcome),
-    state::FindEnumName(state::kEndpointStateNames, inputs.state),
-    ToMilliseconds(inputs.stateAge),
-    inputs.running,
-    inputs.waiting,
-    inputs.slots,
-    ToMilliseconds(inputs.predictedWait),
-    aStart.maxWait ? std::to_string(ToMilliseconds(*aStart.maxWait)) : "none",
-    ToMilliseconds(aStart.left),
-    ToMilliseconds(aTime));
+  return "[delivery] Ended. " +
+         FormatDelivery(aStart, FormatOutcome(aOutcome), aTime);
+}
+
+void
+LogDeliveryBrokenOff(const DeliveryStart& aStart, state::Duration aTime)
+{
+  spdlog::warn("[delivery] Broken off by the end of the drain. {}",
+               FormatDelivery(aStart, kBrokenOff, aTime));
 }
 
 void
--- a/Services/teaselholdd/RequestLines.h
+++ b/Services/teaselholdd/RequestLines.h
@@ -59,6 +59,10 @@
               const coordination::Outcome& aOutcome,
               state::Duration aTime);
 
+/// Logs a call that the end of the drain broke off.
+void
+LogCallBrokenOff(const CallEnd& aEnd, state::Duration aTime);
+
 /// Logs a call that ended, unless it is an ordinary one beyond the sample.
 void
 LogCallEnd(const CallEnd& aEnd,
@@ -71,6 +75,10 @@
                   const coordination::Outcome& aOutcome,
                   state::Duration aTime);
 
+/// Logs a request beside the upstream that the end of the drain broke off.
+void
+LogDeliveryBrokenOff(const DeliveryStart& aStart, state::Duration aTime);
+
 /// Logs a request that ended beside the upstream, unless it is an ordinary one
 /// beyond the sample. An answer after the deadline counts as a failure.
 void
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -143,6 +143,15 @@
   }
 }
 
+void
+UpstreamSide::LogBrokenOff() const
+{
+  const auto now = clock_.Now();
+  for (const auto& delivery : *deliveries_) {
+    LogDeliveryBrokenOff(delivery.start, now - delivery.arrived);
+  }
+}
+
 asio::awaitable<transport::BodyAdmission>
 UpstreamSide::AdmitBody(const Request& aHead)
 {
@@ -260,11 +269,12 @@
 {
   const auto arrived = clock_.Now();
   const auto admission = ReadAdmission(aRequest);
-  // The delivery changes the request's headers.
-  const auto start = Describe(aRequest, admission);
+  // Described now, because the delivery changes the request's headers.
+  Delivery delivery{ {}, Describe(aRequest, admission), arrived };
+  deliveries_->push_back(delivery);
   auto exchange =
     co_await Decide(aRequest, admission, std::move(aCancellation));
-  LogDeliveryEnd(start, exchange.outcome, clock_.Now() - arrived);
+  LogDeliveryEnd(delivery.start, exchange.outcome, clock_.Now() - arrived);
   co_return exchange;
 }
 
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -9,6 +9,8 @@
 #include "State/ArrivalLog.h"
 #include "Transport/HttpServer.h"
 
+#include <boost/intrusive/list.hpp>
+
 namespace teaselhold::daemon {
 
 /// The part beside the upstream: decides whether a request from a node is
@@ -47,9 +49,23 @@
   /// finish.
   void Drain();
 
+  /// Logs each request that is still in flight; the process ends without it.
+  void LogBrokenOff() const;
+
   std::size_t InFlight() const { return admission_->InFlight(); }
 
 private:
+  /// A request that has not ended yet; leaves its list on its own.
+  struct Delivery
+    : boost::intrusive::list_base_hook<
+        boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+  {
+    DeliveryStart start;
+    state::Instant arrived;
+  };
+  using Deliveries =
+    boost::intrusive::list<Delivery,
+                           boost::intrusive::constant_time_size<false>>;
   using OptionalAdmission = std::optional<coordination::AdmissionRequest>;
 
   Awaitable<Exchange> Serve(Request& aRequest,
@@ -85,6 +101,8 @@
   std::unique_ptr<AnnouncedUpstream> announced_;
   UpstreamLink upstream_;
   std::uint64_t nextRequest_ = 1;
+  /// Shared with the requests, which may outlive this object at shutdown.
+  std::shared_ptr<Deliveries> deliveries_ = std::make_shared<Deliveries>();
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <pthread.h>
 #include <spdlog/spdlog.h>
+#include <thread>
 #include <sstream>
 #include <thread>
 
@@ -110,6 +111,29 @@
   }
 }
 
+/// Logs the signals that come while the node drains; they change nothing.
+class DrainSignals
+{
+public:
+  explicit DrainSignals(const sigset_t& aSignals)
+    : thread_([signals = aSignals](const std::stop_token& aStop) {
+      constexpr timespec kCheckInterval{ 0, 50'000'000 };
+      while (!aStop.stop_requested()) {
+        const int signal = sigtimedwait(&signals, nullptr, &kCheckInterval);
+        if (signal > 0) {
+          spdlog::info("[node] Signal while draining; it changes nothing. "
+                       "signal={}",
+                       signal);
+        }
+      }
+    })
+  {
+  }
+
+private:
+  std::jthread thread_;
+};
+
 int
 Run(const daemon::Settings& aSettings,
     const std::string& aPath,
@@ -184,7 +208,10 @@
   spdlog::info("[node] Draining. signal={} timeout_milliseconds={}",
                signal,
                aSettings.drainTimeout.count());
-  dataPlane.DrainAndStop();
+  {
+    const DrainSignals drainSignals(aSignals);
+    dataPlane.DrainAndStop();
+  }
   metricsServer.reset();
   admin.reset();
   controlPlane->Stop();
