teaselholdd: Name as broken off only what the end of the process cuts

The test of the lines of broken off requests failed: a request that ran for 2 s was logged as broken off at the drain timeout of 0.5 s and was then answered within the time that connections have to close.

Change: what is in flight is logged after that time, right before the process ends. A test holds a request of a route with 20 s; another finds the lines of the drain and of a SIGHUP that comes meanwhile.

--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -266,21 +266,22 @@
   if (!finished) {
     spdlog::warn("[node] Drain timeout. requests_in_flight={}",
                  OnDataThread(inFlight));
-    OnDataThread([this] {
-      callerSide_.LogBrokenOff();
-      upstreamSide_.LogBrokenOff();
-      return true;
-    });
   }
   const auto closeTime = isOnPlatform ? kShortCloseTime : kCloseTime;
   WaitUntil(Clock::Steady::now() + closeTime,
             [connections] { return connections() == 0; });
+  // Answers still go out until here.
+  const auto brokenOff = OnDataThread([this, callsInFlight] {
+    callerSide_.LogBrokenOff();
+    upstreamSide_.LogBrokenOff();
+    return callsInFlight();
+  });
   spdlog::info(
     "[node] Drained. in_flight_at_start={} in_flight_when_refusing={} "
     "broken_off={} connections_at_end={} connections_left={} milliseconds={}",
     atStart,
     whenRefusing,
-    finished ? 0 : OnDataThread(callsInFlight),
+    brokenOff,
     openAtEnd,
     OnDataThread(connections),
     std::chrono::duration_cast<std::chrono::milliseconds>(Clock::Steady::now() -
--- a/Tests/Services/FailureProcessTest.cpp
+++ b/Tests/Services/FailureProcessTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <future>
 #include <thread>
 
 using namespace teaselhold::tests;
@@ -84,6 +85,32 @@
     mesh[0].node->Signal(signal);
   }
   CHECK(mesh[0].node->Wait() == 0);
+  const auto log = mesh.LogOf(mesh[0]);
+  CHECK(log.find("[node] Signal while draining; it changes nothing. signal=" +
+                 std::to_string(SIGHUP)) != std::string::npos);
+  CHECK(log.find("[node] Drained. in_flight_at_start=0 ") != std::string::npos);
+}
+
+TEST_CASE("A request that the end of the drain broke off has a line")
+{
+  Mesh mesh(1, "drain_timeout = 500ms\n");
+  auto hung = std::async(std::launch::async, [&] {
+    return Call(mesh[0].caller, "POST", "/long/hang");
+  });
+  REQUIRE(WaitUntil([&] { return Mesh::Counter(mesh[0], "running") == 1; }));
+  mesh[0].node->Signal(SIGTERM);
+  CHECK(mesh[0].node->Wait() == 0);
+  CHECK(hung.get().Outcome() != "answered");
+  const auto log = mesh.LogOf(mesh[0]);
+  CHECK(log.find("[call] Broken off by the end of the drain. id= "
+                 "route=long service=visits node=visits-1") !=
+        std::string::npos);
+  CHECK(log.find("[delivery] Broken off by the end of the drain. id= "
+                 "from=visits-1 service=visits class=order") !=
+        std::string::npos);
+  CHECK(log.find("[node] Drained. in_flight_at_start=2 "
+                 "in_flight_when_refusing=2 broken_off=2") !=
+        std::string::npos);
 }
 
 TEST_CASE("An upstream that drains itself gets no new work in the end")
--- a/Tests/Services/Mesh.cpp
+++ b/Tests/Services/Mesh.cpp
@@ -38,6 +38,13 @@
 idempotent = no
 timeout = 2s
 
+[route long]
+match = POST /long
+service = visits
+class = order
+idempotent = no
+timeout = 20s
+
 [tenant small]
 max_in_flight = 1
 )";
@@ -90,7 +97,8 @@
   return error ? CallResult{} : CallResult{ std::move(response) };
 }
 
-Mesh::Mesh(std::size_t aNodes)
+Mesh::Mesh(std::size_t aNodes, std::string aNodeSettings)
+  : nodeSettings_(std::move(aNodeSettings))
 {
   auto folder =
     (std::filesystem::temp_directory_path() / "teaselhold-XXXXXX").string();
@@ -162,8 +170,8 @@
          "\nservice = visits\ndata_centre = one\nregion = one\n" +
          "caller_address = " + aNode.caller + "\ndata_address = " + aNode.data +
          "\ncontrol_address = " + aNode.control +
-         "\nadmin_address = " + aNode.admin + "\nseeds = " + seeds +
-         "\n[store]\naddress = " + storeAddress_ +
+         "\nadmin_address = " + aNode.admin + "\nseeds = " + seeds + "\n" +
+         nodeSettings_ + "[store]\naddress = " + storeAddress_ +
          "\n[upstream]\naddress = " + aNode.upstreamAddress +
          "\nprobe_interval = 100ms\n";
 }
--- a/Tests/Services/Mesh.h
+++ b/Tests/Services/Mesh.h
@@ -48,7 +48,8 @@
   };
 
   /// Starts everything and waits until every node answers calls.
-  explicit Mesh(std::size_t aNodes);
+  /// @param aNodeSettings more lines of the section [node] of each node
+  explicit Mesh(std::size_t aNodes, std::string aNodeSettings = "");
   ~Mesh();
 
   Node& operator[](std::size_t aIndex) { return nodes_[aIndex]; }
@@ -95,6 +96,12 @@
   /// @return how often each request was run by any upstream.
   std::map<std::string, unsigned> Runs() const;
 
+  /// What the node's processes logged so far.
+  std::string LogOf(const Node& aNode) const
+  {
+    return Read(aNode.name + ".log");
+  }
+
   /// Reads one number from the counters of the upstream.
   static unsigned Counter(const Node& aNode, const std::string& aName);
 
@@ -104,6 +111,7 @@
   std::string Path(const std::string& aName) const;
   std::string Read(const std::string& aName) const;
 
+  std::string nodeSettings_;
   std::string folder_;
   std::string storeAddress_;
   std::unique_ptr<Process> store_;
