teaselholdd: Sample refusals for load beside the upstream

Logs had grown instead of shrunk.

Change: refusals for load are a sample of their own, 5 lines a second and node, the rest is counted every 10 s. All other refusals, failures, late and unknown requests keep a line each. The caller's node writes a line for each call that all refuse.

--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -239,7 +239,7 @@
 CallerSide::Drain()
 {
   draining_ = true;
-  LogEachRequest(RequestHop::Call);
+  LogEach(Sampled::Call);
 }
 
 void
--- a/Services/teaselholdd/LogPolicy.cpp
+++ b/Services/teaselholdd/LogPolicy.cpp
@@ -32,10 +32,11 @@
 }
 
 bool
-LogPolicy::AdmitOrdinary(RequestHop aHop, Time aNow)
+LogPolicy::AdmitSampled(Sampled aKind, Time aNow)
 {
-  auto& sample = samples_[static_cast<std::size_t>(aHop)];
-  if (!sample.isSampling || sample.window.Admit(kOrdinaryPerSecond, aNow)) {
+  const auto index = static_cast<std::size_t>(aKind);
+  auto& sample = samples_[index];
+  if (!sample.isSampling || sample.window.Admit(kPerSecond[index], aNow)) {
     return true;
   }
   if (sample.leftOut++ == 0) {
@@ -59,11 +60,11 @@
 LogPolicy::TakeLeftOut(Time aNow, bool aIsEnd)
 {
   std::vector<LeftOut> counts;
-  for (std::size_t hop = 0; hop < samples_.size(); ++hop) {
-    auto& sample = samples_[hop];
+  for (std::size_t kind = 0; kind < samples_.size(); ++kind) {
+    auto& sample = samples_[kind];
     const bool isDue = aIsEnd || aNow - sample.since >= kSummaryInterval;
     if (sample.leftOut > 0 && isDue) {
-      counts.push_back({ static_cast<RequestHop>(hop), sample.leftOut });
+      counts.push_back({ static_cast<Sampled>(kind), sample.leftOut });
       sample.leftOut = 0;
     }
   }
--- a/Services/teaselholdd/LogPolicy.h
+++ b/Services/teaselholdd/LogPolicy.h
@@ -20,15 +20,20 @@
   Belief,
 };
 
-/// Where a request ended: at the node that its caller reached, or at the node
-/// beside the upstream.
-enum class RequestHop
+/// Requests that end often, of which only a sample gets lines.
+enum class Sampled
 {
+  /// Ordinary ones at the node that their caller reached.
   Call,
+  /// Ordinary ones at the node beside the upstream.
   Delivery,
+  /// Refused for load at the node beside the upstream. Their caller's node asks
+  /// others, so under overload most lines would be of these; it writes a line
+  /// of its own if all refuse.
+  Refusal,
 };
 
-/// The parts that lines of requests begin with, in the order of RequestHop.
+/// The parts that lines of requests begin with.
 inline constexpr std::array<std::string_view, 2> kRequestParts{ "[call] ",
                                                                 "[delivery] " };
 
@@ -44,31 +49,30 @@
 public:
   using Time = std::chrono::steady_clock::time_point;
 
-  /// Ordinary requests of one hop that get a line in a second.
-  static constexpr unsigned kOrdinaryPerSecond = 3;
+  /// Requests that get a line in a second, in the order of Sampled.
+  static constexpr std::array<unsigned, 3> kPerSecond{ 3, 3, 5 };
   /// Lines of one kind in a second; the rest is dropped and counted.
   static constexpr unsigned kMaxPerSecond = 400;
   /// How often the requests without a line are counted in one.
   static constexpr std::chrono::seconds kSummaryInterval{ 10 };
 
-  /// Ordinary requests of one hop that got no line since the last summary.
+  /// Requests that got no line since the last summary.
   struct LeftOut
   {
-    RequestHop hop;
+    Sampled kind;
     std::uint64_t count;
   };
 
-  /// Tells whether an ordinary request gets a line; counts it if it does not.
-  bool AdmitOrdinary(RequestHop aHop, Time aNow);
+  /// Tells whether a request gets a line; counts it if it does not.
+  bool AdmitSampled(Sampled aKind, Time aNow);
 
   /// Tells whether a line is within the bound of its kind; counts it if not.
   bool AdmitLine(LineKind aKind, Time aNow);
 
-  /// From now on each ordinary request of the hop gets a line, within the
-  /// bound.
-  void EndSampling(RequestHop aHop)
+  /// From now on each request of this kind gets a line, within the bound.
+  void EndSampling(Sampled aKind)
   {
-    samples_[static_cast<std::size_t>(aHop)].isSampling = false;
+    samples_[static_cast<std::size_t>(aKind)].isSampling = false;
   }
 
   /// Returns the counts that are due, or all of them if the log ends.
@@ -96,7 +100,7 @@
   };
 
   std::array<Window, 3> kinds_;
-  std::array<Sample, kRequestParts.size()> samples_;
+  std::array<Sample, kPerSecond.size()> samples_;
   std::uint64_t dropped_ = 0;
 };
 
--- a/Services/teaselholdd/Logs.cpp
+++ b/Services/teaselholdd/Logs.cpp
@@ -3,6 +3,7 @@
 #include "Services/teaselholdd/LogWriter.h"
 #include "Services/teaselholdd/RepeatLimiter.h"
 
+#include <array>
 #include <mutex>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
@@ -18,21 +19,28 @@
 
 using Clock = std::chrono::steady_clock;
 
+/// Introduce the counts of requests without a line, in the order of Sampled.
+constexpr std::array<std::string_view, 3> kSummaries{
+  "[call] Ordinary requests without a line.",
+  "[delivery] Ordinary requests without a line.",
+  "[delivery] Requests refused for load without a line."
+};
+
 /// Writes to standard output without waiting for its reader, and leaves out
 /// equal lines and lines beyond the bounds.
 class LimitedSink final : public spdlog::sinks::base_sink<std::mutex>
 {
 public:
-  bool AdmitOrdinary(RequestHop aHop)
+  bool AdmitSampled(Sampled aKind)
   {
     const std::lock_guard lock(mutex_);
-    return policy_.AdmitOrdinary(aHop, Clock::now());
+    return policy_.AdmitSampled(aKind, Clock::now());
   }
 
-  void LogEachRequest(RequestHop aHop)
+  void LogEach(Sampled aKind)
   {
     const std::lock_guard lock(mutex_);
-    policy_.EndSampling(aHop);
+    policy_.EndSampling(aKind);
   }
 
   /// Writes the counts that are not due yet.
@@ -77,12 +85,11 @@
   void WriteLeftOut(bool aIsEnd)
   {
     for (const auto& leftOut : policy_.TakeLeftOut(Clock::now(), aIsEnd)) {
-      const std::string part(
-        kRequestParts[static_cast<std::size_t>(leftOut.hop)]);
-      Write({ "",
-              spdlog::level::info,
-              part + "Ordinary requests without a line. count=" +
-                std::to_string(leftOut.count) });
+      const auto sentence = kSummaries[static_cast<std::size_t>(leftOut.kind)];
+      Write(
+        { "",
+          spdlog::level::info,
+          std::string(sentence) + " count=" + std::to_string(leftOut.count) });
     }
   }
 
@@ -143,17 +150,17 @@
 }
 
 bool
-AdmitOrdinaryLine(RequestHop aHop)
+AdmitSampledLine(Sampled aKind)
 {
   const auto& sink = Sink();
-  return sink == nullptr || sink->AdmitOrdinary(aHop);
+  return sink == nullptr || sink->AdmitSampled(aKind);
 }
 
 void
-LogEachRequest(RequestHop aHop)
+LogEach(Sampled aKind)
 {
   if (const auto& sink = Sink()) {
-    sink->LogEachRequest(aHop);
+    sink->LogEach(aKind);
   }
 }
 
--- a/Services/teaselholdd/Logs.h
+++ b/Services/teaselholdd/Logs.h
@@ -13,15 +13,15 @@
 void
 SetUpLogs(const std::string& aLevel);
 
-/// Tells whether the line of an ordinary request is to be written; counts the
-/// request if not. See LogPolicy.
+/// Tells whether a request of this kind is to get a line; counts it if not. See
+/// LogPolicy.
 bool
-AdmitOrdinaryLine(RequestHop aHop);
+AdmitSampledLine(Sampled aKind);
 
-/// From now on each request of the hop gets a line: the hop takes no new ones,
-/// and those in flight end with the process.
+/// From now on each request of this kind gets a line: the node takes no new
+/// ones, and those in flight end with the process.
 void
-LogEachRequest(RequestHop aHop);
+LogEach(Sampled aKind);
 
 /// Writes what is left and stops the logs' thread.
 void
--- a/Services/teaselholdd/RequestLines.cpp
+++ b/Services/teaselholdd/RequestLines.cpp
@@ -93,13 +93,12 @@
     ToMilliseconds(aTime));
 }
 
-/// Tells whether the line of a request is written. Asked before the line is
+/// Tells whether a line of a sample is written. Asked before the line is
 /// formatted, which costs more than the decision.
 bool
-IsWritten(RequestHop aHop, bool aIsFailure)
+IsWritten(Sampled aKind, spdlog::level::level_enum aLevel)
 {
-  return aIsFailure ||
-         (spdlog::should_log(spdlog::level::info) && AdmitOrdinaryLine(aHop));
+  return spdlog::should_log(aLevel) && AdmitSampledLine(aKind);
 }
 
 } // namespace
@@ -118,6 +117,14 @@
   return answered == nullptr || answered->status >= kFirstServerError;
 }
 
+bool
+IsRefusedForLoad(const Outcome& aOutcome)
+{
+  const auto* notRun = std::get_if<NotRun>(&aOutcome);
+  return notRun != nullptr && (notRun->reason == NotRunReason::Full ||
+                               notRun->reason == NotRunReason::Shed);
+}
+
 std::string
 FormatOutcome(const Outcome& aOutcome)
 {
@@ -147,7 +154,7 @@
 LogCallEnd(const CallEnd& aEnd, const Outcome& aOutcome, state::Duration aTime)
 {
   const bool isFailure = IsFailure(aOutcome);
-  if (IsWritten(RequestHop::Call, isFailure)) {
+  if (isFailure || IsWritten(Sampled::Call, spdlog::level::info)) {
     spdlog::log(isFailure ? spdlog::level::warn : spdlog::level::info,
                 "{}",
                 FormatCallEnd(aEnd, aOutcome, aTime));
@@ -176,10 +183,11 @@
                state::Duration aTime)
 {
   const bool isFailure = IsFailure(aOutcome) || aTime > aStart.left;
-  if (IsWritten(RequestHop::Delivery, isFailure)) {
-    spdlog::log(isFailure ? spdlog::level::warn : spdlog::level::info,
-                "{}",
-                FormatDeliveryEnd(aStart, aOutcome, aTime));
+  const auto level = isFailure ? spdlog::level::warn : spdlog::level::info;
+  const auto sampled = isFailure ? Sampled::Refusal : Sampled::Delivery;
+  const bool isSampled = !isFailure || IsRefusedForLoad(aOutcome);
+  if (!isSampled || IsWritten(sampled, level)) {
+    spdlog::log(level, "{}", FormatDeliveryEnd(aStart, aOutcome, aTime));
   }
 }
 
--- a/Services/teaselholdd/RequestLines.h
+++ b/Services/teaselholdd/RequestLines.h
@@ -49,6 +49,10 @@
 bool
 IsFailure(const coordination::Outcome& aOutcome);
 
+/// The upstream had no room for the request.
+bool
+IsRefusedForLoad(const coordination::Outcome& aOutcome);
+
 /// Writes the fields of an outcome: outcome, reason and status.
 std::string
 FormatOutcome(const coordination::Outcome& aOutcome);
@@ -79,8 +83,9 @@
 void
 LogDeliveryBrokenOff(const DeliveryStart& aStart, state::Duration aTime);
 
-/// Logs a request that ended beside the upstream, unless it is an ordinary one
-/// beyond the sample. An answer after the deadline counts as a failure.
+/// Logs a request that ended beside the upstream, unless it is an ordinary one,
+/// or one that was refused for load, beyond its sample. An answer after the
+/// deadline counts as a failure.
 void
 LogDeliveryEnd(const DeliveryStart& aStart,
                const coordination::Outcome& aOutcome,
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -135,7 +135,7 @@
 void
 UpstreamSide::Drain()
 {
-  LogEachRequest(RequestHop::Delivery);
+  LogEach(Sampled::Delivery);
   if (announced_ != nullptr) {
     announced_->Close();
   } else {
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -10,7 +10,6 @@
 #include <iostream>
 #include <pthread.h>
 #include <spdlog/spdlog.h>
-#include <thread>
 #include <sstream>
 #include <thread>
 
--- a/Tests/Services/teaselholdd/LogPolicyTest.cpp
+++ b/Tests/Services/teaselholdd/LogPolicyTest.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 const LogPolicy::Time kStart{ 100s };
+constexpr unsigned kCalls = LogPolicy::kPerSecond[0];
 
 /// @return how many of aCount ordinary requests of one moment get a line.
 unsigned
@@ -15,7 +16,7 @@
 {
   unsigned lines = 0;
   for (unsigned i = 0; i < aCount; ++i) {
-    lines += aPolicy.AdmitOrdinary(RequestHop::Call, aNow) ? 1 : 0;
+    lines += aPolicy.AdmitSampled(Sampled::Call, aNow) ? 1 : 0;
   }
   return lines;
 }
@@ -36,16 +37,21 @@
 TEST_CASE("Ordinary requests do not crowd out the lines of failures")
 {
   LogPolicy policy;
-  CHECK(Ordinary(policy, 500, kStart) == LogPolicy::kOrdinaryPerSecond);
+  CHECK(Ordinary(policy, 500, kStart) == kCalls);
   CHECK(Ordinary(policy, 500, kStart + 999ms) == 0);
-  CHECK(Ordinary(policy, 500, kStart + 1s) == LogPolicy::kOrdinaryPerSecond);
+  CHECK(Ordinary(policy, 500, kStart + 1s) == kCalls);
 }
 
-TEST_CASE("Each hop has its own rate of ordinary lines")
+TEST_CASE("Refusals for load do not take the lines of ordinary deliveries")
 {
   LogPolicy policy;
-  Ordinary(policy, 500, kStart);
-  CHECK(policy.AdmitOrdinary(RequestHop::Delivery, kStart));
+  unsigned refusals = 0;
+  for (unsigned i = 0; i < 500; ++i) {
+    refusals += policy.AdmitSampled(Sampled::Refusal, kStart) ? 1 : 0;
+  }
+  CHECK(refusals == LogPolicy::kPerSecond[2]);
+  CHECK(policy.AdmitSampled(Sampled::Delivery, kStart));
+  CHECK(policy.AdmitSampled(Sampled::Call, kStart));
 }
 
 TEST_CASE("Ordinary requests without a line are counted, none is lost")
@@ -56,8 +62,8 @@
   CHECK(policy.TakeLeftOut(kStart + 9s).empty());
   const auto counts = policy.TakeLeftOut(kStart + 10s);
   REQUIRE(counts.size() == 1);
-  CHECK(counts[0].hop == RequestHop::Call);
-  CHECK(counts[0].count == 20 - 2 * LogPolicy::kOrdinaryPerSecond);
+  CHECK(counts[0].kind == Sampled::Call);
+  CHECK(counts[0].count == 20 - 2 * kCalls);
   CHECK(policy.TakeLeftOut(kStart + 20s).empty());
 }
 
@@ -73,7 +79,7 @@
 {
   LogPolicy policy;
   Ordinary(policy, 10, kStart);
-  policy.EndSampling(RequestHop::Call);
+  policy.EndSampling(Sampled::Call);
   CHECK(Ordinary(policy, 500, kStart) == 500);
   CHECK(Lines(policy, LineKind::Ordinary, 500, kStart) ==
         LogPolicy::kMaxPerSecond);
--- a/Tests/Services/teaselholdd/RequestLinesTest.cpp
+++ b/Tests/Services/teaselholdd/RequestLinesTest.cpp
@@ -28,6 +28,15 @@
   CHECK(IsFailure(Unknown{ UnknownReason::ConnectionLost }));
 }
 
+TEST_CASE("Only refusals for want of room are sampled as refusals for load")
+{
+  CHECK(IsRefusedForLoad(NotRun{ NotRunReason::Full }));
+  CHECK(IsRefusedForLoad(NotRun{ NotRunReason::Shed }));
+  CHECK_FALSE(IsRefusedForLoad(NotRun{ NotRunReason::Draining }));
+  CHECK_FALSE(IsRefusedForLoad(Unknown{ UnknownReason::ConnectionLost }));
+  CHECK_FALSE(IsRefusedForLoad(Answered{ 503 }));
+}
+
 TEST_CASE("The line beside the upstream names the inputs of the decision")
 {
   DeliveryStart start;
