teaselctl: Explain from logs what became of a request

Following a failed request took a search in the log of each node that its line names, and then one for what that node believed at the time.

Text or JSON; exit codes as for the other commands, 1 if no line is of the request.

--- a/Utilities/teaselctl/ApplyCommand.cpp
+++ b/Utilities/teaselctl/ApplyCommand.cpp
@@ -224,8 +224,8 @@
     << (baseText_ ? ""
                   : "(compared with this file, because the text of the base is "
                     "not known)\n")
-    << "take these lines over into " << context_.options.file
-    << ", then: teaselctl apply " << context_.options.file << " --base "
+    << "take these lines over into " << context_.options.argument
+    << ", then: teaselctl apply " << context_.options.argument << " --base "
     << aGeneration << "\n";
   context_.report.Result({ { "result", "conflict" },
                            { "generation", aGeneration },
@@ -242,10 +242,10 @@
 {
   context_.report.Errors() << "outcome unknown: " << aCause << "\n"
                            << "to find out: teaselctl diff "
-                           << context_.options.file << "\n";
+                           << context_.options.argument << "\n";
   if (base_ != 0) {
     context_.report.Errors()
-      << "it is safe to run: teaselctl apply " << context_.options.file
+      << "it is safe to run: teaselctl apply " << context_.options.argument
       << " --base " << base_
       << " (of two applies on one base only one is accepted)\n";
   }
@@ -261,7 +261,8 @@
 std::string
 ApplyCommand::BaseName() const
 {
-  return baseText_ ? "version " + std::to_string(base_) : context_.options.file;
+  return baseText_ ? "version " + std::to_string(base_)
+                   : context_.options.argument;
 }
 
 } // namespace teaselhold::tool
--- a/Utilities/teaselctl/Commands.cpp
+++ b/Utilities/teaselctl/Commands.cpp
@@ -24,6 +24,9 @@
   if (command == "status") {
     return StatusCommand(aContext).Run();
   }
+  if (command == "explain") {
+    return RunExplain(aContext);
+  }
   return command == "nodes" ? RunNodes(aContext) : RunMetrics(aContext);
 }
 
--- a/Utilities/teaselctl/Commands.h
+++ b/Utilities/teaselctl/Commands.h
@@ -28,6 +28,10 @@
 ExitCode
 RunMetrics(const CommandContext& aContext);
 
+/// Tells from logs what became of a request; asks no node.
+ExitCode
+RunExplain(const CommandContext& aContext);
+
 /// Reads and checks the file; writes every error.
 /// @return the text, if it is valid
 std::optional<std::string>
--- a/Utilities/teaselctl/Help.cpp
+++ b/Utilities/teaselctl/Help.cpp
@@ -10,14 +10,15 @@
 struct CommandHelp
 {
   std::string_view name;
-  bool takesFile;
+  /// What the command works on; none if it takes nothing.
+  std::string_view argument;
   std::string_view summary;
   std::string_view text;
 };
 
-constexpr std::array<CommandHelp, 7> kCommands{ {
+constexpr std::array<CommandHelp, 8> kCommands{ {
   { "check",
-    true,
+    "FILE",
     "check a text without a node",
     "Reports every error of the text with its line. Asks no node.\n"
     "\n"
@@ -25,7 +26,7 @@
     "  teaselctl check mesh.ini\n"
     "  teaselctl check mesh.ini --output json\n" },
   { "apply",
-    true,
+    "FILE",
     "make a text the version in force",
     "Checks the text, reads the version in force and asks a node to replace\n"
     "it. If another text was accepted in between, nothing is changed, the\n"
@@ -42,7 +43,7 @@
     "  teaselctl apply mesh.ini --base 41\n"
     "  teaselctl --node 10.1.1.7:7404,10.2.1.7:7404 apply mesh.ini\n" },
   { "get",
-    false,
+    "",
     "print the text in force",
     "Prints the text that is in force on the node, and its version on stderr.\n"
     "\n"
@@ -50,7 +51,7 @@
     "  teaselctl get >mesh.ini\n"
     "  teaselctl get --output json | jq .generation\n" },
   { "diff",
-    true,
+    "FILE",
     "compare a text with the one in force",
     "Shows what an apply of the text would change. Exits with 0 whether or\n"
     "not the texts differ.\n"
@@ -59,7 +60,7 @@
     "  teaselctl diff mesh.ini\n"
     "  teaselctl diff mesh.ini --output json | jq .same\n" },
   { "status",
-    false,
+    "",
     "show versions in force, lagging nodes and alarms",
     "Shows the fleet as the node knows it.\n"
     "  --wait        wait until every running node has the newest version in\n"
@@ -72,7 +73,7 @@
     "  teaselctl status --wait --at-least 42 --timeout 30\n"
     "  teaselctl status --output json | jq .lagging\n" },
   { "nodes",
-    false,
+    "",
     "list the nodes",
     "Lists the nodes that the node knows, with state, role and version.\n"
     "\n"
@@ -81,7 +82,7 @@
     "  teaselctl nodes --output json | jq '.nodes[] | select(.state==\"down\")'"
     "\n" },
   { "metrics",
-    false,
+    "",
     "show latencies and outcomes of one node",
     "Shows, for each class and tenant, the outcomes and the latencies of the\n"
     "calls that entered through the node, and why calls were not run.\n"
@@ -89,6 +90,22 @@
     "Examples:\n"
     "  teaselctl --node 10.1.1.7:7404 metrics\n"
     "  teaselctl metrics --output json | jq '.calls[].unknown'\n" },
+  { "explain",
+    "ID",
+    "tell from logs what became of a request",
+    "Reads logs of nodes and shows the steps of the request with the caller's\n"
+    "identity ID, and of the requests that upstreams made for it (ID.*), in\n"
+    "the order of time: where it ended, what was decided and by which "
+    "figures.\n"
+    "Then the changes of these nodes from 5 s before to 5 s after it, and the\n"
+    "last ones before that. Exits with 1 if no line is of this request.\n"
+    "  --log A,B,...  logs, one for each node, named NODE.log, or with the\n"
+    "                 node's name before the time in each line; - is the\n"
+    "                 standard input (-)\n"
+    "\n"
+    "Examples:\n"
+    "  teaselctl explain 4510d9af9116c69c --log a-6.log,b-2.log\n"
+    "  cat logs/* | teaselctl explain 4510d9af9116c69c --output json\n" },
 } };
 
 const CommandHelp*
@@ -101,11 +118,12 @@
 std::string
 Overview()
 {
-  std::string text = "usage: teaselctl [FLAGS] COMMAND [FILE]\n\nCommands:\n";
+  std::string text =
+    "usage: teaselctl [FLAGS] COMMAND [FILE|ID]\n\nCommands:\n";
   constexpr std::size_t kColumn = 16;
   for (const auto& command : kCommands) {
     std::string name(command.name);
-    name += command.takesFile ? " FILE" : "";
+    name.append(command.argument.empty() ? "" : " ").append(command.argument);
     name.resize(kColumn, ' ');
     text.append("  ").append(name).append(command.summary).append("\n");
   }
@@ -139,11 +157,11 @@
   return names;
 }
 
-bool
-TakesFile(std::string_view aCommand)
+std::string_view
+ArgumentOf(std::string_view aCommand)
 {
   const auto* command = FindCommand(aCommand);
-  return command != nullptr && command->takesFile;
+  return command == nullptr ? std::string_view() : command->argument;
 }
 
 std::string
@@ -154,7 +172,9 @@
     return Overview();
   }
   std::string text = "usage: teaselctl [FLAGS] ";
-  text.append(command->name).append(command->takesFile ? " FILE" : "");
+  text.append(command->name)
+    .append(command->argument.empty() ? "" : " ")
+    .append(command->argument);
   return text.append("\n\n").append(command->text);
 }
 
--- a/Utilities/teaselctl/Help.h
+++ b/Utilities/teaselctl/Help.h
@@ -9,8 +9,9 @@
 std::vector<std::string_view>
 CommandNames();
 
-bool
-TakesFile(std::string_view aCommand);
+/// What a command works on, as its usage names it; none if it takes nothing.
+std::string_view
+ArgumentOf(std::string_view aCommand);
 
 /// Explains one command, or all of them if aCommand is none.
 std::string
--- a/Utilities/teaselctl/Options.cpp
+++ b/Utilities/teaselctl/Options.cpp
@@ -12,6 +12,7 @@
 DEFINE_uint32(timeout, 10, "seconds to wait for the outcome");
 DEFINE_int64(base, -1, "apply: the version that the text is based on");
 DEFINE_uint64(at_least, 0, "status --wait: the version to wait for");
+DEFINE_string(log, "", "explain: logs to read");
 DEFINE_bool(help_command, false, "explain the command");
 
 namespace teaselhold::tool {
@@ -19,9 +20,9 @@
 namespace {
 
 constexpr std::uint32_t kMaxTimeoutSeconds = 3600;
-const std::vector<std::string_view> kFlags{ "node",    "output", "wait",
-                                            "timeout", "base",   "help",
-                                            "at-least" };
+const std::vector<std::string_view> kFlags{ "node",     "output", "wait",
+                                            "timeout",  "base",   "help",
+                                            "at-least", "log" };
 
 /// Sets one gflags flag. ParseCommandLineFlags is not used because it exits
 /// with 1 on a bad flag, which here means that a change was refused.
@@ -70,6 +71,9 @@
       }
       value = aArguments[aPlace];
     }
+    if (name == "log" && !FLAGS_log.empty()) {
+      value.insert(0, FLAGS_log + ",");
+    }
     if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
       return "bad value \"" + value + "\" for --" + shown +
              "; see teaselctl --help for what it takes";
@@ -79,18 +83,18 @@
 };
 
 std::vector<std::string>
-SplitAddresses(const std::string& aText)
+SplitList(const std::string& aText)
 {
-  std::vector<std::string> addresses;
+  std::vector<std::string> items;
   std::size_t start = 0;
   while (start <= aText.size()) {
     const auto comma = std::min(aText.find(',', start), aText.size());
     if (comma > start) {
-      addresses.push_back(aText.substr(start, comma - start));
+      items.push_back(aText.substr(start, comma - start));
     }
     start = comma + 1;
   }
-  return addresses;
+  return items;
 }
 
 /// @return what is wrong with the words, or "".
@@ -107,11 +111,12 @@
     return "unknown command \"" + command + "\"; expected " +
            protocol::JoinNames(names) + protocol::SuggestName(command, names);
   }
-  const bool takesFile = TakesFile(command);
-  if (takesFile && aWords.size() < 2) {
-    return command + " needs a FILE";
+  const auto argument = ArgumentOf(command);
+  if (!argument.empty() && (aWords.size() < 2 || aWords[1].empty())) {
+    return command + (argument == "ID" ? " needs an " : " needs a ") +
+           std::string(argument);
   }
-  const std::size_t expected = takesFile ? 2 : 1;
+  const std::size_t expected = argument.empty() ? 1 : 2;
   return aWords.size() > expected
            ? command + " does not take \"" + aWords[expected] + "\""
            : "";
@@ -141,8 +146,9 @@
   if (auto error = CheckWords(*words); !error.empty()) {
     return tl::make_unexpected(std::move(error));
   }
-  options.file = words->size() > 1 ? (*words)[1] : "";
-  options.nodes = SplitAddresses(FLAGS_node);
+  options.argument = words->size() > 1 ? (*words)[1] : "";
+  options.nodes = SplitList(FLAGS_node);
+  options.logs = SplitList(FLAGS_log.empty() ? "-" : FLAGS_log);
   options.json = FLAGS_output == "json";
   options.wait = FLAGS_wait;
   options.timeout = std::chrono::seconds(FLAGS_timeout);
--- a/Utilities/teaselctl/Options.h
+++ b/Utilities/teaselctl/Options.h
@@ -13,7 +13,10 @@
 struct Options
 {
   std::string command;
-  std::string file;
+  /// The file, or the identity of a request.
+  std::string argument;
+  /// explain: logs to read; "-" is the standard input.
+  std::vector<std::string> logs;
   /// Admin addresses, tried in turn.
   std::vector<std::string> nodes;
   bool json = false;
--- a/Utilities/teaselctl/TextCommands.cpp
+++ b/Utilities/teaselctl/TextCommands.cpp
@@ -21,7 +21,7 @@
 std::optional<std::string>
 ReadValidText(const CommandContext& aContext)
 {
-  const auto& path = aContext.options.file;
+  const auto& path = aContext.options.argument;
   auto text = ReadFile(path);
   if (!text) {
     aContext.report.Fail(Failed, text.error());
@@ -45,7 +45,7 @@
   if (!ReadValidText(aContext)) {
     return Failed;
   }
-  const auto& path = aContext.options.file;
+  const auto& path = aContext.options.argument;
   aContext.report.Result({ { "file", path },
                            { "valid", true },
                            { "errors", nlohmann::json::array() } },
@@ -77,7 +77,7 @@
 ExitCode
 RunDiff(const CommandContext& aContext)
 {
-  const auto text = ReadFile(aContext.options.file);
+  const auto text = ReadFile(aContext.options.argument);
   if (!text) {
     return aContext.report.Fail(Failed, text.error());
   }
@@ -88,7 +88,7 @@
   }
   const auto version = "version " + std::to_string(response->generation());
   const auto difference =
-    LineDifference(response->text(), *text, version, aContext.options.file);
+    LineDifference(response->text(), *text, version, aContext.options.argument);
   const bool same = response->text() == *text;
   aContext.report.Note(
     same ? "same as " + version
