--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -3,11 +3,12 @@
 #include "Coordination/ReturnTime.h"
 #include "Protocol/Headers.h"
 #include "Services/teaselholdd/HttpHeaders.h"
+#include "Services/teaselholdd/Logs.h"
 #include "Services/teaselholdd/RequestFingerprint.h"
 #include "Services/teaselholdd/UpstreamSide.h"
 
 #include <algorithm>
-#include <spdlog/spdlog.h>
+#include <boost/intrusive/list.hpp>
 
 namespace teaselhold::daemon {
 
@@ -58,15 +59,21 @@
   return aRequest.count(aName) <= 1 && value.size() <= aMaxBytes && visible;
 }
 
+/// @return 0 if no configuration is in force.
+std::uint64_t
+GenerationOf(const RoutingSnapshotPointer& aSnapshot)
+{
+  const bool isKnown =
+    aSnapshot != nullptr && aSnapshot->configuration != nullptr;
+  return isKnown ? aSnapshot->configuration->GetGeneration() : 0;
+}
+
 /// Tells the caller which configuration routed its request.
 void
 SetGeneration(Response& aResponse, const RoutingSnapshotPointer& aSnapshot)
 {
-  const bool isKnown =
-    aSnapshot != nullptr && aSnapshot->configuration != nullptr;
-  const auto generation =
-    isKnown ? aSnapshot->configuration->GetGeneration() : 0;
-  SetHeader(aResponse, headers::kGeneration, std::to_string(generation));
+  SetHeader(
+    aResponse, headers::kGeneration, std::to_string(GenerationOf(aSnapshot)));
 }
 
 /// Counts a call until the end of its scope.
@@ -89,7 +96,10 @@
 } // namespace
 
 struct CallerSide::Call
+  : boost::intrusive::list_base_hook<
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
+  state::Instant start;
   Request request;
   RoutingSnapshotPointer snapshot;
   unsigned depth;
@@ -102,6 +112,12 @@
   std::string node;
 };
 
+struct CallerSide::Calls
+{
+  boost::intrusive::list<Call, boost::intrusive::constant_time_size<false>>
+    list;
+};
+
 CallerSide::CallerSide(asio::io_context& aContext,
                        const Settings& aSettings,
                        const Adapters& aAdapters,
@@ -124,6 +140,7 @@
                    !aAdapters.IsAnnounced() },
                  aIncarnation,
                  aSettings.service)
+  , calls_(std::make_shared<Calls>())
 {
   if (aAdapters.IsAnnounced()) {
     environment_.policy = CallPolicy::WithLoadReports();
@@ -174,15 +191,7 @@
     refused = NotRunReason::Draining;
   }
   if (refused) {
-    // Nothing has been routed yet, so the class is not known.
-    callMetrics_.Record(state::RequestClass::Lookup,
-                        ReadHeader(aRequest, headers::kTenant),
-                        NotRun{ *refused },
-                        clock_.Now() - now);
-    auto response = MakeResponse(NotRun{ *refused });
-    FinishAnswer(response, NotRun{ *refused });
-    SetGeneration(response, snapshot_);
-    co_return response;
+    co_return Refuse(aRequest, *refused, clock_.Now() - now);
   }
   const CallCount count(inFlight_);
   RemoveHopHeaders(aRequest);
@@ -190,16 +199,16 @@
   // A chunked body goes on with its length.
   aRequest.prepare_payload();
   const auto& names = adapters_.headers;
-  std::string id(names.requestId.empty()
-                   ? std::string_view()
-                   : ReadHeader(aRequest, names.requestId));
+  std::string id(ReadId(aRequest, names));
   if (!names.callerService.empty()) {
     SetHeader(aRequest, names.callerService, settings_.service);
   }
   const auto depth = facts->depth;
   const auto tenantLimit = TenantLimit(facts->tenant);
   const auto tenant = facts->tenant;
-  Call call{ std::move(aRequest),
+  Call call{ {},
+             now,
+             std::move(aRequest),
              snapshot_,
              depth,
              tenantLimit,
@@ -208,6 +217,7 @@
              {},
              std::move(id),
              {} };
+  calls_->list.push_back(call);
   auto step = call.session.Start(now);
   while (!std::holds_alternative<Respond>(step)) {
     step = co_await TakeStep(call, step, aCancellation);
@@ -219,60 +229,61 @@
                       tenant,
                       respond.outcome,
                       clock_.Now() - now);
-  LogCall(call, respond.outcome, clock_.Now() - now);
+  LogCallEnd(Describe(call), respond.outcome, clock_.Now() - now);
   co_return Finish(call, respond);
 }
 
 void
-CallerSide::LogCall(const Call& aCall,
-                    const Outcome& aOutcome,
-                    state::Duration aTime) const
+CallerSide::Drain()
 {
-  struct Texts
-  {
-    std::string_view outcome;
-    std::string_view reason;
-    unsigned status = 0;
-  };
-  struct Namer
-  {
-    Texts operator()(const Answered& aAnswered) const
-    {
-      return { "answered", "none", aAnswered.status };
-    }
-    Texts operator()(const NotRun& aNotRun) const
-    {
-      return { "not-run",
-               state::FindEnumName(kNotRunReasonNames, aNotRun.reason) };
-    }
-    Texts operator()(const Unknown& aUnknown) const
-    {
-      return { "unknown",
-               state::FindEnumName(kUnknownReasonNames, aUnknown.reason) };
-    }
-  };
-  const auto texts = std::visit(Namer{}, aOutcome);
-  const auto* route = aCall.session.Route();
-  const auto& configuration =
-    aCall.snapshot == nullptr ? nullptr : aCall.snapshot->configuration;
-  constexpr unsigned kFirstServerError = 500;
-  const bool isFailure =
-    texts.outcome != "answered" || texts.status >= kFirstServerError;
-  spdlog::log(
-    isFailure ? spdlog::level::warn : spdlog::level::info,
-    "[call] Ended. id={} route={} service={} node={} outcome={} reason={} "
-    "status={} attempts={} placements={} generation={} milliseconds={}",
-    aCall.id,
-    route == nullptr ? "none" : route->name,
-    aCall.session.Service(),
-    aCall.node,
-    texts.outcome,
-    texts.reason,
-    texts.status,
-    aCall.session.Attempts(),
-    aCall.session.Placements(),
-    configuration == nullptr ? 0 : configuration->GetGeneration(),
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+  draining_ = true;
+  LogEach(Sampled::Call);
+}
+
+void
+CallerSide::LogBrokenOff() const
+{
+  const auto now = clock_.Now();
+  for (const auto& call : calls_->list) {
+    LogCallBrokenOff(Describe(call), now - call.start);
+  }
+}
+
+CallEnd
+CallerSide::Describe(const Call& aCall)
+{
+  CallEnd end;
+  end.id = aCall.id;
+  if (const auto* route = aCall.session.Route()) {
+    end.route = route->name;
+  }
+  end.service = aCall.session.Service();
+  end.node = aCall.node;
+  end.attempts = aCall.session.Attempts();
+  end.placements = aCall.session.Placements();
+  end.generation = GenerationOf(aCall.snapshot);
+  return end;
+}
+
+Response
+CallerSide::Refuse(const Request& aRequest,
+                   NotRunReason aReason,
+                   state::Duration aTime)
+{
+  const NotRun outcome{ aReason };
+  // Nothing has been routed yet, so the class is not known.
+  callMetrics_.Record(state::RequestClass::Lookup,
+                      ReadHeader(aRequest, headers::kTenant),
+                      outcome,
+                      aTime);
+  CallEnd end;
+  end.id = ReadId(aRequest, adapters_.headers);
+  end.generation = GenerationOf(snapshot_);
+  LogCallEnd(end, outcome, aTime);
+  auto response = MakeResponse(outcome);
+  FinishAnswer(response, outcome);
+  SetGeneration(response, snapshot_);
+  return response;
 }
 
 bool
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -217,10 +217,18 @@
 void
 DataPlane::DrainAndStop()
 {
+  const auto start = Clock::Steady::now();
+  const auto callsInFlight = [this] {
+    return callerSide_.InFlight() + upstreamSide_.InFlight();
+  };
+  const auto connections = [this] {
+    return callerServer_->Connections() + nodeServer_->Connections();
+  };
+  const auto atStart = OnDataThread(callsInFlight);
   const bool isOnPlatform = adapters_.IsAnnounced();
   // The platform kills what runs longer, so the limit covers everything.
-  const auto deadline = Clock::Steady::now() + settings_.drainTimeout -
-                        (isOnPlatform ? kExitTime : kExitTime * 0);
+  const auto deadline =
+    start + settings_.drainTimeout - (isOnPlatform ? kExitTime : kExitTime * 0);
   asio::post(context_, [this, deadline, isOnPlatform] {
     isStopping_ = true;
     if (isOnPlatform) {
@@ -247,9 +255,9 @@
     std::this_thread::sleep_for(kReadyChecksTime - kAnnouncementTime);
   }
   asio::post(context_, [this] { callerSide_.Drain(); });
-  WaitUntil(deadline, [this] {
-    return callerSide_.InFlight() + upstreamSide_.InFlight() == 0;
-  });
+  const auto whenRefusing = OnDataThread(callsInFlight);
+  WaitUntil(deadline, [callsInFlight] { return callsInFlight() == 0; });
+  const auto openAtEnd = OnDataThread(connections);
   asio::post(context_, [this] {
     callerServer_->Drain();
     nodeServer_->Drain();
@@ -263,9 +271,7 @@
     spdlog::warn("[node] Drain timeout. requests_in_flight={}",
                  OnDataThread(inFlight));
   }
-  const auto noneOpen = [this] {
-    return callerServer_->Connections() + nodeServer_->Connections() == 0;
-  };
+  const auto noneOpen = [connections] { return connections() == 0; };
   const auto idleTime = isOnPlatform ? kShortIdleTime : kIdleTime;
   WaitUntil(Clock::Steady::now() + idleTime, noneOpen);
   asio::post(context_, [this] {
@@ -276,6 +282,23 @@
   WaitUntil(Clock::Steady::now() + closeTime, noneOpen);
   // Requests that came on the last connections.
   WaitUntil(deadline, [inFlight] { return inFlight() == 0; });
+  // Answers still go out until here.
+  const auto brokenOff = OnDataThread([this, callsInFlight] {
+    callerSide_.LogBrokenOff();
+    upstreamSide_.LogBrokenOff();
+    return callsInFlight();
+  });
+  spdlog::info(
+    "[node] Drained. in_flight_at_start={} in_flight_when_refusing={} "
+    "broken_off={} connections_at_end={} connections_left={} milliseconds={}",
+    atStart,
+    whenRefusing,
+    brokenOff,
+    openAtEnd,
+    OnDataThread(connections),
+    std::chrono::duration_cast<std::chrono::milliseconds>(Clock::Steady::now() -
+                                                          start)
+      .count());
   if (!adapters_.IsAnnounced()) {
     changeSink_({ state::EndpointState::Gone });
   }
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -4,10 +4,13 @@
 #include "Services/teaselholdd/AdmissionQueue.h"
 #include "Services/teaselholdd/BodyQueue.h"
 #include "Services/teaselholdd/KeyedRuns.h"
+#include "Services/teaselholdd/RequestLines.h"
 #include "Services/teaselholdd/UpstreamLink.h"
 #include "State/ArrivalLog.h"
 #include "Transport/HttpServer.h"
 
+#include <boost/intrusive/list.hpp>
+
 namespace teaselhold::daemon {
 
 /// The part beside the upstream: decides whether a request from a node is
@@ -46,11 +49,32 @@
   /// finish.
   void Drain();
 
+  /// Logs each request that is still in flight; the process ends without it.
+  void LogBrokenOff() const;
+
   std::size_t InFlight() const { return admission_->InFlight(); }
 
 private:
+  /// A request that has not ended yet; leaves its list on its own.
+  struct Delivery
+    : boost::intrusive::list_base_hook<
+        boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+  {
+    DeliveryStart start;
+    state::Instant arrived;
+  };
+  using Deliveries =
+    boost::intrusive::list<Delivery,
+                           boost::intrusive::constant_time_size<false>>;
+  using OptionalAdmission = std::optional<coordination::AdmissionRequest>;
+
   Awaitable<Exchange> Serve(Request& aRequest,
                             transport::CancellationPointer aCancellation);
+  Awaitable<Exchange> Decide(Request& aRequest,
+                             const OptionalAdmission& aAdmission,
+                             transport::CancellationPointer aCancellation);
+  DeliveryStart Describe(const Request& aRequest,
+                         const OptionalAdmission& aAdmission) const;
   Response AnswerArrival(const Request& aRequest);
   std::optional<coordination::Outcome> CheckArrival(const Request& aRequest);
   Awaitable<Exchange> RunKeyed(
@@ -62,8 +86,7 @@
   void AddReport(Exchange& aExchange, state::Instant aArrived) const;
   void Learn(const coordination::Outcome& aOutcome,
              state::Duration aServiceTime);
-  std::optional<coordination::AdmissionRequest> ReadAdmission(
-    const Request& aRequest);
+  OptionalAdmission ReadAdmission(const Request& aRequest);
 
   boost::asio::io_context& context_;
   const Settings& settings_;
@@ -78,6 +101,8 @@
   std::unique_ptr<AnnouncedUpstream> announced_;
   UpstreamLink upstream_;
   std::uint64_t nextRequest_ = 1;
+  /// Shared with the requests, which may outlive this object at shutdown.
+  std::shared_ptr<Deliveries> deliveries_ = std::make_shared<Deliveries>();
 };
 
 } // namespace teaselhold::daemon
