OperatorConfiguration: Serve downloads, and versions with unknown words

Callers saw nothing but 503 in a deployment whose routes have the kind `download`: "Version refused. reason=route ... has the unknown kind download". One word of one route refused the whole version, and without an earlier version every route of the fleet.

Cause: every member of a route was read as strictly as its destination. The class is wider than the kind: maxAttempts above 16, a timeout or a targetLatency above 10 minutes, maxBodyBytes of 4 GiB and more, zero sizes and weights with fractions refused the version too; maxAttempts, weights and maxHeaderBytes beyond 32 bits wrapped around without a word.

Change: `download` is an idempotent route. A member that only says how requests are treated is read in its safest sense when it has no meaning here, and a note in the stored value, logged once a version, names the route and the word. What says where requests go or how long they may take still refuses the document as a whole.

The test of documents that cannot be read listed an unknown kind among them. It now lists a missing kind; new tests check that an unknown kind, of any type, gives a route that runs requests at most once, with its note.

--- a/Libraries/Coordination/ConfigurationWatch.cpp
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -157,6 +157,16 @@
     return;
   }
   PutInForce(stored.text(), generation, aCommands);
+  if (active_ == nullptr || active_->GetGeneration() != generation) {
+    return;
+  }
+  for (const auto& note : stored.notes()) {
+    aCommands.push_back(
+      WriteLog{ LogLevel::Warning,
+                "config",
+                "Word not known; its safest sense is in force. generation=" +
+                  std::to_string(generation) + " word=\"" + note + "\"" });
+  }
 }
 
 void
--- a/Tests/Coordination/DirectCoreTest.cpp
+++ b/Tests/Coordination/DirectCoreTest.cpp
@@ -68,6 +68,8 @@
         restored = *restore;
       } else if (const auto* saved = std::get_if<LeavingSaved>(&command)) {
         savedNumber = saved->saveNumber;
+      } else if (const auto* log = std::get_if<WriteLog>(&command)) {
+        logs.push_back(log->message);
       }
     }
   }
@@ -119,6 +121,7 @@
   RoutingSnapshotPointer snapshot;
   std::optional<RestoreUpstream> restored;
   std::uint64_t savedNumber = 0;
+  std::vector<std::string> logs;
 
 private:
   static NodeOptions MakeOptions()
@@ -147,6 +150,24 @@
   CHECK(bench.snapshot->configuration->GetGeneration() == 12);
 }
 
+TEST_CASE("words that are not known are logged once a version")
+{
+  const auto version = [](std::uint64_t aRevision) {
+    wire::StoredConfiguration stored;
+    stored.set_generation(7);
+    stored.set_text(kText);
+    stored.add_notes("route r-1 has the unknown kind \"odd\"");
+    return protocol::StoreEntry{ stored.SerializeAsString(), aRevision };
+  };
+  Bench bench;
+  bench.Answer<StoreWatch>(version(3));
+  bench.Wait(1s);
+  bench.Answer<StoreWatch>(version(4));
+  CHECK(std::ranges::count_if(bench.logs, [](const std::string& aLine) {
+          return aLine.find("unknown kind") != std::string::npos;
+        }) == 1);
+}
+
 TEST_CASE("a change that a waiting watch never hears of is found by a look")
 {
   // Guards against a version that stays out of force because the store dropped
--- a/Tests/Platform/OperatorConfigurationTest.cpp
+++ b/Tests/Platform/OperatorConfigurationTest.cpp
@@ -84,7 +84,7 @@
   for (const auto& bad :
        { good.substr(0, good.size() / 2),
          Replace(good, "\"r12\"", "12"),
-         Replace(good, "\"kind\":\"safe\"", "\"kind\":\"sometimes\""),
+         Replace(good, "\"kind\":\"safe\"", "\"type\":\"safe\""),
          Replace(good, "\"timeout\":\"1.2s\"", "\"timeout\":1200"),
          Replace(good, "\"virtualHosts\"", "\"hosts\""),
          Replace(good, "\"weight\":10", "\"weight\":\"ten\"") }) {
@@ -100,3 +100,131 @@
     Replace(kDocument, "\"service\":\"kafi81c\"}", "\"service\":\"none\"}"));
   CHECK_FALSE(protocol::CompileConfiguration(stored.text(), 12).has_value());
 }
+
+TEST_CASE("requests of downloads may run more than once")
+{
+  const auto stored = Translate(
+    Replace(kDocument, "\"kind\":\"unsafe\"", "\"kind\":\"download\""));
+  CHECK(stored.notes().empty());
+  const auto compiled = protocol::CompileConfiguration(stored.text(), 12);
+  REQUIRE(compiled);
+  const auto* route =
+    (*compiled)->FindRoute("GET", "/lepu270/1", "two.example");
+  REQUIRE(route != nullptr);
+  CHECK(route->isIdempotent);
+  CHECK(route->requestClass == state::RequestClass::Order);
+}
+
+TEST_CASE("an unknown kind of one route does not refuse the other routes")
+{
+  const auto unknown = GENERATE(R"("sometimes")", "7", R"({"of":"safe"})");
+  const auto stored = Translate(Replace(
+    kDocument, R"("kind":"safe")", std::string(R"("kind":)") + unknown));
+  CHECK(stored.defect().empty());
+  REQUIRE(stored.notes_size() == 1);
+  CHECK(stored.notes(0) ==
+        std::string("route r-1 has the unknown kind ") + unknown);
+  const auto compiled = protocol::CompileConfiguration(stored.text(), 12);
+  REQUIRE(compiled);
+  const auto* route =
+    (*compiled)->FindRoute("GET", "/lepu270/2f", "one.example");
+  REQUIRE(route != nullptr);
+  CHECK_FALSE(route->isIdempotent);
+  CHECK(route->requestClass == state::RequestClass::Lookup);
+  CHECK((*compiled)->Routes().size() == 3);
+}
+
+TEST_CASE("a member of a new type or size does not refuse the version")
+{
+  struct Case
+  {
+    const char* known;
+    const char* changed;
+    const char* note;
+  };
+  const auto item = GENERATE(
+    Case{ R"("priority":2)",
+          R"("priority":"low")",
+          "route r-1 has the unknown priority \"low\"" },
+    Case{ R"("priority":2)",
+          R"("priority":-1)",
+          "route r-1 has the unknown priority -1" },
+    Case{ R"("maxAttempts":2)",
+          R"("maxAttempts":"all")",
+          "route r-1 has the unknown maxAttempts \"all\"" },
+    Case{ R"("maxAttempts":2)", R"("maxAttempts":4294967297)", nullptr },
+    Case{ R"("targetLatency":"600ms")",
+          R"("targetLatency":600)",
+          "route r-1 has the unknown targetLatency 600" },
+    Case{ R"("timeout":"1.2s")", R"("timeout":"900s")", nullptr },
+    Case{
+      R"("maxBodyBytes":67108864)", R"("maxBodyBytes":8589934592)", nullptr },
+    Case{ R"("maxHeaderBytes":16384)",
+          R"("maxHeaderBytes":"16k")",
+          "the list of limits has the unknown maxHeaderBytes \"16k\"" },
+    Case{ R"("idleTimeout":"15000ms")",
+          R"("idleTimeout":"0s")",
+          "the list of limits has the unknown idleTimeout \"0s\"" },
+    Case{ R"("services")", R"("regions":[{"x":1}],"services")", nullptr });
+  const auto stored = Translate(Replace(kDocument, item.known, item.changed));
+  CAPTURE(item.changed, stored.defect());
+  const auto compiled = protocol::CompileConfiguration(stored.text(), 12);
+  REQUIRE(compiled);
+  CHECK((*compiled)->Routes().size() == 3);
+  if (item.note == nullptr) {
+    CHECK(stored.notes().empty());
+  } else {
+    REQUIRE(stored.notes_size() == 1);
+    CHECK(stored.notes(0) == item.note);
+  }
+}
+
+TEST_CASE("attempts that are not understood count as one")
+{
+  const auto stored = Translate(
+    Replace(kDocument, R"("maxAttempts":2)", R"("maxAttempts":"all")"));
+  const auto compiled = protocol::CompileConfiguration(stored.text(), 12);
+  REQUIRE(compiled);
+  const auto* route =
+    (*compiled)->FindRoute("GET", "/lepu270/2f", "one.example");
+  REQUIRE(route != nullptr);
+  CHECK(route->maxAttempts == 1);
+}
+
+TEST_CASE("weights with fractions or of any size keep their proportions")
+{
+  const auto [large, small] = GENERATE(
+    std::make_pair("7.5", "2.5"), std::make_pair("12884901888", "4294967296"));
+  auto document =
+    Replace(kDocument, R"("weight":90)", std::string(R"("weight":)") + large);
+  document =
+    Replace(document, R"("weight":10)", std::string(R"("weight":)") + small);
+  const auto stored = Translate(document);
+  CAPTURE(large, stored.defect());
+  const auto compiled = protocol::CompileConfiguration(stored.text(), 12);
+  REQUIRE(compiled);
+  const auto* split =
+    (*compiled)->FindRoute("GET", "/lepu270/2f", "one.example");
+  REQUIRE(split != nullptr);
+  REQUIRE(split->targets.size() == 2);
+  const double share = static_cast<double>(split->targets[0].weight) /
+                       static_cast<double>(split->targets[1].weight);
+  CHECK(share == Approx(3).epsilon(0.001));
+}
+
+TEST_CASE("an unknown word of every route gives a short list of notes")
+{
+  std::string routes;
+  for (int i = 0; i < 100; ++i) {
+    const auto name = "r" + std::to_string(i);
+    routes += (i == 0 ? "" : ",");
+    routes += R"({"name":")" + name + R"(","prefix":"/)" + name +
+              R"(/","kind":"odd","timeout":"1s","service":"kafi81c"})";
+  }
+  const auto stored = Translate(
+    R"({"version":"r3","services":[{"name":"kafi81c"}],"virtualHosts":[)"
+    R"({"host":"one.example","paths":[)" +
+    routes + "]}]}");
+  REQUIRE(stored.notes_size() == 9);
+  CHECK(stored.notes(8) == "92 more of the kind");
+}
