HttpClientConnection: Bound answers that have no end

An upstream in trouble may send bytes that are no answer until its caller closes. Sixteen chunked answers without end together were read up to 315 MB, on hosts that have 160 to 512 MB.

Cause: the parser bounds heads and bodies, but neither what lies between chunks nor the trailer, and ReadMessage() counts no interim answers. Bodies are bounded each, not together. Ruled out: status line, headers, empty lines, bytes that are no HTTP, chunks, unframed bodies and impossible lengths ended at their bound before as well.

Change: the read-ahead buffer has a largest size; at most 16 interim answers come before an answer; the answers that a pool reads at the same time hold 24 MiB together, and the one above an equal part of it is given up. The outcome stays a partial answer, thus 502, and unknown. The connection is closed and small answers beside it are whole.

--- a/Libraries/Transport/HttpClientConnection.cpp
+++ b/Libraries/Transport/HttpClientConnection.cpp
@@ -21,6 +21,10 @@
 /// Late answers that are skipped before a connection is given up.
 constexpr int kMaxSkippedAnswers = 4;
 
+/// Interim answers before an answer. A server that sends them without end
+/// would keep the thread busy past the deadline, which ends only waits.
+constexpr int kMaxInterimAnswers = 16;
+
 TransportError
 ToTransportError(const boost::system::error_code& aError,
                  const CancellationPointer& aCancellation)
@@ -239,7 +243,7 @@
                                   const AnswerRules& aRules,
                                   bool aStopsAtInvitation)
 {
-  while (true) {
+  for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
     http::response_parser<http::string_body> parser;
     parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(kMaxBodyBytes);
@@ -265,13 +269,7 @@
       co_return tl::make_unexpected(TransportError{
         TransportErrorCode::PartialAnswer, "the answer has no length" });
     }
-    if (!parser.is_done()) {
-      co_await http::async_read(
-        stream_,
-        buffer_,
-        parser,
-        asio::redirect_error(asio::use_awaitable, error));
-    }
+    error = co_await ReadBody(parser, aRules.memory);
     if (!error) {
       auto answer = parser.release();
       // Its length is known now; the connection ends with it.
@@ -284,6 +282,32 @@
     }
     co_return tl::make_unexpected(std::move(failure));
   }
+  co_return tl::make_unexpected(TransportError{
+    TransportErrorCode::PartialAnswer, "interim answers without an answer" });
+}
+
+asio::awaitable<boost::system::error_code>
+HttpClientConnection::ReadBody(
+  http::response_parser<http::string_body>& aParser,
+  std::shared_ptr<AnswerMemory> aMemory)
+{
+  AnswerMemory::Share share(std::move(aMemory));
+  boost::system::error_code error;
+  aParser.eager(true);
+  while (!aParser.is_done()) {
+    co_await http::async_read_some(
+      stream_,
+      buffer_,
+      aParser,
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return error;
+    }
+    if (!share.GrowTo(aParser.get().body().size())) {
+      co_return make_error_code(http::error::body_limit);
+    }
+  }
+  co_return error;
 }
 
 bool
--- a/Libraries/Transport/HttpClientConnection.h
+++ b/Libraries/Transport/HttpClientConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Transport/AnswerMemory.h"
 #include "Transport/Cancellation.h"
 #include "Transport/HttpMessages.h"
 #include "Transport/TransportError.h"
@@ -22,6 +23,8 @@
   /// An answer without a length is whole if its connection ends without a
   /// reset.
   bool acceptsUnframed = false;
+  /// Bounds the answers that are read at the same time; may be nullptr.
+  std::shared_ptr<AnswerMemory> memory;
 };
 
 /// One HTTP/1.1 connection to a server; carries one request at a time.
@@ -80,10 +83,19 @@
   boost::asio::awaitable<Result> ReadMessage(bool aIsHead,
                                              const AnswerRules& aRules,
                                              bool aStopsAtInvitation);
+  /// @return the error that ended the body early.
+  boost::asio::awaitable<boost::system::error_code> ReadBody(
+    boost::beast::http::response_parser<boost::beast::http::string_body>&
+      aParser,
+    std::shared_ptr<AnswerMemory> aMemory);
   boost::asio::awaitable<void> Write(std::shared_ptr<WriteState> aState);
 
+  /// The most that is read ahead of the parser. The parser itself bounds
+  /// neither extensions of chunks nor trailers.
+  static constexpr std::size_t kMaxReadAhead = 4UL * kMaxHeaderBytes;
+
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{ kMaxReadAhead };
   std::string address_;
   TimePoint lastAnswer_{};
   TimePoint lastUse_{};
--- a/Libraries/Transport/HttpClientPool.cpp
+++ b/Libraries/Transport/HttpClientPool.cpp
@@ -22,6 +22,10 @@
 /// idle connections above that are closed.
 constexpr std::size_t kMaxProbesPerSweep = 2;
 
+/// Answers that are read at the same time; the smallest hosts have 160 MB for
+/// a node, which has two such pools.
+constexpr std::uint64_t kMaxAnswerBytes = 24ULL * 1024 * 1024;
+
 } // namespace
 
 struct HttpClientPool::Shared
@@ -30,6 +34,11 @@
   HttpClientOptions options;
   transport::IdleConnections idle;
 
+  void BoundAnswers()
+  {
+    options.rules.memory = std::make_shared<AnswerMemory>(kMaxAnswerBytes);
+  }
+
   void Keep(std::unique_ptr<HttpClientConnection> aConnection)
   {
     if (aConnection->IsReusable()) {
@@ -102,6 +111,7 @@
                                HttpClientOptions aOptions)
   : shared_(new Shared{ aContext, std::move(aOptions), {} })
 {
+  shared_->BoundAnswers();
   asio::co_spawn(aContext, Shared::Sweep(aContext, shared_), asio::detached);
 }
 
@@ -110,6 +120,7 @@
   : shared_(new Shared{ aContext, {}, {} })
 {
   shared_->options.maxIdleConnections = aMaxIdleConnections;
+  shared_->BoundAnswers();
 }
 
 HttpClientPool::~HttpClientPool() = default;
