Tests: Guard the slots of requests that an upstream never answers

Upstreams of some services never respond to a request that they cannot queue, nor to a later one on that connection. What was looked at: a node sends its upstream no more requests at a time than it has slots, so it does not fill the queue; a request without an answer ends at its deadline with 504, its connection is closed and never used again (only an answer puts one back into the pool), and its slot is released with the scope. The new test sends 30 silent requests to one upstream and finds all slots afterwards; it passes on the code as it is, so nothing is changed.

Not done: an early end of a silent idempotent request, to ask another upstream. The routes' timeouts are about ten times their work, so a bound that spares running requests leaves no time for another upstream, and a shorter one breaks off work that runs.

--- a/Tests/Services/CallPathProcessTest.cpp
+++ b/Tests/Services/CallPathProcessTest.cpp
@@ -101,6 +101,47 @@
   CHECK(mesh.Runs()["silent"] == 1);
 }
 
+TEST_CASE("Requests that an upstream never answers give their slots back")
+{
+  // Guards against slots, or connections, that stay with an upstream that
+  // never responds to what it cannot queue.
+  constexpr std::size_t kSilent = 30;
+  Mesh mesh(1);
+  const auto send = [&](const std::string& aMethod,
+                        const std::string& aPath,
+                        std::size_t aNumber) {
+    return Call(mesh[0].caller,
+                aMethod,
+                aPath,
+                { { "X-Run-Id", aPath + std::to_string(aNumber) } });
+  };
+  std::vector<std::future<CallResult>> calls;
+  for (std::size_t i = 0; i < kSilent; ++i) {
+    const bool isOrder = i % 2 == 0;
+    calls.push_back(std::async(std::launch::async,
+                               send,
+                               isOrder ? "POST" : "GET",
+                               isOrder ? "/visits/silent" : "/passes/silent",
+                               i));
+  }
+  std::size_t timedOut = 0;
+  for (auto& call : calls) {
+    const auto result = call.get();
+    const bool isTimeout =
+      result.Outcome() == "unknown" && result.Reason() == "timeout";
+    CHECK((isTimeout || result.Outcome() == "not-run"));
+    CHECK(result.Status() == (isTimeout ? 504 : 503));
+    timedOut += isTimeout ? 1 : 0;
+  }
+  CHECK(timedOut > 0);
+  for (std::size_t i = 0; i < kSilent; ++i) {
+    CHECK(send("POST", "/visits/after", i).Outcome() == "answered");
+  }
+  for (const auto& [id, count] : mesh.Runs()) {
+    CHECK(count == 1);
+  }
+}
+
 TEST_CASE("A keyed order that is sent again through another node runs once")
 {
   Mesh mesh(3);
