DirectCore: Keep the readers' watch free for the configuration

Cause, two parts that add up. A node has one connection for watches. Until the fleet is known, 3 s after the start, every node follows the changes of a large configuration with a watch of 25 s, the four later readers too. Their watch of the whole configuration then waits behind it, and as nobody reads, no change is written that would end it. Only the looks remained, and all nodes had drawn their first look before they knew the fleet, from 4 s, and the second from 97 s at 195 nodes: hardly any look falls into the time from 4 to 73 s after the start. In a trace of the first 12 s, version 6 was in force on none of the 195 nodes until 1.4 s after it was sent, and on all of them within 0.1 s from then: the way from one look to all nodes is short, the look is what came late.

Ruled out: the processor and the links. In the same trace no node used over 0.006 cores in the mean, and the spread over 195 nodes was 0.1 s.

Change: no watch of the changes waits before the fleet is known, only the one call that reads what is there; a running fleet has a log, so a restarted node waits on it at once. A node that becomes a reader while its watch of the changes waits looks each 0.8 s until that ends. The time of the next look is drawn anew when the interval changes by more than a factor of two.

Conclusion: the first change after a start no longer depends on luck.

--- a/Libraries/Coordination/ChangeFollower.cpp
+++ b/Libraries/Coordination/ChangeFollower.cpp
@@ -12,9 +12,9 @@
 } // namespace
 
 void
-ChangeFollower::Tick(state::Instant aNow, Commands& aCommands)
+ChangeFollower::Tick(bool aMayWait, state::Instant aNow, Commands& aCommands)
 {
-  if (call_ != 0 || aNow < next_) {
+  if (call_ != 0 || aNow < next_ || (isRead_ && !aMayWait)) {
     return;
   }
   call_ = numbers_.Next();
@@ -35,6 +35,7 @@
     return true;
   }
   backoff_.Reset();
+  isRead_ = true;
   if (entry->revision != revision_) {
     revision_ = entry->revision;
     log_ = ConfigurationChangeLog::Parse(entry->value);
--- a/Libraries/Coordination/ChangeFollower.h
+++ b/Libraries/Coordination/ChangeFollower.h
@@ -19,7 +19,13 @@
   }
 
   /// Starts a watch if none is waiting.
-  void Tick(state::Instant aNow, Commands& aCommands);
+  /// @param aMayWait false if this node may soon read for the others: a watch
+  /// that waits would hold up its watch of the whole configuration. Changes
+  /// that are there already are read all the same.
+  void Tick(bool aMayWait, state::Instant aNow, Commands& aCommands);
+
+  /// A watch is under way; the next one waits behind it.
+  bool IsWatching() const { return call_ != 0; }
 
   /// @return false if the answer belongs to another part.
   bool OnStoreAnswer(const StoreAnswered& aAnswer, state::Instant aNow);
@@ -34,6 +40,8 @@
   std::optional<ConfigurationChangeLog> log_;
   std::uint64_t revision_ = 0;
   std::uint64_t call_ = 0;
+  /// The first watch has said whether there are changes.
+  bool isRead_ = false;
   state::Instant next_{ 0 };
 };
 
--- a/Libraries/Coordination/ConfigurationWatch.cpp
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -29,8 +29,12 @@
   if (readCall_ != 0 || revision_ == 0) {
     return;
   }
-  if (nextCheck_ == state::Instant{ 0 }) {
-    // Nodes that start together look at different times.
+  // Nodes that start together look at different times. The interval grows as a
+  // starting node learns of the others; without a new time all would have
+  // looked by then, and none would look for a long while.
+  if (2 * plannedInterval_ < checkInterval_ ||
+      plannedInterval_ > 2 * checkInterval_) {
+    plannedInterval_ = checkInterval_;
     nextCheck_ = aNow + random_.Between(state::Duration{ 0 }, checkInterval_);
   }
   if (aNow < nextCheck_) {
--- a/Libraries/Coordination/ConfigurationWatch.h
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -62,6 +62,8 @@
   CallNumbers& numbers_;
   bool isWatching_ = true;
   state::Duration checkInterval_{ std::chrono::seconds(4) };
+  /// The interval that the time of the next look was drawn for.
+  state::Duration plannedInterval_{ 0 };
   state::Instant nextCheck_{ 0 };
   std::uint64_t call_ = 0;
   std::uint64_t readCall_ = 0;
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -25,6 +25,10 @@
 /// more often than the second figure.
 constexpr state::Duration kFleetCheckInterval = std::chrono::milliseconds(500);
 constexpr state::Duration kShortestCheckInterval = std::chrono::seconds(4);
+/// A new reader whose watch waits behind its watch of the changes looks this
+/// often until that one ends.
+constexpr state::Duration kNewReaderCheckInterval =
+  std::chrono::milliseconds(800);
 
 } // namespace
 
@@ -92,16 +96,21 @@
   const bool isLarge =
     active != nullptr && active->Text().size() >= kLargeTextBytes;
   // Until the other nodes are known, every node would read.
-  const bool isFleetKnown =
-    directory_.IsListed() && aNow - *started_ >= kFleetStartTime;
-  isFollowing_ = isLarge && !(isReader_ && isFleetKnown);
-  const auto nodes =
-    static_cast<state::Duration::rep>(directory_.Table().Size());
-  const auto fleetInterval = kFleetCheckInterval * nodes;
-  configuration_.SetWatching(!isFollowing_,
-                             isFollowing_
-                               ? std::max(kShortestCheckInterval, fleetInterval)
-                               : kShortestCheckInterval);
+  isFleetKnown_ = directory_.IsListed() && aNow - *started_ >= kFleetStartTime;
+  isFollowing_ = isLarge && !(isReader_ && isFleetKnown_);
+  configuration_.SetWatching(!isFollowing_, CheckInterval());
+}
+
+state::Duration
+DirectCore::CheckInterval() const
+{
+  if (isFollowing_) {
+    const auto nodes =
+      static_cast<state::Duration::rep>(directory_.Table().Size());
+    return std::max(kShortestCheckInterval, kFleetCheckInterval * nodes);
+  }
+  return follower_.IsWatching() ? kNewReaderCheckInterval
+                                : kShortestCheckInterval;
 }
 
 void
@@ -110,7 +119,7 @@
   if (!isFollowing_) {
     return;
   }
-  follower_.Tick(aNow, aCommands);
+  follower_.Tick(isFleetKnown_, aNow, aCommands);
   const auto generation = configuration_.Active()->GetGeneration();
   if (const auto log = follower_.TakeNewer(generation)) {
     configuration_.TakeChanges(*log, aCommands);
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -25,6 +25,9 @@
 
   FleetStatus Status() const;
 
+  /// This node reads the whole of a large configuration for the others.
+  bool IsReader() const { return isReader_; }
+
 private:
   void OnUpstreamChanged(const UpstreamChanged& aChange);
   void OnCrash(std::uint64_t aFingerprint);
@@ -37,6 +40,7 @@
   void Register(std::uint64_t aSaveNumber);
   void CollectCrashes(state::Instant aNow);
   void ChooseSource(state::Instant aNow);
+  state::Duration CheckInterval() const;
   void PublishChange(state::ConfigurationPointer aBefore);
   void FollowChanges(state::Instant aNow, Commands& aCommands);
   void Publish(Commands& aCommands);
@@ -56,6 +60,8 @@
   bool isRestored_ = false;
   /// This node reads the whole configuration for others.
   bool isReader_ = true;
+  /// The records of the nodes that started together are there.
+  bool isFleetKnown_ = false;
   bool isFollowing_ = false;
   bool isPublishDue_ = true;
   std::uint64_t applyCall_ = 0;
--- /dev/null
+++ b/Tests/Coordination/DirectFleet.cpp
@@ -0,0 +1,340 @@
+#include "DirectFleet.h"
+
+#include "Coordination/ReaderSelection.h"
+#include "admin.pb.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr state::Duration kStep = 10ms;
+constexpr state::Duration kTick = 100ms;
+constexpr state::Duration kLatency = 5ms;
+constexpr state::Duration kLeaseTime = 9s;
+/// A link of 10 Mbit/s.
+constexpr std::uint64_t kBytesPerMillisecond = 1250;
+/// The whole document keeps a strong host and one of a tenth of a core busy
+/// this long.
+constexpr state::Duration kShortWholeTime = 60ms;
+constexpr state::Duration kLongWholeTime = 300ms;
+constexpr std::size_t kStrongHosts = 15;
+
+enum LaneNumber : std::size_t
+{
+  kReads,
+  kWrites,
+  kWatches,
+};
+
+std::size_t
+LaneOf(const CallStore& aCall)
+{
+  if (std::holds_alternative<StoreWatch>(aCall.request)) {
+    return kWatches;
+  }
+  const bool isRead =
+    std::holds_alternative<StoreGet>(aCall.request) ||
+    std::holds_alternative<StoreGetIfChanged>(aCall.request) ||
+    std::holds_alternative<StoreList>(aCall.request);
+  return isRead ? kReads : kWrites;
+}
+
+std::string
+NameOf(std::size_t aNode)
+{
+  return "n" + std::to_string(1000 + aNode);
+}
+
+NodeOptions
+OptionsOf(std::size_t aNode, std::uint64_t aSeed)
+{
+  constexpr std::size_t kDataCentres = 5;
+  const auto dataCentre = "dc" + std::to_string(aNode % kDataCentres);
+  NodeOptions options;
+  options.identity.name = NameOf(aNode);
+  options.identity.incarnation = 1;
+  options.identity.service = "visits";
+  options.identity.dataCentre = dataCentre;
+  options.identity.region = "one";
+  options.identity.dataAddress = "10.0.0.1:" + std::to_string(1000 + aNode);
+  options.identity.capacity = aNode < kStrongHosts ? 50 : 1;
+  options.randomSeed = aSeed * 1000003 + aNode;
+  return options;
+}
+
+/// Hosts differ, so that readers skip different versions.
+state::Duration
+WholeTime(std::size_t aNode)
+{
+  constexpr std::size_t kKinds = 7;
+  const auto time = aNode < kStrongHosts ? kShortWholeTime : kLongWholeTime;
+  return time + time * (aNode % kKinds) / kKinds;
+}
+
+} // namespace
+
+DirectFleet::DirectFleet(std::size_t aNodes,
+                         std::uint64_t aSeed,
+                         state::Generation aGeneration,
+                         std::string_view aText)
+{
+  WriteVersion(aGeneration, aText);
+  for (std::size_t i = 0; i < aNodes; ++i) {
+    nodes_.emplace_back();
+    nodes_.back().core = std::make_unique<DirectCore>(OptionsOf(i, aSeed));
+    nodes_.back().nextTick = now_ + kStep * (i % 10);
+  }
+  for (std::size_t i = 0; i < aNodes; ++i) {
+    Handle(i, Started{});
+    Handle(
+      i,
+      UpstreamChanged{ state::EndpointState::Ready,
+                       state::UpstreamIdentity{ "i-" + NameOf(i), 7, 1, 12 } });
+  }
+}
+
+void
+DirectFleet::Handle(std::size_t aNode, const Event& aEvent)
+{
+  auto& node = nodes_[aNode];
+  for (auto& command : node.core->Handle(aEvent, now_)) {
+    if (auto* call = std::get_if<CallStore>(&command)) {
+      Submit(aNode, std::move(*call));
+    } else if (const auto* publish = std::get_if<PublishSnapshot>(&command)) {
+      const auto& configuration = publish->snapshot->configuration;
+      if (configuration != nullptr) {
+        NoteInForce(aNode, configuration->GetGeneration());
+      }
+    }
+  }
+}
+
+void
+DirectFleet::NoteInForce(std::size_t aNode, state::Generation aGeneration)
+{
+  auto& inForce = nodes_[aNode].inForce;
+  for (const auto& version : versions_) {
+    if (inForce != 0 && version.generation > inForce &&
+        version.generation <= aGeneration) {
+      worstLag_ = std::max(worstLag_, now_ - version.written);
+    }
+  }
+  inForce = aGeneration;
+}
+
+void
+DirectFleet::Submit(std::size_t aNode, CallStore aCall)
+{
+  const auto lane = LaneOf(aCall);
+  nodes_[aNode].lanes[lane].waiting.push_back(std::move(aCall));
+  StartNext(aNode, lane);
+}
+
+void
+DirectFleet::StartNext(std::size_t aNode, std::size_t aLane)
+{
+  auto& lane = nodes_[aNode].lanes[aLane];
+  if (lane.running || lane.waiting.empty()) {
+    return;
+  }
+  lane.running = std::move(lane.waiting.front());
+  lane.waiting.pop_front();
+  lane.end = state::Instant{ 0 };
+  const auto* watch = std::get_if<StoreWatch>(&lane.running->request);
+  calls_.watches += watch != nullptr ? 1 : 0;
+  const bool isFirst =
+    watch != nullptr && nodes_[aNode].watched.insert(watch->key).second;
+  if (auto result = Execute(*lane.running, isFirst)) {
+    Reply(aNode, aLane, std::move(*result));
+  } else if (watch != nullptr) {
+    lane.end = now_ + watch->wait;
+  }
+}
+
+std::optional<StoreResult>
+DirectFleet::Execute(const CallStore& aCall, bool aIsFirst)
+{
+  if (const auto* get = std::get_if<StoreGet>(&aCall.request)) {
+    const auto& row = rows_[get->key];
+    return protocol::StoreEntry{ row.value, row.revision };
+  }
+  if (const auto* look = std::get_if<StoreGetIfChanged>(&aCall.request)) {
+    ++calls_.looks;
+    const auto& row = rows_[look->key];
+    return row.revision == look->knownRevision
+             ? protocol::StoreEntry{ "", row.revision }
+             : protocol::StoreEntry{ row.value, row.revision };
+  }
+  if (const auto* watch = std::get_if<StoreWatch>(&aCall.request)) {
+    const auto& row = rows_[watch->key];
+    // The first call of a connection for a key is a read.
+    if (row.revision == watch->knownRevision && !aIsFirst) {
+      return std::nullopt;
+    }
+    return protocol::StoreEntry{ row.value, row.revision };
+  }
+  if (const auto* swap = std::get_if<StoreSwap>(&aCall.request)) {
+    auto& row = rows_[swap->key];
+    calls_.changeWrites += swap->key == protocol::kChangesKey ? 1 : 0;
+    const bool isSwapped = row.revision == swap->expectedRevision;
+    if (isSwapped) {
+      Put(swap->key, swap->value);
+      WakeWatches();
+    }
+    return protocol::SwapResult{ isSwapped, { row.value, row.revision } };
+  }
+  if (std::holds_alternative<StoreList>(aCall.request)) {
+    ++calls_.listings;
+    return MakeListing();
+  }
+  if (std::holds_alternative<StoreGrant>(aCall.request)) {
+    return protocol::LeaseId{ 99 };
+  }
+  return true;
+}
+
+DirectFleet::Row&
+DirectFleet::Put(const std::string& aKey, std::string aValue)
+{
+  auto& row = rows_[aKey];
+  row = { std::move(aValue), ++revision_ };
+  return row;
+}
+
+protocol::StoreListing
+DirectFleet::MakeListing() const
+{
+  protocol::StoreListing listing;
+  listing.revision = revision_;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const auto key = protocol::kNodePrefix + NameOf(i);
+    const auto row = rows_.find(key);
+    if (row != rows_.end() && row->second.revision != 0 &&
+        now_ < nodes_[i].lapses) {
+      listing.items.push_back({ key, row->second.value, row->second.revision });
+    }
+  }
+  return listing;
+}
+
+void
+DirectFleet::Reply(std::size_t aNode, std::size_t aLane, StoreResult aResult)
+{
+  auto delay = kLatency;
+  if (const auto* entry = std::get_if<protocol::StoreEntry>(&aResult)) {
+    delay +=
+      std::chrono::milliseconds(entry->value.size() / kBytesPerMillisecond);
+    const bool isWhole =
+      entry->revision != 0 && !entry->value.empty() &&
+      entry->revision == rows_[protocol::kConfigurationKey].revision;
+    calls_.wholeReads += isWhole ? 1 : 0;
+    delay += isWhole ? WholeTime(aNode) : state::Duration{ 0 };
+  }
+  answers_.emplace(now_ + delay, Answer{ aNode, aLane, std::move(aResult) });
+}
+
+void
+DirectFleet::WakeWatches()
+{
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    auto& lane = nodes_[i].lanes[kWatches];
+    if (!nodes_[i].isAlive || !lane.running ||
+        lane.end == state::Instant{ 0 }) {
+      continue;
+    }
+    const auto& watch = std::get<StoreWatch>(lane.running->request);
+    const auto& row = rows_[watch.key];
+    if (row.revision != watch.knownRevision) {
+      lane.end = state::Instant{ 0 };
+      Reply(i, kWatches, protocol::StoreEntry{ row.value, row.revision });
+    }
+  }
+}
+
+void
+DirectFleet::WriteVersion(state::Generation aGeneration, std::string_view aText)
+{
+  wire::StoredConfiguration stored;
+  stored.set_generation(aGeneration);
+  stored.set_text(std::string(aText));
+  Put(protocol::kConfigurationKey, stored.SerializeAsString());
+  versions_.push_back({ aGeneration, now_ });
+  WakeWatches();
+}
+
+void
+DirectFleet::Run(state::Duration aTime)
+{
+  for (const auto end = now_ + aTime; now_ < end;) {
+    now_ += kStep;
+    while (!answers_.empty() && answers_.begin()->first <= now_) {
+      auto answer = std::move(answers_.begin()->second);
+      answers_.erase(answers_.begin());
+      if (!nodes_[answer.node].isAlive) {
+        continue;
+      }
+      auto& lane = nodes_[answer.node].lanes[answer.lane];
+      const auto call = lane.running->call;
+      lane.running.reset();
+      StartNext(answer.node, answer.lane);
+      Handle(answer.node, StoreAnswered{ call, std::move(answer.result) });
+    }
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      auto& node = nodes_[i];
+      if (!node.isAlive) {
+        continue;
+      }
+      auto& lane = node.lanes[kWatches];
+      if (lane.running && lane.end != state::Instant{ 0 } && now_ >= lane.end) {
+        lane.end = state::Instant{ 0 };
+        const auto& watch = std::get<StoreWatch>(lane.running->request);
+        Reply(i, kWatches, protocol::StoreEntry{ "", watch.knownRevision });
+      }
+      if (now_ >= node.nextTick) {
+        node.nextTick = now_ + kTick;
+        Handle(i, Tick{});
+      }
+    }
+  }
+}
+
+std::size_t
+DirectFleet::KillReaders()
+{
+  std::size_t killed = 0;
+  for (auto& node : nodes_) {
+    if (node.isAlive && node.core->IsReader()) {
+      node.isAlive = false;
+      node.lapses = now_ + kLeaseTime;
+      ++killed;
+    }
+  }
+  return killed;
+}
+
+state::Duration
+DirectFleet::WorstLag() const
+{
+  auto worst = worstLag_;
+  for (const auto& node : nodes_) {
+    for (const auto& version : versions_) {
+      if (node.isAlive && version.generation > node.inForce) {
+        worst = std::max(worst, now_ - version.written);
+      }
+    }
+  }
+  return worst;
+}
+
+void
+DirectFleet::ResetCounts()
+{
+  calls_ = {};
+  worstLag_ = state::Duration{ 0 };
+}
+
+} // namespace teaselhold::coordination
--- /dev/null
+++ b/Tests/Coordination/DirectFleetTest.cpp
@@ -0,0 +1,97 @@
+#include "DirectFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold;
+using namespace teaselhold::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kNodes = 195;
+/// The strictest bound of the deployments.
+constexpr state::Duration kBound = 2s;
+
+/// A text that is read whole by a few nodes only. Its size comes from a comment
+/// so that compiling it is cheap.
+std::string
+MakeText(unsigned aVersion)
+{
+  std::string text;
+  for (unsigned i = 0; i < 2000; ++i) {
+    text += "# A comment of a hundred bytes, so that this text is above the "
+            "size from which only a few nodes read.\n";
+  }
+  text += "[service visits]\nentry = yes\n";
+  constexpr unsigned kRoutes = 8;
+  for (unsigned i = 0; i < kRoutes; ++i) {
+    // Every version changes one route and leaves the others.
+    const auto timeout =
+      100 + (aVersion >= i ? (aVersion - i) / kRoutes : 0) * 10;
+    text += "[route r" + std::to_string(i) + "]\nmatch = ANY /r" +
+            std::to_string(i) +
+            "\nservice = visits\nclass = lookup\n"
+            "idempotent = yes\ntimeout = " +
+            std::to_string(timeout) + "ms\n";
+  }
+  return text;
+}
+
+void
+Write(DirectFleet& aFleet, unsigned aVersion)
+{
+  aFleet.WriteVersion(aVersion, MakeText(aVersion));
+}
+
+} // namespace
+
+TEST_CASE("the first change after the start of a fleet is in force in time")
+{
+  // Guards against readers whose watch of the configuration waits for 25 s
+  // behind their own watch of the changes.
+  DirectFleet fleet(kNodes, GENERATE(1U, 2U, 3U), 4, MakeText(4));
+  const auto wait = GENERATE(500ms, 2152ms, 4s, 12s);
+  CAPTURE(wait.count());
+  fleet.Run(wait);
+  Write(fleet, 6);
+  fleet.Run(6s);
+  // Until then no node tells who reads for the others.
+  constexpr auto kStart = 3500ms;
+  CHECK(fleet.WorstLag() < std::max<state::Duration>(1s, kStart - wait));
+}
+
+TEST_CASE("versions in quick succession are in force in time everywhere")
+{
+  // Guards against readers that skip different versions and write changes that
+  // lead no other node on, so that all nodes read the whole document.
+  DirectFleet fleet(kNodes, GENERATE(1U, 2U, 3U), 4, MakeText(4));
+  fleet.Run(12s);
+  Write(fleet, 6);
+  fleet.Run(4s);
+  fleet.ResetCounts();
+  for (unsigned i = 0; i < 22; ++i) {
+    Write(fleet, 8 + 2 * i);
+    fleet.Run(230ms);
+  }
+  fleet.Run(3s);
+  CHECK(fleet.WorstLag() < kBound);
+  // The readers read, and the nodes that happen to look.
+  CHECK(fleet.Counts().wholeReads < 100);
+  CHECK(fleet.Counts().watches < 22 * kNodes);
+}
+
+TEST_CASE("versions are in force in time after all readers are killed")
+{
+  // Guards against new readers whose watch waits behind the one of the changes.
+  DirectFleet fleet(kNodes, GENERATE(1U, 2U, 3U), 4, MakeText(4));
+  fleet.Run(12s);
+  Write(fleet, 6);
+  fleet.Run(4s);
+  REQUIRE(fleet.KillReaders() == 4);
+  fleet.Run(20s);
+  for (unsigned i = 0; i < 5; ++i) {
+    Write(fleet, 8 + 2 * i);
+    fleet.Run(3s);
+  }
+  CHECK(fleet.WorstLag() < kBound);
+}
