ConfigurationChangeLog: Lead on nodes whose version readers skipped

What callers saw: nothing for sure; found while the CONFIG of 195 hosts was traced. Each break of the log makes every node read the whole document, 190 times 380 KB at 195 hosts.

Cause: readers fetch quick changes together, so they skip different versions. A reader that held version 10 while the log went from 8 to 12 could not find the log's head and wrote its next change without a base. A version that came while the write of the one before had failed replaced it, which left a gap in the log. A node that had read version 10 by a look was led nowhere.

Change: a change applies to every version from its base up to before its target; the digest of the result tells if something had changed and changed back, and then the whole is read as before. A section that is removed and already gone is passed over. The publisher keeps the base of a change that is not written yet.

Before: the three new tests failed (no version from 10; no base in the change of the second reader; no way from 8 after the failed write). After: they pass.

Conclusion: a break of the log needs a change that was taken back between two versions, or a log that was trimmed.

--- a/Libraries/Coordination/ChangePublisher.cpp
+++ b/Libraries/Coordination/ChangePublisher.cpp
@@ -7,7 +7,11 @@
                            state::ConfigurationPointer aNow,
                            std::uint64_t aStoreRevision)
 {
-  before_ = std::move(aBefore);
+  // A change that is not written yet becomes part of the next one, or else no
+  // other node is led over it.
+  if (!IsDue()) {
+    before_ = std::move(aBefore);
+  }
   wanted_ = std::move(aNow);
   storeRevision_ = aStoreRevision;
 }
--- a/Libraries/Coordination/ConfigurationChangeLog.cpp
+++ b/Libraries/Coordination/ConfigurationChangeLog.cpp
@@ -35,8 +35,12 @@
 {
   ConfigurationVersion version{ std::string(aText), aFrom, 0 };
   for (const auto& change : changes_.changes()) {
+    // A version that lies between the two of a change differs from the second
+    // in some of the change's sections, unless something changed and changed
+    // back, which the digest tells.
     if (change.base_generation() == 0 ||
-        change.base_generation() != version.generation) {
+        change.base_generation() > version.generation ||
+        change.generation() <= version.generation) {
       continue;
     }
     auto text = ApplyDelta(version.text, change.sections());
--- a/Libraries/Coordination/ConfigurationDelta.cpp
+++ b/Libraries/Coordination/ConfigurationDelta.cpp
@@ -168,10 +168,12 @@
   }
   for (const auto& change : aSections) {
     const auto known = byName.find(change.name());
-    if (known != byName.end() && change.text().empty() &&
-        !change.name().empty()) {
-      result.erase(known->second);
-      byName.erase(known);
+    if (change.text().empty() && !change.name().empty()) {
+      // A base that is newer than the delta's may lack the section already.
+      if (known != byName.end()) {
+        result.erase(known->second);
+        byName.erase(known);
+      }
     } else if (known != byName.end()) {
       known->second->text = change.text();
     } else {
--- a/Libraries/Coordination/ConfigurationDelta.h
+++ b/Libraries/Coordination/ConfigurationDelta.h
@@ -22,7 +22,8 @@
 std::optional<ConfigurationSections>
 MakeDelta(std::string_view aBase, std::string_view aTarget);
 
-/// Applies a delta. The caller checks the digest of the result.
+/// Applies a delta, also to a text that has some of its changes already. The
+/// caller checks the digest of the result.
 /// Fails with InvalidDelta if a section refers to one that does not exist.
 tl::expected<std::string, CoordinationError>
 ApplyDelta(std::string_view aBase, const ConfigurationSections& aSections);
--- /dev/null
+++ b/Tests/Coordination/ConfigurationChangeLogTest.cpp
@@ -0,0 +1,125 @@
+#include "Coordination/ChangePublisher.h"
+#include "Protocol/ConfigurationText.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold;
+using namespace teaselhold::coordination;
+
+namespace {
+
+/// A text with routes of the given names, each with its timeout.
+std::string
+MakeText(const std::vector<std::pair<std::string, std::string>>& aRoutes)
+{
+  std::string text = "[service visits]\nentry = yes\n";
+  // Routes that never change, so that a change is small beside the text.
+  constexpr int kOthers = 40;
+  for (int i = 0; i < kOthers; ++i) {
+    text += "[route other" + std::to_string(i) + "]\nmatch = ANY /other" +
+            std::to_string(i) +
+            "\nservice = visits\nclass = lookup\nidempotent = yes\n";
+  }
+  for (const auto& [name, timeout] : aRoutes) {
+    text += "[route " + name + "]\nmatch = ANY /" + name +
+            "\nservice = visits\nclass = lookup\nidempotent = yes\ntimeout = " +
+            timeout + "\n";
+  }
+  return text;
+}
+
+const ConfigurationVersion kEight{ MakeText({ { "a", "1s" }, { "c", "1s" } }),
+                                   8,
+                                   1 };
+/// The first half of what changes between versions 8 and 12.
+const ConfigurationVersion kTen{ MakeText({ { "a", "1s" }, { "b", "1s" } }),
+                                 10,
+                                 2 };
+const ConfigurationVersion kTwelve{ MakeText({ { "a", "2s" }, { "b", "1s" } }),
+                                    12,
+                                    3 };
+const ConfigurationVersion kFourteen{ MakeText(
+                                        { { "a", "2s" }, { "b", "3s" } }),
+                                      14,
+                                      4 };
+
+state::ConfigurationPointer
+Compile(const ConfigurationVersion& aVersion)
+{
+  return *protocol::CompileConfiguration(aVersion.text, aVersion.generation);
+}
+
+/// The value that a publisher writes next.
+ConfigurationChangeLog
+NextWrite(ChangePublisher& aPublisher, state::Instant aNow, CallStore& aCall)
+{
+  Commands commands;
+  aPublisher.Tick(aNow, commands);
+  REQUIRE(commands.size() == 1);
+  aCall = std::get<CallStore>(commands.front());
+  return *ConfigurationChangeLog::Parse(
+    std::get<StoreSwap>(aCall.request).value);
+}
+
+} // namespace
+
+TEST_CASE("a version between two versions of the log is led to the newest")
+{
+  // Guards against whole reads of every node that read a version which the
+  // readers for the others skipped.
+  ConfigurationChangeLog log;
+  log.Append(&kEight, kTwelve);
+  log.Append(&kTwelve, kFourteen);
+  for (const auto& from : { kEight, kTen, kTwelve }) {
+    const auto newest = log.Advance(from.text, from.generation);
+    REQUIRE(newest);
+    CHECK(newest->text == kFourteen.text);
+    CHECK(newest->generation == 14);
+  }
+  // What changed and changed back is in no change; the digest tells.
+  auto astray = kTen.text;
+  astray.replace(astray.find("/other0"), 7, "/otherX");
+  CHECK_FALSE(log.Advance(astray, 10));
+  CHECK_FALSE(log.Advance(kEight.text, 7));
+}
+
+TEST_CASE("a reader that read a skipped version writes a change all can use")
+{
+  // Guards against a change without a base, after which every node reads the
+  // whole document.
+  CallNumbers numbers;
+  RandomSource random(1);
+  ChangePublisher publisher(numbers, random);
+  CallStore call;
+  ConfigurationChangeLog written;
+  written.Append(&kEight, kTwelve);
+  publisher.OnVersion(Compile(kTen), Compile(kFourteen), 4);
+  NextWrite(publisher, state::Instant{ 0 }, call);
+  publisher.OnStoreAnswer(
+    { call.call, protocol::SwapResult{ false, { written.Serialize(), 7 } } },
+    state::Instant{ 0 });
+  const auto log = NextWrite(publisher, state::Instant{ 0 }, call);
+  for (const auto& from : { kEight, kTen, kTwelve }) {
+    CHECK(log.Advance(from.text, from.generation));
+  }
+}
+
+TEST_CASE("a version that comes before the last change is written loses none")
+{
+  // Guards against a gap in the log, over which no node is led.
+  CallNumbers numbers;
+  RandomSource random(1);
+  ChangePublisher publisher(numbers, random);
+  CallStore call;
+  publisher.OnVersion(Compile(kEight), Compile(kTwelve), 3);
+  NextWrite(publisher, state::Instant{ 0 }, call);
+  publisher.OnVersion(Compile(kTwelve), Compile(kFourteen), 4);
+  publisher.OnStoreAnswer(
+    { call.call,
+      protocol::StoreError{ protocol::StoreErrorCode::Unavailable, "" } },
+    state::Instant{ 0 });
+  const auto later = state::Instant{ std::chrono::seconds(2) };
+  const auto log = NextWrite(publisher, later, call);
+  CHECK(log.Advance(kEight.text, 8));
+  CHECK(log.Advance(kTwelve.text, 12));
+}
