Daemon: End a watch when the watch of another key starts

What callers saw: on the grown Dakar a request was refused as an older version says, more than 2,500 ms after the newer one was acknowledged (CONFIG).

Cause of the fault that is fixed here: one thread runs all watches. At its start a node with a large configuration watches the changes, for 25 s. When it is chosen to read the whole 3 s later, its watch of the configuration waits behind the one of the changes, so each reader learns of a version only by its next look, 3 to 5 s later, and writes the change for all others only then.

Ruled out: a second thread and connection for each key, which would keep a watch of the other kind alive for nothing.

Change: StoreWorker ends the watch that waits when a newer one is queued; the older call fails as cancelled, which counts as no failure of the store. A watch that was ended reads its key again with its next call.

--- a/Libraries/Coordination/KeyedCall.cpp
+++ b/Libraries/Coordination/KeyedCall.cpp
@@ -148,6 +148,7 @@
       return Read();
     case protocol::StoreErrorCode::Unavailable:
     case protocol::StoreErrorCode::HistoryLost:
+    case protocol::StoreErrorCode::Cancelled:
       break;
   }
   return Failed{ NotRunReason::ClaimUnavailable };
--- a/Libraries/Protocol/StoreClient.h
+++ b/Libraries/Protocol/StoreClient.h
@@ -26,9 +26,11 @@
   HistoryLost,
   /// The lease of a write has lapsed; the write did not take effect.
   LeaseLapsed,
+  /// A watch was ended by its own node.
+  Cancelled,
 };
 
-inline constexpr std::array<state::EnumName<StoreErrorCode>, 6>
+inline constexpr std::array<state::EnumName<StoreErrorCode>, 7>
   kStoreErrorNames{ {
     { StoreErrorCode::Unavailable, "unavailable" },
     { StoreErrorCode::Unknown, "unknown outcome" },
@@ -36,6 +38,7 @@
     { StoreErrorCode::TooLarge, "too large" },
     { StoreErrorCode::HistoryLost, "history lost" },
     { StoreErrorCode::LeaseLapsed, "lease lapsed" },
+    { StoreErrorCode::Cancelled, "cancelled" },
   } };
 
 struct StoreError
@@ -157,6 +160,9 @@
     LeaseId aLease,
     std::chrono::milliseconds aTimeout) = 0;
 
+  /// Ends a Watch that is waiting; it fails as cancelled. Safe on any thread.
+  virtual void EndWatch() {}
+
   /// Ends waiting calls early and fails all later ones. Safe on any thread.
   virtual void Close() {}
 };
--- a/Services/teaselholdd/StoreWorker.cpp
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -86,6 +86,9 @@
 {
   const auto number = aCall.call;
   auto& ring = RingOf(aCall);
+  if (&ring == &watches_) {
+    EndEarlierWatch();
+  }
   if (!ring.Push(std::move(aCall))) {
     answer_({ number,
               protocol::StoreError{ protocol::StoreErrorCode::Unavailable,
@@ -106,13 +109,29 @@
   return isRead ? reads_ : writes_;
 }
 
+void
+StoreWorker::SetWatching(bool aIsWatching)
+{
+  const std::lock_guard lock(watchMutex_);
+  isWatching_ = aIsWatching;
+}
+
+void
+StoreWorker::EndEarlierWatch()
+{
+  const std::lock_guard lock(watchMutex_);
+  if (isWatching_) {
+    client_->EndWatch();
+  }
+}
+
 void
 StoreWorker::Stop()
 {
   writes_.Close();
   watches_.Close();
   reads_.Close();
-  // A watch would hold up the stop for its whole wait of 10 s.
+  // A watch would hold up the stop for its whole wait.
   client_->Close();
   if (writeThread_.joinable()) {
     writeThread_.join();
@@ -129,7 +148,14 @@
 StoreWorker::Run(Ring& aRing)
 {
   while (auto call = aRing.Pop()) {
+    const bool isWatch = &aRing == &watches_;
+    if (isWatch) {
+      SetWatching(true);
+    }
     auto result = Execute(*call);
+    if (isWatch) {
+      SetWatching(false);
+    }
     Count(*call, result);
     answer_({ call->call, std::move(result) });
   }
@@ -153,14 +179,16 @@
   const bool isWatch = std::holds_alternative<StoreWatch>(aCall.request);
   ++(isWatch ? watchCount_ : otherCount_);
   const auto* error = std::get_if<protocol::StoreError>(&aResult);
-  if (error != nullptr) {
+  const bool isFailure =
+    error != nullptr && error->code != protocol::StoreErrorCode::Cancelled;
+  if (isFailure) {
     ++failureCount_;
     if (!failing_.exchange(true)) {
       spdlog::warn("[store] Call failed. error=\"{}\" reason=\"{}\"",
                    state::FindEnumName(protocol::kStoreErrorNames, error->code),
                    error->message);
     }
-  } else if (failing_.exchange(false)) {
+  } else if (error == nullptr && failing_.exchange(false)) {
     spdlog::info("[store] Calls succeed again.");
   }
 }
--- a/Services/teaselholdd/StoreWorker.h
+++ b/Services/teaselholdd/StoreWorker.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 namespace teaselhold::daemon {
@@ -20,9 +21,8 @@
   std::uint64_t failures = 0;
 };
 
-/// Runs the store's blocking calls on threads of its own: one for watches of a
-/// key and one for watches of a prefix, which wait for long, and one for all
-/// other calls.
+/// Runs the store's blocking calls on threads of its own: one for watches,
+/// which wait for long, one for reads, and one for writes and leases.
 class StoreWorker
 {
 public:
@@ -32,7 +32,8 @@
   ~StoreWorker();
 
   /// Queues a call. A call that finds the ring full is answered at once as
-  /// unavailable.
+  /// unavailable. A watch ends the one before it, which is answered as
+  /// cancelled.
   void Submit(coordination::CallStore aCall);
 
   void Stop();
@@ -44,6 +45,9 @@
   using Ring = transport::BoundedRing<coordination::CallStore>;
 
   void Run(Ring& aRing);
+  /// Marks whether the watch thread is in a call.
+  void SetWatching(bool aIsWatching);
+  void EndEarlierWatch();
   Ring& RingOf(const coordination::CallStore& aCall);
   coordination::StoreResult Execute(const coordination::CallStore& aCall);
 
@@ -55,6 +59,8 @@
   Ring writes_{ 256 };
   Ring watches_{ 4 };
   Ring reads_{ 4 };
+  std::mutex watchMutex_;
+  bool isWatching_ = false;
   std::atomic<std::uint64_t> watchCount_ = 0;
   std::atomic<std::uint64_t> otherCount_ = 0;
   std::atomic<std::uint64_t> failureCount_ = 0;
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -213,3 +213,27 @@
   CHECK((*changed)->value == "one");
   CHECK((*changed)->revision == written->current.revision);
 }
+
+TEST_CASE("A watch that was ended reads the key again with its next call")
+{
+  // Guards against a change that came between two watches and is never heard.
+  RunningStore store;
+  const auto client = store.Client();
+  const auto first = client->CompareAndSwap("a/key", 0, "one", 0, 1s);
+  const auto known = client->Watch("a/key", 0, 1s);
+  REQUIRE(known);
+  auto waiting = std::async(std::launch::async, [&] {
+    return client->Watch("a/key", known->revision, 20s);
+  });
+  std::this_thread::sleep_for(100ms);
+  client->EndWatch();
+  REQUIRE(waiting.wait_for(5s) == std::future_status::ready);
+  const auto ended = waiting.get();
+  REQUIRE_FALSE(ended);
+  CHECK(ended.error().code == StoreErrorCode::Cancelled);
+  REQUIRE(
+    client->CompareAndSwap("a/key", first->current.revision, "two", 0, 1s));
+  const auto next = client->Watch("a/key", known->revision, 20s);
+  REQUIRE(next);
+  CHECK(next->value == "two");
+}
