teaselholdd: Take changed settings while the process runs

Operators saw: SIGHUP took up the log level only, and a settings file that changed without a signal was not noticed before the next start. Cause: the file was read at SIGHUP alone, and nothing but the log level went further than the check. Change: the main thread looks at the file's time, size and inode twice a second (one system call) and reads it once it has stayed the same from one look to the next; SIGHUP reads it at once. The log level, drain_timeout, the drain bound of the upstream and the retry ratio, slack and window take effect; one log line names the keys that were taken and those that wait for the next start. A broken file changes nothing, and each error is a line of the log.

--- a/Libraries/Coordination/UpstreamRegistry.h
+++ b/Libraries/Coordination/UpstreamRegistry.h
@@ -39,6 +39,9 @@
                    std::string aAddress,
                    state::Duration aDrainLimit);
 
+  /// Holds for leavings from now on.
+  void SetDrainLimit(state::Duration aDrainLimit) { drainLimit_ = aDrainLimit; }
+
   AnnouncementVerdict Announce(const state::UpstreamAnnouncement& aMessage,
                                state::Instant aNow);
   AnnouncementVerdict Depart(const state::UpstreamDeparture& aMessage,
--- a/Services/teaselholdd/AnnouncedUpstream.cpp
+++ b/Services/teaselholdd/AnnouncedUpstream.cpp
@@ -61,6 +61,12 @@
   asio::co_spawn(context_, TickUntilStopped(), asio::detached);
 }
 
+void
+AnnouncedUpstream::OnSettings(const Settings& aSettings)
+{
+  registry_.SetDrainLimit(DrainLimit(aSettings));
+}
+
 asio::awaitable<void>
 AnnouncedUpstream::TickUntilStopped()
 {
--- a/Services/teaselholdd/AnnouncedUpstream.h
+++ b/Services/teaselholdd/AnnouncedUpstream.h
@@ -32,6 +32,9 @@
   /// Starts to move the registry's time on.
   void Start();
 
+  /// The settings have changed.
+  void OnSettings(const Settings& aSettings);
+
   void OnSaved(std::uint64_t aSaveNumber);
   void Restore(const std::optional<state::UpstreamIdentity>& aLeaving);
 
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -141,6 +141,14 @@
   }
 }
 
+void
+CallerSide::OnSettings()
+{
+  if (adapters_.IsAnnounced() && snapshot_ != nullptr) {
+    ShareRetryBudget();
+  }
+}
+
 void
 CallerSide::ShareRetryBudget()
 {
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -29,6 +29,9 @@
     return snapshot_ != nullptr && snapshot_->configuration != nullptr;
   }
 
+  /// The settings have changed.
+  void OnSettings();
+
   /// Serves one call and records its outcome.
   Awaitable<Response> Serve(Request aRequest,
                             transport::CancellationPointer aCancellation);
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -205,6 +205,23 @@
   });
 }
 
+void
+DataPlane::TakeSettings(const Settings& aSettings)
+{
+  // Not used on the data thread.
+  settings_.drainTimeout = aSettings.drainTimeout;
+  asio::post(context_, [this, settings = aSettings] {
+    settings_.retryRatio = settings.retryRatio;
+    settings_.retrySlack = settings.retrySlack;
+    settings_.retryWindow = settings.retryWindow;
+    settings_.upstreamDrain = settings.upstreamDrain;
+    callerSide_.OnSettings();
+    if (auto* announced = upstreamSide_.Announced()) {
+      announced->OnSettings(settings_);
+    }
+  });
+}
+
 template<typename Function>
 auto
 DataPlane::OnDataThread(Function aFunction)
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -35,6 +35,10 @@
   void OnLeavingSaved(std::uint64_t aSaveNumber);
   void RestoreUpstream(std::optional<state::UpstreamIdentity> aLeaving);
 
+  /// Takes the settings that a running process can take. Must be called on the
+  /// thread that calls DrainAndStop.
+  void TakeSettings(const Settings& aSettings);
+
   /// Announces draining, finishes the requests in flight, then stops. Returns
   /// after the settings' drain timeout at the latest.
   void DrainAndStop();
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -3,14 +3,13 @@
 #include "Services/teaselholdd/DataPlane.h"
 #include "Services/teaselholdd/Logs.h"
 #include "Services/teaselholdd/MetricsServer.h"
+#include "Services/teaselholdd/SettingsReload.h"
 
 #include <csignal>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <pthread.h>
 #include <spdlog/spdlog.h>
-#include <sstream>
 #include <thread>
 
 DEFINE_string(config, "", "the settings file (INI)");
@@ -27,17 +26,21 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-std::optional<daemon::Settings>
+struct LoadedSettings
+{
+  std::string text;
+  daemon::Settings settings;
+};
+
+std::optional<LoadedSettings>
 LoadSettings(const std::string& aPath)
 {
-  std::ifstream file(aPath);
-  if (!file) {
+  auto text = daemon::ReadTextFile(aPath);
+  if (!text) {
     std::cerr << aPath << ": cannot be read\n";
     return std::nullopt;
   }
-  std::stringstream text;
-  text << file.rdbuf();
-  auto checked = daemon::ParseSettings(text.str());
+  auto checked = daemon::ParseSettings(*text);
   if (!checked) {
     std::cerr << protocol::FormatErrors(aPath, checked.error());
     return std::nullopt;
@@ -46,7 +49,7 @@
     warning.message = "warning: " + warning.message;
   }
   std::cerr << protocol::FormatErrors(aPath, checked->warnings);
-  return std::move(checked->settings);
+  return LoadedSettings{ std::move(*text), std::move(checked->settings) };
 }
 
 /// The wall clock in milliseconds; a later process has a higher incarnation.
@@ -89,40 +92,40 @@
   state::ConfigurationPointer last_;
 };
 
-/// Waits for a signal that ends the process. SIGHUP checks the settings file
-/// and takes what can change while the node runs.
+/// Waits for a signal that ends the process. Meanwhile it reads the settings
+/// file at SIGHUP, and when it changed without a signal.
 /// @return the signal.
 int
-WaitForStop(const sigset_t& aSignals, const std::string& aPath)
+WaitForStop(const sigset_t& aSignals, daemon::SettingsReload& aReload)
 {
+  // Two looks at an unchanged file take a silent change within a second.
+  constexpr timespec kInterval{ 0, 500'000'000 };
   while (true) {
-    int signal = 0;
-    sigwait(&aSignals, &signal);
-    if (signal != SIGHUP) {
+    const int signal = sigtimedwait(&aSignals, nullptr, &kInterval);
+    if (signal == SIGHUP) {
+      aReload.Read();
+    } else if (signal > 0) {
       return signal;
+    } else {
+      aReload.Poll();
     }
-    const auto settings = LoadSettings(aPath);
-    if (settings) {
-      spdlog::set_level(spdlog::level::from_str(settings->logLevel));
-    }
-    spdlog::info("[node] Settings read again. valid={}",
-                 settings ? "yes" : "no");
   }
 }
 
 int
-Run(const daemon::Settings& aSettings,
+Run(const LoadedSettings& aLoaded,
     const std::string& aPath,
     const sigset_t& aSignals)
 {
+  const auto& settings = aLoaded.settings;
   const daemon::Clock clock;
   const auto incarnation = MakeIncarnation();
-  const auto adapters = daemon::MakeAdapters(aSettings);
+  const auto adapters = daemon::MakeAdapters(settings);
   coordination::CallMetrics callMetrics;
   TenantNamer tenantNamer(callMetrics);
   std::unique_ptr<daemon::ControlPlane> controlPlane;
   daemon::DataPlane dataPlane(
-    aSettings,
+    settings,
     adapters,
     clock,
     incarnation,
@@ -134,7 +137,7 @@
     },
     callMetrics);
   controlPlane = std::make_unique<daemon::ControlPlane>(
-    aSettings,
+    settings,
     adapters,
     clock,
     incarnation,
@@ -152,20 +155,20 @@
       return FailStart(started.error());
     }
   }
-  const daemon::MetricsSource metrics(aSettings, *controlPlane, callMetrics);
+  const daemon::MetricsSource metrics(settings, *controlPlane, callMetrics);
   std::unique_ptr<daemon::AdminServer> admin;
-  if (!aSettings.adminAddress.empty()) {
+  if (!settings.adminAddress.empty()) {
     auto server = daemon::AdminServer::Listen(
-      aSettings, adapters, *controlPlane, metrics, clock);
+      settings, adapters, *controlPlane, metrics, clock);
     if (!server) {
       return FailStart(server.error());
     }
     admin = std::move(*server);
   }
   std::unique_ptr<daemon::MetricsServer> metricsServer;
-  if (!aSettings.metricsAddress.empty()) {
+  if (!settings.metricsAddress.empty()) {
     auto server =
-      daemon::MetricsServer::Listen(aSettings.metricsAddress, metrics);
+      daemon::MetricsServer::Listen(settings.metricsAddress, metrics);
     if (!server) {
       return FailStart(server.error());
     }
@@ -173,17 +176,21 @@
   }
   spdlog::info("[node] Started. name={} service={} incarnation={} callers={} "
                "admin={} metrics={}",
-               aSettings.nodeName,
-               aSettings.service,
+               settings.nodeName,
+               settings.service,
                incarnation,
-               aSettings.callerAddress,
-               aSettings.adminAddress,
-               aSettings.metricsAddress.empty() ? "none"
-                                                : aSettings.metricsAddress);
-  const int signal = WaitForStop(aSignals, aPath);
+               settings.callerAddress,
+               settings.adminAddress,
+               settings.metricsAddress.empty() ? "none"
+                                               : settings.metricsAddress);
+  daemon::SettingsReload reload(
+    aPath, aLoaded.text, settings, [&](const daemon::Settings& aTaken) {
+      dataPlane.TakeSettings(aTaken);
+    });
+  const int signal = WaitForStop(aSignals, reload);
   spdlog::info("[node] Draining. signal={} timeout_milliseconds={}",
                signal,
-               aSettings.drainTimeout.count());
+               reload.Current().drainTimeout.count());
   dataPlane.DrainAndStop();
   metricsServer.reset();
   admin.reset();
@@ -234,7 +241,7 @@
     std::cout << FLAGS_config << ": valid\n";
     return kExitDone;
   }
-  daemon::SetUpLogs(settings->logLevel);
+  daemon::SetUpLogs(settings->settings.logLevel);
   const int code = Run(*settings, FLAGS_config, signals);
   daemon::FinishLogs();
   return code;
--- a/Tests/Services/FailureProcessTest.cpp
+++ b/Tests/Services/FailureProcessTest.cpp
@@ -107,6 +107,24 @@
   }
 }
 
+TEST_CASE("Changed settings are taken without a signal and broken ones refused")
+{
+  Mesh mesh(1);
+  mesh.WriteSettings(mesh[0], "[log]\nlevel = debug\n[retry]\nslack = 9\n");
+  CHECK(WaitUntil([&] {
+    return mesh.LogOf(mesh[0]).find("Settings read again. taken=log.level,"
+                                    "retry.slack needs_restart=none") !=
+           std::string::npos;
+  }));
+  mesh.WriteSettings(mesh[0], "nonsense\n");
+  CHECK(WaitUntil([&] {
+    return mesh.LogOf(mesh[0]).find("Settings refused") != std::string::npos;
+  }));
+  CHECK(Call(mesh[0].caller, "GET", "/passes/1").Outcome() == "answered");
+  mesh[0].node->Signal(SIGTERM);
+  CHECK(mesh[0].node->Wait() == 0);
+}
+
 TEST_CASE("An upstream that drains itself gets no new work in the end")
 {
   Mesh mesh(2);
--- a/Tests/Services/Mesh.cpp
+++ b/Tests/Services/Mesh.cpp
@@ -173,10 +173,16 @@
 void
 Mesh::StartNode(Node& aNode)
 {
-  std::ofstream(Path(aNode.name + ".ini")) << SettingsOf(aNode);
+  WriteSettings(aNode, "");
   LaunchNode(aNode);
 }
 
+void
+Mesh::WriteSettings(const Node& aNode, const std::string& aMore) const
+{
+  std::ofstream(Path(aNode.name + ".ini")) << SettingsOf(aNode) << aMore;
+}
+
 void
 Mesh::LaunchNode(Node& aNode)
 {
--- a/Tests/Services/Mesh.h
+++ b/Tests/Services/Mesh.h
@@ -59,6 +59,15 @@
   /// Kills the node's process if it runs and starts a new one.
   void RestartNode(Node& aNode);
 
+  /// Replaces the node's settings file, with aMore at its end.
+  void WriteSettings(const Node& aNode, const std::string& aMore) const;
+
+  /// What all processes of the node have logged.
+  std::string LogOf(const Node& aNode) const
+  {
+    return Read(aNode.name + ".log");
+  }
+
   /// Restarts the node and sends it the signal while it reads its settings, or
   /// aDelay after it has read them.
   void RestartNodeWithSignal(Node& aNode,
