Coordination: Let one cheap probe find the store's return

Cause: waits that add up. A call hangs for 1.5 s, a part then pauses for up to 1.5 s, and each part does so for itself; a watch that waits in vain is found only by a look 3 to 5 s later, also when that look itself fails.

Ruled out: a probe that looks for a newer version (a transaction at full price, counted as a write); a probe that lists the records (grows with the fleet); a shorter back-off of every part (more refused calls).

Change: StoreGate holds back the calls of a node while the store fails; a stale read of no key asks for its return each 0.2 to 0.4 s, rarer in large fleets. Its first answer lets all calls go and starts the watches anew. Calls wait 1 s for an answer (1.5 s before), stale reads 0.7 s, connections 0.5 s (0.7 s), and a part pauses for 0.7 s at most. An operator's change is not held back.

--- a/Libraries/Coordination/Backoff.h
+++ b/Libraries/Coordination/Backoff.h
@@ -8,7 +8,7 @@
 
 /// Between two calls of the store that failed. Refused calls are paid for too.
 constexpr state::Duration kFirstStorePause = std::chrono::milliseconds(300);
-constexpr state::Duration kLongestStorePause = std::chrono::milliseconds(1500);
+constexpr state::Duration kLongestStorePause = std::chrono::milliseconds(700);
 
 /// A delay that doubles with each failure. The jitter of up to half the delay
 /// spreads nodes that failed at the same time.
@@ -32,6 +32,8 @@
 
   void Reset() { failures_ = 0; }
 
+  void SetLongest(state::Duration aLongest) { longest_ = aLongest; }
+
 private:
   state::Duration first_;
   state::Duration longest_;
--- a/Libraries/Coordination/ChangeFollower.cpp
+++ b/Libraries/Coordination/ChangeFollower.cpp
@@ -11,6 +11,14 @@
 
 } // namespace
 
+void
+ChangeFollower::Restart(state::Instant aNow)
+{
+  call_ = 0;
+  next_ = aNow;
+  backoff_.Reset();
+}
+
 void
 ChangeFollower::Tick(state::Instant aNow, Commands& aCommands)
 {
--- a/Libraries/Coordination/ChangeFollower.h
+++ b/Libraries/Coordination/ChangeFollower.h
@@ -18,6 +18,9 @@
   {
   }
 
+  /// Forgets a watch that waits, perhaps in vain, and starts anew.
+  void Restart(state::Instant aNow);
+
   /// Starts a watch if none is waiting.
   void Tick(state::Instant aNow, Commands& aCommands);
 
--- a/Libraries/Coordination/ConfigurationWatch.cpp
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -23,6 +23,16 @@
   checkInterval_ = aCheckInterval;
 }
 
+void
+ConfigurationWatch::Restart(state::Instant aNow)
+{
+  call_ = 0;
+  next_ = aNow;
+  nextRead_ = aNow;
+  backoff_.Reset();
+  readBackoff_.Reset();
+}
+
 void
 ConfigurationWatch::Check(state::Instant aNow, Commands& aCommands)
 {
--- a/Libraries/Coordination/ConfigurationWatch.h
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -23,6 +23,9 @@
   /// @param aCheckInterval time between two looks.
   void SetWatching(bool aIsWatching, state::Duration aCheckInterval);
 
+  /// Forgets a watch that waits, perhaps in vain, and starts anew.
+  void Restart(state::Instant aNow);
+
   /// Starts a watch if none is waiting.
   void Tick(state::Instant aNow, Commands& aCommands);
 
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -31,6 +31,7 @@
 DirectCore::DirectCore(NodeOptions aOptions)
   : options_(std::move(aOptions))
   , random_(options_.randomSeed)
+  , gate_(numbers_, random_)
   , configuration_(numbers_, random_)
   , follower_(numbers_, random_)
   , publisher_(numbers_, random_)
@@ -65,6 +66,10 @@
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
     OnApply(*apply, commands);
   }
+  if (gate_.TakeReturned()) {
+    configuration_.Restart(aNow);
+    follower_.Restart(aNow);
+  }
   ChooseSource(aNow);
   FollowChanges(aNow, commands);
   configuration_.Tick(aNow, commands);
@@ -82,6 +87,7 @@
   if (isPublishDue_) {
     Publish(commands);
   }
+  gate_.Pass(aNow, commands);
   return commands;
 }
 
@@ -97,6 +103,7 @@
   isFollowing_ = isLarge && !(isReader_ && isFleetKnown);
   const auto nodes =
     static_cast<state::Duration::rep>(directory_.Table().Size());
+  gate_.SetFleetSize(directory_.Table().Size());
   const auto fleetInterval = kFleetCheckInterval * nodes;
   configuration_.SetWatching(!isFollowing_,
                              isFollowing_
@@ -203,6 +210,9 @@
                           state::Instant aNow,
                           Commands& aCommands)
 {
+  if (gate_.OnStoreAnswer(aAnswer, aNow)) {
+    return;
+  }
   if (aAnswer.call == applyCall_) {
     applyCall_ = 0;
     OnSwapAnswer(aAnswer.result, aCommands);
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -6,6 +6,7 @@
 #include "Coordination/CrashGuard.h"
 #include "Coordination/NodeDirectory.h"
 #include "Coordination/NodeRegistration.h"
+#include "Coordination/StoreGate.h"
 
 namespace teaselhold::coordination {
 
@@ -45,6 +46,7 @@
   state::EndpointRecord self_;
   CallNumbers numbers_;
   RandomSource random_;
+  StoreGate gate_;
   ConfigurationWatch configuration_;
   ChangeFollower follower_;
   ChangePublisher publisher_;
--- /dev/null
+++ b/Libraries/Coordination/StoreGate.cpp
@@ -0,0 +1,154 @@
+#include "Coordination/StoreGate.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr const char* kProbePrefix = "teaselhold/probe/";
+constexpr state::Duration kFirstProbePause = std::chrono::milliseconds(100);
+constexpr state::Duration kLongestProbePause = std::chrono::milliseconds(400);
+/// 6,500 nodes then ask less often than the store's 6,000 reads a second.
+constexpr state::Duration kProbePausePerNode = std::chrono::microseconds(250);
+
+bool
+IsFailure(const StoreResult& aResult)
+{
+  const auto* error = std::get_if<protocol::StoreError>(&aResult);
+  return error != nullptr &&
+         (error->code == protocol::StoreErrorCode::Unavailable ||
+          error->code == protocol::StoreErrorCode::Unknown ||
+          error->code == protocol::StoreErrorCode::RateLimited);
+}
+
+bool
+IsCancelled(const StoreResult& aResult)
+{
+  const auto* error = std::get_if<protocol::StoreError>(&aResult);
+  return error != nullptr && error->code == protocol::StoreErrorCode::Cancelled;
+}
+
+/// An operator who waits for a change is told of a failure at once.
+bool
+IsOperators(const CallStore& aCall)
+{
+  const auto* swap = std::get_if<StoreSwap>(&aCall.request);
+  return swap != nullptr && swap->key == protocol::kConfigurationKey;
+}
+
+bool
+IsRead(const CallStore& aCall)
+{
+  return std::holds_alternative<StoreGet>(aCall.request) ||
+         std::holds_alternative<StoreGetIfChanged>(aCall.request) ||
+         std::holds_alternative<StoreList>(aCall.request);
+}
+
+bool
+IsWatch(const CallStore& aCall)
+{
+  return std::holds_alternative<StoreWatch>(aCall.request);
+}
+
+} // namespace
+
+StoreGate::StoreGate(CallNumbers& aNumbers, RandomSource& aRandom)
+  : numbers_(aNumbers)
+  , random_(aRandom)
+  , backoff_(kFirstProbePause, kLongestProbePause)
+{
+}
+
+void
+StoreGate::SetFleetSize(std::size_t aNodes)
+{
+  const auto nodes = static_cast<state::Duration::rep>(aNodes);
+  backoff_.SetLongest(
+    std::max<state::Duration>(kLongestProbePause, kProbePausePerNode * nodes));
+}
+
+bool
+StoreGate::OnStoreAnswer(const StoreAnswered& aAnswer, state::Instant aNow)
+{
+  const bool isProbe = probe_ != 0 && aAnswer.call == probe_;
+  if (isProbe) {
+    probe_ = 0;
+  }
+  const bool isRead = reads_.erase(aAnswer.call) > 0;
+  if (IsFailure(aAnswer.result)) {
+    isOutage_ = isOutage_ || isProbe || isRead;
+    OnFailure(isProbe, aNow);
+  } else if (!IsCancelled(aAnswer.result)) {
+    isFailing_ = false;
+    isReturned_ = isReturned_ || isOutage_;
+    isOutage_ = false;
+  }
+  return isProbe;
+}
+
+void
+StoreGate::OnFailure(bool aIsProbe, state::Instant aNow)
+{
+  if (!isFailing_) {
+    isFailing_ = true;
+    backoff_.Reset();
+  } else if (!aIsProbe) {
+    return;
+  }
+  nextProbe_ = aNow + backoff_.Next(random_);
+}
+
+bool
+StoreGate::TakeReturned()
+{
+  if (!isReturned_) {
+    return false;
+  }
+  isReturned_ = false;
+  std::erase_if(held_, IsWatch);
+  return true;
+}
+
+void
+StoreGate::Pass(state::Instant aNow, Commands& aCommands)
+{
+  if (!isFailing_) {
+    std::ranges::move(held_, std::back_inserter(aCommands));
+    held_.clear();
+    NoteReads(aCommands);
+    return;
+  }
+  Hold(aCommands);
+  if (probe_ == 0 && aNow >= nextProbe_) {
+    probe_ = numbers_.Next();
+    aCommands.push_back(CallStore{
+      probe_, StoreList{ kProbePrefix, protocol::ReadConsistency::Stale } });
+  }
+}
+
+void
+StoreGate::NoteReads(const Commands& aCommands)
+{
+  for (const auto& command : aCommands) {
+    const auto* call = std::get_if<CallStore>(&command);
+    if (call != nullptr && IsRead(*call)) {
+      reads_.insert(call->call);
+    }
+  }
+}
+
+void
+StoreGate::Hold(Commands& aCommands)
+{
+  std::erase_if(aCommands, [&](Command& aCommand) {
+    auto* call = std::get_if<CallStore>(&aCommand);
+    if (call == nullptr || IsOperators(*call)) {
+      return false;
+    }
+    held_.push_back(std::move(*call));
+    return true;
+  });
+}
+
+} // namespace teaselhold::coordination
--- a/Services/teaselholdd/StoreWorker.cpp
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -1,5 +1,7 @@
 #include "Services/teaselholdd/StoreWorker.h"
 
+#include "Coordination/StoreGate.h"
+
 #include <spdlog/spdlog.h>
 
 namespace teaselhold::daemon {
@@ -8,8 +10,6 @@
 
 using namespace coordination;
 
-constexpr std::chrono::milliseconds kCallTimeout{ 1500 };
-
 template<typename Value>
 StoreResult
 ToResult(tl::expected<Value, protocol::StoreError> aValue)
@@ -27,12 +27,12 @@
 
   StoreResult operator()(const StoreGet& aCall) const
   {
-    return ToResult(client.Get(aCall.key, kCallTimeout));
+    return ToResult(client.Get(aCall.key, kStoreCallTimeout));
   }
   StoreResult operator()(const StoreGetIfChanged& aCall) const
   {
     return ToResult(
-      client.GetIfChanged(aCall.key, aCall.knownRevision, kCallTimeout)
+      client.GetIfChanged(aCall.key, aCall.knownRevision, kStoreCallTimeout)
         .map([&](std::optional<protocol::StoreEntry> aEntry) {
           return std::move(aEntry).value_or(
             protocol::StoreEntry{ "", aCall.knownRevision });
@@ -44,15 +44,15 @@
                                           aCall.expectedRevision,
                                           aCall.value,
                                           aCall.lease,
-                                          kCallTimeout));
+                                          kStoreCallTimeout));
   }
   StoreResult operator()(const StoreGrant& aCall) const
   {
-    return ToResult(client.GrantLease(aCall.timeToLive, kCallTimeout));
+    return ToResult(client.GrantLease(aCall.timeToLive, kStoreCallTimeout));
   }
   StoreResult operator()(const StoreKeepAlive& aCall) const
   {
-    return ToResult(client.KeepAlive(aCall.lease, kCallTimeout));
+    return ToResult(client.KeepAlive(aCall.lease, kStoreCallTimeout));
   }
   StoreResult operator()(const StoreWatch& aCall) const
   {
@@ -60,7 +60,11 @@
   }
   StoreResult operator()(const StoreList& aCall) const
   {
-    return ToResult(client.List(aCall.prefix, aCall.consistency, kCallTimeout));
+    const bool isStale = aCall.consistency == protocol::ReadConsistency::Stale;
+    return ToResult(
+      client.List(aCall.prefix,
+                  aCall.consistency,
+                  isStale ? kStaleCallTimeout : kStoreCallTimeout));
   }
 };
 
