--- a/Libraries/Coordination/ChangeFollower.h
+++ b/Libraries/Coordination/ChangeFollower.h
@@ -18,6 +18,9 @@
   {
   }
 
+  /// Forgets a watch that waits, perhaps in vain, and starts anew.
+  void Restart(state::Instant aNow);
+
   /// Starts a watch if none is waiting.
   /// @param aMayWait false if this node may soon read for the others: a watch
   /// that waits would hold up its watch of the whole configuration. Changes
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -35,6 +35,7 @@
 DirectCore::DirectCore(NodeOptions aOptions)
   : options_(std::move(aOptions))
   , random_(options_.randomSeed)
+  , gate_(numbers_, random_)
   , configuration_(numbers_, random_)
   , follower_(numbers_, random_)
   , publisher_(numbers_, random_)
@@ -69,6 +70,10 @@
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
     OnApply(*apply, commands);
   }
+  if (gate_.TakeReturned()) {
+    configuration_.Restart(aNow);
+    follower_.Restart(aNow);
+  }
   ChooseSource(aNow);
   FollowChanges(aNow, commands);
   configuration_.Tick(aNow, commands);
@@ -86,6 +91,7 @@
   if (isPublishDue_) {
     Publish(commands);
   }
+  gate_.Pass(aNow, commands);
   return commands;
 }
 
@@ -98,6 +104,7 @@
   // Until the other nodes are known, every node would read.
   isFleetKnown_ = directory_.IsListed() && aNow - *started_ >= kFleetStartTime;
   isFollowing_ = isLarge && !(isReader_ && isFleetKnown_);
+  gate_.SetFleetSize(directory_.Table().Size());
   configuration_.SetWatching(!isFollowing_, CheckInterval());
 }
 
@@ -212,6 +219,9 @@
                           state::Instant aNow,
                           Commands& aCommands)
 {
+  if (gate_.OnStoreAnswer(aAnswer, aNow)) {
+    return;
+  }
   if (aAnswer.call == applyCall_) {
     applyCall_ = 0;
     OnSwapAnswer(aAnswer.result, aCommands);
