--- a/Utilities/teaselctl/ExplainCommand.cpp
+++ b/Utilities/teaselctl/ExplainCommand.cpp
@@ -86,8 +86,9 @@
     { "TIME", "NODE", "PART", "CHANGE" }
   };
   for (const auto& [node, line] : aFound.changes) {
+    const auto space = line.rest.empty() ? "" : " ";
     changes.push_back(
-      { line.time, node, line.part, line.sentence + " " + line.rest });
+      { line.time, node, line.part, line.sentence + space + line.rest });
   }
   return "Steps of the request:\n" + FormatTable(steps) +
          "\nChanges of these nodes around it:\n" + FormatTable(changes);
