Meta: Run long simulated tests at the same time and beside the lint

The test command took 10 min 9 s on an idle machine of 8 cores: build 95 s, lint 4 min, then ctest 3 min 30 s one program after the other, of which the tests of coordination took 82 s on one core.

Change: six long tests of coordination are four entries of ctest by their tags [part1] to [part4]; the fifth runs all others, so a test without a tag is never left out (list of names: 1 + 2 + 2 + 1 + 134 = 140, as before).

--- a/Meta/teaselhold.sh
+++ b/Meta/teaselhold.sh
@@ -25,8 +25,17 @@
 }
 
 run_tests() {
-  Meta/lint.sh "$build"
-  ctest --test-dir "$build" --output-on-failure
+  # The simulated tests take as long on a busy machine as their processor time,
+  # so the lint runs beside them; all others have the machine to themselves.
+  local lint
+  Meta/lint.sh "$build" &
+  lint=$!
+  ctest --test-dir "$build" --output-on-failure -j "$(nproc)" -L simulated || {
+    wait "$lint" || true
+    return 1
+  }
+  wait "$lint"
+  ctest --test-dir "$build" --output-on-failure -j 2 -LE simulated
   Meta/known_red.sh "$build"
 }
 
--- a/Tests/Coordination/CallFaultMatrixTest.cpp
+++ b/Tests/Coordination/CallFaultMatrixTest.cpp
@@ -615,7 +615,8 @@
   CHECK(totals.unknown > 0);
 }
 
-TEST_CASE("no pair of faults in consecutive attempts breaks a promise")
+TEST_CASE("no pair of faults in consecutive attempts breaks a promise",
+          "[part2]")
 {
   Totals totals;
   auto all = AllFaults();
@@ -633,7 +634,8 @@
   CHECK(totals.answered > 0);
 }
 
-TEST_CASE("no fault of a send followed by one of its resend breaks a promise")
+TEST_CASE("no fault of a send followed by one of its resend breaks a promise",
+          "[part3]")
 {
   Totals totals;
   auto all = AllFaults();
--- a/Tests/Coordination/DistributionFaultMatrixTest.cpp
+++ b/Tests/Coordination/DistributionFaultMatrixTest.cpp
@@ -444,7 +444,8 @@
 
 } // namespace
 
-TEST_CASE("no single fault in the spread of versions breaks a promise")
+TEST_CASE("no single fault in the spread of versions breaks a promise",
+          "[part1]")
 {
   unsigned cells = 0;
   unsigned absent = 0;
@@ -464,7 +465,8 @@
   CHECK(cells > 0);
 }
 
-TEST_CASE("no pair of faults in the spread of versions breaks a promise")
+TEST_CASE("no pair of faults in the spread of versions breaks a promise",
+          "[part3]")
 {
   unsigned cells = 0;
   unsigned absent = 0;
--- a/Tests/Coordination/MembershipSessionTest.cpp
+++ b/Tests/Coordination/MembershipSessionTest.cpp
@@ -68,7 +68,8 @@
   CHECK(session.Relays().size() >= 9);
 }
 
-TEST_CASE("views agree after random losses, pauses, restarts and cuts")
+TEST_CASE("views agree after random losses, pauses, restarts and cuts",
+          "[part2]")
 {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Session session(seed);
@@ -405,7 +406,7 @@
   CHECK(session.IsSettled());
 }
 
-TEST_CASE("bytes of a quiet fleet", "[.measure]")
+TEST_CASE("bytes of a quiet fleet", "[.measure][part4]")
 {
   for (const unsigned nodesEach : { 10U, 33U, 100U }) {
     Session session(8);
