--- a/Tests/Services/Mesh.h
+++ b/Tests/Services/Mesh.h
@@ -114,11 +114,6 @@
   /// @return how often each request was run by any upstream.
   std::map<std::string, unsigned> Runs() const;
 
-  /// What the node's processes logged so far.
-  std::string LogOf(const Node& aNode) const
-  {
-    return Read(aNode.name + ".log");
-  }
 
   /// Reads one number from the counters of the upstream.
   static unsigned Counter(const Node& aNode, const std::string& aName);
