--- a/Tests/Services/Mesh.h
+++ b/Tests/Services/Mesh.h
@@ -114,7 +114,6 @@
   /// @return how often each request was run by any upstream.
   std::map<std::string, unsigned> Runs() const;
 
-
   /// Reads one number from the counters of the upstream.
   static unsigned Counter(const Node& aNode, const std::string& aName);
 
