--- a/Tests/Coordination/DirectCoreTest.cpp
+++ b/Tests/Coordination/DirectCoreTest.cpp
@@ -106,11 +106,11 @@
   /// Lets the store answer again after a call that failed.
   void Return()
   {
-    const auto isProbe = [](const CallStore& aCall) {
+    Wait(300ms);
+    const auto found = std::ranges::find_if(calls, [](const CallStore& aCall) {
       const auto* list = std::get_if<StoreList>(&aCall.request);
       return list != nullptr && list->prefix != protocol::kNodePrefix;
-    };
-    const auto found = std::ranges::find_if(calls, isProbe);
+    });
     REQUIRE(found != calls.end());
     const auto number = found->call;
     calls.erase(found);
@@ -185,9 +185,7 @@
   CHECK(bench.savedNumber == 0);
   bench.Answer<StoreSwap>(StoreError{ StoreErrorCode::Unknown, "" });
   CHECK(bench.savedNumber == 0);
-  bench.Wait(300ms);
   bench.Return();
-  bench.Wait(700ms);
   // The first write took effect although its answer was lost.
   const auto value = bench.Pending<StoreSwap>()->value;
   bench.Answer<StoreSwap>(protocol::SwapResult{ false, { value, 15 } });
@@ -426,9 +424,7 @@
   }
   bench.Answer<StoreGet>(StoreError{ StoreErrorCode::Unknown, "" });
   CHECK(bench.Pending<StoreGet>() == nullptr);
-  bench.Wait(300ms);
   bench.Return();
-  bench.Wait(200ms);
   REQUIRE(bench.Pending<StoreGet>() != nullptr);
   bench.Answer<StoreGet>(MakeLargeVersion(12, 6, "700ms"));
   CHECK(bench.snapshot->configuration->GetGeneration() == 12);
