--- a/Tests/Coordination/DirectFleet.cpp
+++ b/Tests/Coordination/DirectFleet.cpp
@@ -23,12 +23,9 @@
 constexpr state::Duration kLongWholeTime = 300ms;
 constexpr std::size_t kStrongHosts = 15;
 
-enum LaneNumber : std::size_t
-{
-  kReads,
-  kWrites,
-  kWatches,
-};
+constexpr std::size_t kReads = 0;
+constexpr std::size_t kWrites = 1;
+constexpr std::size_t kWatches = 2;
 
 std::size_t
 LaneOf(const CallStore& aCall)
