--- a/Libraries/Coordination/ConfigurationWatch.h
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -26,6 +26,12 @@
   /// Forgets a watch that waits, perhaps in vain, and starts anew.
   void Restart(state::Instant aNow);
 
+  /// Changes that follow each other within this time are fetched by one call.
+  void SetPauseAfterChange(state::Duration aPause)
+  {
+    pauseAfterChange_ = aPause;
+  }
+
   /// Starts a watch if none is waiting.
   void Tick(state::Instant aNow, Commands& aCommands);
 
@@ -64,6 +70,7 @@
 
   CallNumbers& numbers_;
   bool isWatching_ = true;
+  state::Duration pauseAfterChange_{ 0 };
   state::Duration checkInterval_{ std::chrono::seconds(4) };
   /// The interval that the time of the next look was drawn for.
   state::Duration plannedInterval_{ 0 };
