--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -150,6 +150,7 @@
   state::Duration ServiceTime();
   void NoteRefusal(const Outcome& aOutcome);
   void SpendRetry(state::Instant aNow);
+  MessageSizes Sizes() const;
   EndpointPointer PickNext(state::Instant aNow);
   CallStep Send(state::Instant aNow);
   void ReturnRetries(const Outcome& aOutcome, unsigned aHandedBack);
