--- a/Libraries/Coordination/CallEnvironment.h
+++ b/Libraries/Coordination/CallEnvironment.h
@@ -4,8 +4,8 @@
 #include "Coordination/CallerDeadlines.h"
 #include "Coordination/ClaimKeeper.h"
 #include "Coordination/RetryBudget.h"
-#include "Coordination/RouteMeans.h"
 #include "Coordination/Router.h"
+#include "Coordination/ServiceTimes.h"
 #include "Coordination/TargetPicker.h"
 
 namespace teaselhold::coordination {
@@ -34,10 +34,7 @@
   TargetPicker targets;
   CallPolicy policy;
   CallerDeadlines callerDeadlines;
-  /// How long the requests of each route hold a slot.
-  RouteMeans<state::Duration> serviceTimes;
-  /// How large the answers of each route are.
-  RouteMeans<double> answerBytes;
+  ServiceTimes serviceTimes;
   Router router;
 };
 
--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -15,9 +15,6 @@
 constexpr state::Duration kLateWait = std::chrono::milliseconds(150);
 /// Longer keys would not fit into the store's and the ledger's budgets.
 constexpr std::size_t kMaxKeySize = 256;
-/// Larger answers stay in their data centre if they can: between data centres
-/// bytes are dear, and a wait for a slot costs nothing up to the objective.
-constexpr double kLargeAnswerBytes = 32.0 * 1024;
 
 } // namespace
 
@@ -251,20 +248,12 @@
   environment_.budget.Spend(service_, aNow);
 }
 
-MessageSizes
-CallSession::Sizes() const
-{
-  const auto bytes = environment_.answerBytes.Of(route_->name, 0);
-  return { facts_.bodySize,
-           bytes > kLargeAnswerBytes ? BodySize::Large : BodySize::Small };
-}
-
 EndpointPointer
 CallSession::PickNext(state::Instant aNow)
 {
   auto& router = environment_.router;
   return keyed_ ? router.PickExecutor(service_, keyHash_, tried_, aNow)
-                : router.Pick(service_, tried_, aNow, Sizes());
+                : router.Pick(service_, tried_, aNow, facts_.bodySize);
 }
 
 CallStep
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -150,7 +150,6 @@
   state::Duration ServiceTime();
   void NoteRefusal(const Outcome& aOutcome);
   void SpendRetry(state::Instant aNow);
-  MessageSizes Sizes() const;
   EndpointPointer PickNext(state::Instant aNow);
   CallStep Send(state::Instant aNow);
   void ReturnRetries(const Outcome& aOutcome, unsigned aHandedBack);
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -9,7 +9,6 @@
 
 /// This host, this data centre, this region, elsewhere.
 constexpr std::size_t kGroupCount = 4;
-constexpr unsigned kOwnDataCentre = 1;
 constexpr unsigned kOwnRegion = 2;
 /// Random draws before the neighbours of the last one are searched in order.
 constexpr unsigned kDraws = 4;
@@ -229,23 +228,15 @@
 Router::Pick(std::string_view aService,
              const std::vector<EndpointPointer>& aTried,
              state::Instant aNow,
-             MessageSizes aSizes)
+             BodySize aBodySize)
 {
   const auto* list = ListOf(aService, aNow);
   if (list == nullptr) {
     return nullptr;
   }
-  const Search byLoad{ aTried, aSizes.request, false, aNow };
-  const Search anyLoad{ aTried, aSizes.request, true, aNow };
-  const auto* candidate = PickFrom(*list, byLoad);
-  const bool isNear =
-    candidate != nullptr && candidate->distance <= kOwnDataCentre;
-  if (aSizes.answer == BodySize::Large && !isNear) {
-    const auto* near = PickNear(*list, anyLoad);
-    candidate = near != nullptr ? near : candidate;
-  }
+  const auto* candidate = PickFrom(*list, { aTried, aBodySize, false, aNow });
   if (candidate == nullptr) {
-    candidate = PickFrom(*list, anyLoad);
+    candidate = PickFrom(*list, { aTried, aBodySize, true, aNow });
   }
   return candidate == nullptr ? nullptr : Commit(*candidate, aNow);
 }
@@ -277,17 +268,6 @@
   return best;
 }
 
-const Router::Candidate*
-Router::PickNear(const ServiceList& aList, const Search& aSearch)
-{
-  const auto* near = SampleGroup(
-    aList, aList.groupBegin[0], aList.groupBegin[kOwnDataCentre + 1], aSearch);
-  const bool isGood =
-    near != nullptr && !near->health->IsFailing(aSearch.now) &&
-    near->WayTime(aSearch.bodySize, aSearch.now) <= kBusyWayTime;
-  return isGood ? near : nullptr;
-}
-
 const Router::Candidate*
 Router::SampleGroup(const ServiceList& aList,
                     std::size_t aBegin,
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -20,13 +20,6 @@
   Large,
 };
 
-/// What a request and its answer weigh on the links.
-struct MessageSizes
-{
-  BodySize request = BodySize::Small;
-  BodySize answer = BodySize::Small;
-};
-
 /// Shares the ownership of the table that holds the record, so that a pick
 /// copies no record and outlives a change of the table.
 using EndpointPointer = std::shared_ptr<const state::EndpointRecord>;
@@ -63,14 +56,11 @@
   /// nearest group (this host, data centre, region, elsewhere) that has a free
   /// slot as far as this node sees, the less loaded one of two random ones.
   /// Where that one is behind a busy link, farther groups are looked at too.
-  /// A request with a large answer goes to a near upstream without a free slot
-  /// before it leaves the data centre; the node there refuses it at once if the
-  /// wait is too long.
   /// @return nullptr if no ready upstream is left.
   EndpointPointer Pick(std::string_view aService,
                        const std::vector<EndpointPointer>& aTried,
                        state::Instant aNow,
-                       MessageSizes aSizes = {});
+                       BodySize aBodySize = BodySize::Small);
 
   /// Picks the executor of a keyed request. Nodes of one region with the same
   /// endpoints choose the same executor for a key, so that a send that finds
@@ -134,7 +124,6 @@
                state::Instant aNow);
   void UpdatePanic(ServiceList& aList, state::Instant aNow) const;
   const Candidate* PickFrom(const ServiceList& aList, const Search& aSearch);
-  const Candidate* PickNear(const ServiceList& aList, const Search& aSearch);
   const Candidate* SampleGroup(const ServiceList& aList,
                                std::size_t aBegin,
                                std::size_t aEnd,
--- /dev/null
+++ b/Libraries/Coordination/ServiceTimes.cpp
@@ -0,0 +1,37 @@
+#include "Coordination/ServiceTimes.h"
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr std::size_t kMaxRoutes = 1024;
+/// The newest request counts for one part in this many.
+constexpr int kSmoothing = 16;
+
+} // namespace
+
+void
+ServiceTimes::Learn(std::string_view aRoute, state::Duration aTime)
+{
+  if (aTime.count() == 0) {
+    return;
+  }
+  const auto found = routes_.find(aRoute);
+  if (found != routes_.end()) {
+    found->second += (aTime - found->second) / kSmoothing;
+    return;
+  }
+  if (routes_.size() >= kMaxRoutes) {
+    routes_.clear();
+  }
+  routes_.emplace(aRoute, aTime);
+}
+
+state::Duration
+ServiceTimes::Of(std::string_view aRoute, state::Duration aDefault) const
+{
+  const auto found = routes_.find(aRoute);
+  return found == routes_.end() ? aDefault : found->second;
+}
+
+} // namespace teaselhold::coordination
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -357,11 +357,6 @@
       ParseLoadReport(ReadHeader(exchange.response, headers::kLoad));
     const bool isSmall = aCall.request.body().size() <= kSmallBytes &&
                          exchange.response.body().size() <= kSmallBytes;
-    if (std::holds_alternative<Answered>(exchange.outcome)) {
-      environment_.answerBytes.Learn(
-        aCall.session.Route()->name,
-        static_cast<double>(exchange.response.body().size()));
-    }
     aCall.response = std::move(exchange.response);
     auto next = aCall.session.Finish(
       exchange.outcome, clock_.Now(), exchange.retriesLeft);
