teaselholdd: Save a leaving that is told to a node that ends

From 1.5 s after SIGTERM on, a node acknowledged that its upstream leaves, after 600 ms, but neither wrote it to the store nor applied it to the requests that waited.

Cause: Close() stopped everything that follows from a message, not only new work. Change: a closed node still takes up that its upstream leaves or is gone, and keeps the registry's time; only what would open admission is left out.

--- a/Services/teaselholdd/AnnouncedUpstream.cpp
+++ b/Services/teaselholdd/AnnouncedUpstream.cpp
@@ -58,7 +58,7 @@
 void
 AnnouncedUpstream::Start()
 {
-  asio::co_spawn(context_, TickUntilStopped(), asio::detached);
+  asio::co_spawn(context_, Tick(), asio::detached);
 }
 
 void
@@ -68,10 +68,10 @@
 }
 
 asio::awaitable<void>
-AnnouncedUpstream::TickUntilStopped()
+AnnouncedUpstream::Tick()
 {
   asio::steady_timer timer(context_);
-  while (!isClosed_) {
+  while (true) {
     timer.expires_after(kTickInterval);
     boost::system::error_code error;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
@@ -199,14 +199,17 @@
 void
 AnnouncedUpstream::Apply(std::uint64_t aSaveNumber)
 {
-  if (!registry_.TakeChanged() || isClosed_) {
+  const auto state = registry_.State();
+  // A node that ends takes no work, but a leaving must outlast it.
+  const bool isLeaving = state == state::EndpointState::Draining ||
+                         state == state::EndpointState::Gone;
+  if (!registry_.TakeChanged() || (isClosed_ && !isLeaving)) {
     return;
   }
   const auto& upstream = registry_.Upstream();
   if (upstream.slots > 0) {
     admission_->SetSlots(upstream.slots);
   }
-  const auto state = registry_.State();
   admission_->SetState(state);
   spdlog::info("[upstream] State changed. state={} id={} born={} slots={}",
                state::FindEnumName(state::kEndpointStateNames, state),
--- a/Services/teaselholdd/AnnouncedUpstream.h
+++ b/Services/teaselholdd/AnnouncedUpstream.h
@@ -51,7 +51,7 @@
 
 private:
   Awaitable<void> SaveLeaving();
-  Awaitable<void> TickUntilStopped();
+  Awaitable<void> Tick();
   void Apply(std::uint64_t aSaveNumber);
   void LogMessage(const protocol::UpstreamMessage& aMessage,
                   coordination::AnnouncementVerdict aVerdict) const;
