Coordination: Pace large answers on the outgoing link and refuse them in time

The answers were written at once.

Ruled out: processor time of the hosts (mean 0.011 cores of 0.1), slots of the upstreams (5 of 8,752 refused by the upstream itself), the bodies of requests (the site has no uploads).

Change: LinkScheduler decides, without a network, when pieces of large answers are written: oldest answer first, a piece only while the estimated queue of the link is below 20 ms, small messages without a wait. It also refuses a download before it runs if the link could not send its answer while it is useful (link-busy, 503 with Retry-After). Callers learn the size of the answers by route and send it along with that time. Load reports carry the wait for the link; reports of the version before are still read. A large answer comes from another data centre only if the near links are much fuller and the far one has room. ServiceTimes becomes RouteAverages, which also keeps the sizes.

--- a/Libraries/Coordination/CallEnvironment.h
+++ b/Libraries/Coordination/CallEnvironment.h
@@ -3,8 +3,8 @@
 #include "Coordination/CallPolicy.h"
 #include "Coordination/CallerDeadlines.h"
 #include "Coordination/RetryBudget.h"
+#include "Coordination/RouteAverages.h"
 #include "Coordination/Router.h"
-#include "Coordination/ServiceTimes.h"
 #include "Coordination/SharedClaimState.h"
 #include "Coordination/TargetPicker.h"
 
@@ -37,6 +37,7 @@
   CallPolicy policy;
   CallerDeadlines callerDeadlines;
   ServiceTimes serviceTimes;
+  AnswerSizes answerSizes;
   Router router;
 };
 
--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -1,5 +1,7 @@
 #include "Coordination/CallSession.h"
 
+#include "Coordination/Links/LinkScheduler.h"
+
 #include <algorithm>
 
 namespace teaselhold::coordination {
@@ -16,6 +18,13 @@
 /// anyway.
 constexpr state::Duration kMissedObjectiveMaxWait =
   std::chrono::milliseconds(150);
+/// The part of the latency objective that is left for the way of a large answer
+/// from the node beside the upstream to the caller.
+constexpr int kAnswerTravelDivisor = 5;
+/// A large answer comes from another data centre only if a link there has this
+/// much room: the bytes are dear, and the callers of that data centre need the
+/// link too.
+constexpr state::Duration kFarAnswerMaxWait = std::chrono::milliseconds(150);
 /// Longer keys would exceed the size budgets of the store and the run ledger.
 constexpr std::size_t kMaxKeyBytes = 256;
 
@@ -98,6 +107,8 @@
   }
   deadline_ =
     std::min(facts_.deadline, aNow + state::Duration(route_->timeout));
+  answerBytes_ =
+    static_cast<std::uint64_t>(environment_.answerSizes.Get(route_->name, 0));
   if (route_->latencyObjective.count() > 0 &&
       facts_.deadline != state::Instant::max()) {
     const auto& deadlines =
@@ -211,10 +222,12 @@
   }
   const auto service = ServiceTime();
   const auto left = deadline_ - aNow - service - service / 2;
-  if (isFinalTry_ && facts_.bodySize == BodySize::Small) {
+  const auto sizes = Sizes();
+  if (isFinalTry_ && sizes.request == BodySize::Small &&
+      sizes.answer == BodySize::Small) {
     // A running request often depends on this one, and a refusal would waste
-    // that request's work too. No request depends on an upload, and on a
-    // saturated link a long queue would make all uploads late.
+    // that request's work too. No request depends on an upload or a download,
+    // and on a saturated link a long queue would make all of them late.
     return std::max(left, state::Duration{ 0 });
   }
   if (objective_ != state::Instant::max()) {
@@ -228,6 +241,25 @@
   return std::clamp(left, state::Duration{ 0 }, kMissedObjectiveMaxWait);
 }
 
+std::optional<LargeAnswer>
+CallSession::ExpectedLargeAnswer(state::Instant aNow)
+{
+  if (Sizes().answer == BodySize::Small) {
+    return std::nullopt;
+  }
+  const auto service = ServiceTime();
+  auto time = std::min(deadline_ - aNow, kMissedObjectiveMaxWait + service);
+  if (objective_ != state::Instant::max()) {
+    const auto travel =
+      state::Duration(route_->latencyObjective) / kAnswerTravelDivisor;
+    time = std::max(time, objective_ - aNow - travel);
+  }
+  if (environment_.router.IsFar(*currentEndpoint_)) {
+    time = std::min(time, kFarAnswerMaxWait + service);
+  }
+  return LargeAnswer{ answerBytes_, std::max(time, state::Duration{ 0 }) };
+}
+
 bool
 CallSession::MayRetry(state::Instant aNow)
 {
@@ -251,12 +283,19 @@
   environment_.budget.Spend(service_, aNow);
 }
 
+TransferSizes
+CallSession::Sizes() const
+{
+  const bool isLarge = answerBytes_ >= LinkScheduler::kLargeMessageBytes;
+  return { facts_.bodySize, isLarge ? BodySize::Large : BodySize::Small };
+}
+
 EndpointPointer
 CallSession::PickNext(state::Instant aNow)
 {
   auto& router = environment_.router;
   return keyed_ ? router.PickExecutor(service_, keyHash_, triedEndpoints_, aNow)
-                : router.Pick(service_, triedEndpoints_, aNow, facts_.bodySize);
+                : router.Pick(service_, triedEndpoints_, aNow, Sizes());
 }
 
 CallStep
@@ -324,6 +363,7 @@
     currentEndpoint_, deadline_, carried, retriesPassedDown_, {}
   };
   attempt.maxWait = MaxWait(aNow);
+  attempt.largeAnswer = ExpectedLargeAnswer(aNow);
   attempt.isFinalTry = environment_.policy.boundsWait && isFinalTry_;
   if (keyed_) {
     attempt.claim =
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -44,6 +44,14 @@
   bool operator==(const ClaimTicket&) const = default;
 };
 
+/// A large answer that is expected for a request.
+struct LargeAnswer
+{
+  std::uint64_t bytes = 0;
+  /// Longest useful time until the node beside the upstream has sent it.
+  state::Duration maxTime{ 0 };
+};
+
 /// Send the request to this endpoint, then call Finish().
 struct Attempt
 {
@@ -62,6 +70,8 @@
   /// The caller's deadline leaves no time for another retry, so the request is
   /// served before others.
   bool isFinalTry = false;
+  /// Empty if the answer is expected to be small.
+  std::optional<LargeAnswer> largeAnswer = std::nullopt;
 };
 
 /// Send the response to the caller.
@@ -151,9 +161,11 @@
   bool ShouldRetryAnswer(const Answered& aAnswer) const;
   unsigned MaxAttempts() const;
   std::optional<state::Duration> MaxWait(state::Instant aNow);
+  std::optional<LargeAnswer> ExpectedLargeAnswer(state::Instant aNow);
   state::Duration ServiceTime();
   void RecordRefusal(const Outcome& aOutcome);
   void SpendRetry(state::Instant aNow);
+  TransferSizes Sizes() const;
   EndpointPointer PickNext(state::Instant aNow);
   CallStep Send(state::Instant aNow);
   void ReclaimRetries(const Outcome& aOutcome, unsigned aReturnedRetries);
@@ -169,6 +181,8 @@
   /// max() if there is none.
   state::Instant objective_ = state::Instant::max();
   bool isFinalTry_ = false;
+  /// Expected size of the answer; 0 if it is unknown.
+  std::uint64_t answerBytes_ = 0;
   state::Instant deadline_{ 0 };
   /// The endpoint on which the router counts this call as in flight.
   EndpointPointer currentEndpoint_;
--- a/Libraries/Coordination/CallTypes.h
+++ b/Libraries/Coordination/CallTypes.h
@@ -40,9 +40,12 @@
   /// The idempotency key was already used for a request with different
   /// content.
   KeyMismatch,
+  /// The outgoing link of the upstream's host could not send the large answer
+  /// in time.
+  LinkBusy,
 };
 
-inline constexpr std::array<state::EnumName<NotRunReason>, 20>
+inline constexpr std::array<state::EnumName<NotRunReason>, 21>
   kNotRunReasonNames{ {
     { NotRunReason::NotReady, "not-ready" },
     { NotRunReason::NoRoute, "no-route" },
@@ -64,6 +67,7 @@
     { NotRunReason::NeverArrived, "never-arrived" },
     { NotRunReason::KeyRefused, "key-refused" },
     { NotRunReason::KeyMismatch, "key-mismatch" },
+    { NotRunReason::LinkBusy, "link-busy" },
   } };
 
 /// Reason why the outcome of a request is unknown.
--- a/Libraries/Coordination/BodyScheduler.cpp
+++ b/Libraries/Coordination/Links/BodyScheduler.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/BodyScheduler.h"
+#include "Coordination/Links/BodyScheduler.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/Libraries/Coordination/Links/LinkScheduler.cpp
@@ -0,0 +1,122 @@
+#include "Coordination/Links/LinkScheduler.h"
+
+#include <algorithm>
+
+namespace teaselhold::coordination {
+
+namespace {
+
+/// The rest of the bandwidth carries packet headers, acknowledgements and the
+/// messages that are not counted, such as store calls.
+constexpr double kUsableShare = 0.95;
+/// A small message waits behind at most this much of the large ones, and one
+/// piece more.
+constexpr state::Duration kMaxQueueTime = std::chrono::milliseconds(20);
+/// 13 ms on a link of 10 Mbit/s.
+constexpr std::uint64_t kPieceBytes = 16UL * 1024;
+/// A link that is slower than one byte per second is not meant.
+constexpr double kMinBytesPerSecond = 1;
+
+} // namespace
+
+LinkScheduler::LinkScheduler(double aBytesPerSecond)
+  : bytesPerSecond_(
+      std::max(aBytesPerSecond * kUsableShare, kMinBytesPerSecond))
+{
+}
+
+state::Duration
+LinkScheduler::TransferTime(std::uint64_t aBytes) const
+{
+  const std::chrono::duration<double> time{ static_cast<double>(aBytes) /
+                                            bytesPerSecond_ };
+  return std::chrono::duration_cast<state::Duration>(time);
+}
+
+void
+LinkScheduler::RecordSent(std::uint64_t aBytes, state::Instant aNow)
+{
+  busyUntil_ = std::max(busyUntil_, aNow) + TransferTime(aBytes);
+}
+
+std::uint64_t
+LinkScheduler::Begin(std::uint64_t aBytes)
+{
+  const auto message = nextMessage_++;
+  messages_.emplace(message, Message{ aBytes, false });
+  queuedBytes_ += aBytes;
+  return message;
+}
+
+void
+LinkScheduler::End(std::uint64_t aMessage)
+{
+  const auto found = messages_.find(aMessage);
+  if (found != messages_.end()) {
+    queuedBytes_ -= found->second.bytesLeft;
+    messages_.erase(found);
+  }
+}
+
+void
+LinkScheduler::RequestPiece(std::uint64_t aMessage)
+{
+  const auto found = messages_.find(aMessage);
+  if (found != messages_.end()) {
+    found->second.isWaiting = true;
+  }
+}
+
+std::vector<LinkGrant>
+LinkScheduler::TakeGrants(state::Instant aNow)
+{
+  std::vector<LinkGrant> grants;
+  for (auto& [number, message] : messages_) {
+    if (busyUntil_ > aNow + kMaxQueueTime) {
+      break;
+    }
+    if (!message.isWaiting) {
+      continue;
+    }
+    const auto bytes = std::min(message.bytesLeft, kPieceBytes);
+    message.isWaiting = false;
+    message.bytesLeft -= bytes;
+    queuedBytes_ -= bytes;
+    RecordSent(bytes, aNow);
+    grants.push_back({ number, bytes });
+  }
+  return grants;
+}
+
+state::Instant
+LinkScheduler::NextGrant() const
+{
+  const bool isAnyWaiting = std::ranges::any_of(
+    messages_, [](const auto& aEntry) { return aEntry.second.isWaiting; });
+  return isAnyWaiting ? busyUntil_ - kMaxQueueTime : state::Instant::max();
+}
+
+state::Duration
+LinkScheduler::PredictedTime(std::uint64_t aBytes, state::Instant aNow) const
+{
+  const auto backlog = std::max(busyUntil_ - aNow, state::Duration{ 0 });
+  return backlog + TransferTime(queuedBytes_ + expectedBytes_ + aBytes);
+}
+
+std::optional<NotRun>
+LinkScheduler::Refusal(std::uint64_t aAnswerBytes,
+                       state::Duration aMaxTime,
+                       state::Instant aNow) const
+{
+  if (aAnswerBytes < kLargeMessageBytes) {
+    return std::nullopt;
+  }
+  const auto time = PredictedTime(aAnswerBytes, aNow);
+  // One answer at a time is always allowed, however slow the link is.
+  const bool isIdle = PredictedTime(0, aNow).count() == 0;
+  return isIdle || time <= aMaxTime
+           ? std::nullopt
+           : std::optional(NotRun{ NotRunReason::LinkBusy, time });
+}
+
+} // namespace teaselhold::coordination
--- a/Libraries/Coordination/LoadReport.cpp
+++ b/Libraries/Coordination/LoadReport.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr double kPerMille = 1000;
-constexpr std::size_t kFieldCount = 7;
+constexpr std::size_t kFieldCount = 8;
+/// Fields of the reports of older versions.
+constexpr std::size_t kRequiredFieldCount = 7;
 
 } // namespace
 
@@ -22,7 +24,8 @@
          std::to_string(failures) + ";" +
          std::to_string(aReport.ownServiceTime.count()) + ";" +
          std::to_string(aReport.residence.count()) + ";" +
-         std::to_string(aReport.bodyWait.count());
+         std::to_string(aReport.bodyWait.count()) + ";" +
+         std::to_string(aReport.answerWait.count());
 }
 
 std::optional<LoadReport>
@@ -33,13 +36,17 @@
   const auto* end = next + aText.size();
   for (std::size_t i = 0; i < kFieldCount; ++i) {
     const auto parsed = std::from_chars(next, end, values[i]);
-    const bool isLast = i + 1 == kFieldCount;
-    const bool isComplete =
-      isLast ? parsed.ptr == end : parsed.ptr != end && *parsed.ptr == ';';
+    const bool isEnd = parsed.ptr == end;
+    const bool mayEnd = i + 1 >= kRequiredFieldCount;
+    const bool mayContinue = i + 1 < kFieldCount;
+    const bool isComplete = isEnd ? mayEnd : mayContinue && *parsed.ptr == ';';
     if (parsed.ec != std::errc() || !isComplete) {
       return std::nullopt;
     }
-    next = parsed.ptr + (isLast ? 0 : 1);
+    if (isEnd) {
+      break;
+    }
+    next = parsed.ptr + 1;
   }
   LoadReport report;
   report.outstandingRequests = values[0];
@@ -49,6 +56,7 @@
   report.ownServiceTime = state::Duration(values[4]);
   report.residence = state::Duration(values[5]);
   report.bodyWait = state::Duration(values[6]);
+  report.answerWait = state::Duration(values[7]);
   return report;
 }
 
--- a/Libraries/Coordination/LoadReport.h
+++ b/Libraries/Coordination/LoadReport.h
@@ -27,6 +27,8 @@
   state::Duration residence{ 0 };
   /// Time that a large body would wait before it may be sent.
   state::Duration bodyWait{ 0 };
+  /// Time that a large answer would wait before its host may send it.
+  state::Duration answerWait{ 0 };
 };
 
 /// Formats a report for the header that carries it between nodes, as fields
@@ -34,6 +36,7 @@
 std::string
 FormatLoadReport(const LoadReport& aReport);
 
+/// Nodes of an older version send no answerWait; it is 0 then.
 /// @return nothing if the text is malformed.
 std::optional<LoadReport>
 ParseLoadReport(std::string_view aText);
--- a/Libraries/Coordination/RetryPolicy.cpp
+++ b/Libraries/Coordination/RetryPolicy.cpp
@@ -51,6 +51,7 @@
     case NotRunReason::WrongService:
     case NotRunReason::NeverArrived:
     case NotRunReason::KeyRefused:
+    case NotRunReason::LinkBusy:
       break;
   }
   return true;
@@ -59,7 +60,8 @@
 bool
 RetryPolicy::IsLoadRefusal(NotRunReason aReason)
 {
-  return aReason == NotRunReason::Full || aReason == NotRunReason::Shed;
+  return aReason == NotRunReason::Full || aReason == NotRunReason::Shed ||
+         aReason == NotRunReason::LinkBusy;
 }
 
 bool
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -17,6 +17,9 @@
 /// sooner than a near one behind a congested link.
 constexpr state::Duration kCongestedTransferTime =
   std::chrono::milliseconds(40);
+/// Bytes between data centres are dear, so a large answer comes from another
+/// one only if it saves more than this time.
+constexpr state::Duration kFarAnswerCost = std::chrono::milliseconds(400);
 /// Service time of an upstream whose UpstreamHealth::RelativeCost() is 1.
 constexpr state::Duration kDefaultServiceTime = std::chrono::milliseconds(100);
 
@@ -79,19 +82,29 @@
            health->RelativeCost(aNow);
   }
 
-  /// Round-trip time; for a large body on another host also the wait until
-  /// the body may be sent.
-  state::Duration TransferTime(BodySize aSize, state::Instant aNow) const
+  /// Round-trip time, and the waits until large bodies may be sent. Bodies
+  /// between this host and its own upstream do not use the link.
+  state::Duration TransferTime(TransferSizes aSizes, state::Instant aNow) const
   {
-    const bool crossesNetwork = aSize == BodySize::Large && distance > 0;
-    return health->RoundTripTime(aNow) +
-           (crossesNetwork ? health->BodyWait(aNow) : state::Duration{ 0 });
+    auto time = health->RoundTripTime(aNow);
+    if (aSizes.request == BodySize::Large && distance > 0) {
+      time += health->BodyWait(aNow);
+    }
+    if (aSizes.answer == BodySize::Large && distance > 0) {
+      time += health->AnswerWait(aNow);
+    }
+    return time;
   }
 
-  /// Expected response time in seconds.
-  double ExpectedTime(BodySize aSize, state::Instant aNow) const
+  /// Expected response time in seconds, for a large answer from another data
+  /// centre with the cost of its bytes.
+  double ExpectedTime(TransferSizes aSizes, state::Instant aNow) const
   {
-    const std::chrono::duration<double> transfer = TransferTime(aSize, aNow);
+    const bool isFarAnswer =
+      aSizes.answer == BodySize::Large && distance >= kSameRegionGroup;
+    const std::chrono::duration<double> transfer =
+      TransferTime(aSizes, aNow) +
+      (isFarAnswer ? kFarAnswerCost : state::Duration{ 0 });
     const std::chrono::duration<double> service = kDefaultServiceTime;
     return transfer.count() + LoadWithOneMore(aNow) * service.count();
   }
@@ -101,7 +114,7 @@
 struct Router::PickCriteria
 {
   const std::vector<EndpointPointer>& tried;
-  BodySize bodySize;
+  TransferSizes sizes;
   bool ignoresLoad;
   state::Instant now;
 };
@@ -239,15 +252,15 @@
 Router::Pick(std::string_view aService,
              const std::vector<EndpointPointer>& aTried,
              state::Instant aNow,
-             BodySize aBodySize)
+             TransferSizes aSizes)
 {
   const auto* list = FindServiceList(aService, aNow);
   if (list == nullptr) {
     return nullptr;
   }
-  const auto* candidate = PickFrom(*list, { aTried, aBodySize, false, aNow });
+  const auto* candidate = PickFrom(*list, { aTried, aSizes, false, aNow });
   if (candidate == nullptr) {
-    candidate = PickFrom(*list, { aTried, aBodySize, true, aNow });
+    candidate = PickFrom(*list, { aTried, aSizes, true, aNow });
   }
   return candidate == nullptr ? nullptr : StartRequest(*candidate, aNow);
 }
@@ -260,7 +273,7 @@
     return SampleGroup(aList, 0, aList.candidates.size(), aCriteria);
   }
   const auto expected = [&](const Candidate& aCandidate) {
-    return aCandidate.ExpectedTime(aCriteria.bodySize, aCriteria.now);
+    return aCandidate.ExpectedTime(aCriteria.sizes, aCriteria.now);
   };
   const Candidate* best = nullptr;
   for (std::size_t group = 0; group < kGroupCount; ++group) {
@@ -272,7 +285,7 @@
     if (best == nullptr || expected(*candidate) < expected(*best)) {
       best = candidate;
     }
-    if (best->TransferTime(aCriteria.bodySize, aCriteria.now) <=
+    if (best->TransferTime(aCriteria.sizes, aCriteria.now) <=
         kCongestedTransferTime) {
       break;
     }
@@ -318,8 +331,8 @@
   if (second == nullptr) {
     return first;
   }
-  return second->ExpectedTime(aCriteria.bodySize, now) <
-             first->ExpectedTime(aCriteria.bodySize, now)
+  return second->ExpectedTime(aCriteria.sizes, now) <
+             first->ExpectedTime(aCriteria.sizes, now)
            ? second
            : first;
 }
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -13,14 +13,22 @@
 
 namespace teaselhold::coordination {
 
-/// Size class of a request body. A large body occupies the network link of a
-/// host for a noticeable time.
+/// Size class of the body of a request or an answer. A large body occupies the
+/// network link of a host for a noticeable time.
 enum class BodySize : std::uint8_t
 {
   Small,
   Large,
 };
 
+/// The bodies that one call transfers.
+struct TransferSizes
+{
+  BodySize request = BodySize::Small;
+  /// As expected from earlier answers of the route.
+  BodySize answer = BodySize::Small;
+};
+
 /// Points to a record and shares ownership of the table that holds it, so that
 /// picking an upstream copies no record and the record stays valid after the
 /// table is replaced.
@@ -66,7 +74,7 @@
   EndpointPointer Pick(std::string_view aService,
                        const std::vector<EndpointPointer>& aTried,
                        state::Instant aNow,
-                       BodySize aBodySize = BodySize::Small);
+                       TransferSizes aSizes = {});
 
   /// Picks the executor of a request with an idempotency key by rendezvous
   /// hashing. Nodes of one region with the same endpoint table choose the same
@@ -108,6 +116,12 @@
   /// @return the record of the node in the current table, or nullptr.
   EndpointPointer Find(std::string_view aNode) const;
 
+  /// @return true if the upstream is in another data centre.
+  bool IsFar(const state::EndpointRecord& aEndpoint) const
+  {
+    return aEndpoint.dataCentre != options_.dataCentre;
+  }
+
   /// @return the number of nodes whose health is recorded.
   std::size_t TrackedNodeCount() const { return healthByNode_.size(); }
 
--- a/Libraries/Coordination/UpstreamHealth.cpp
+++ b/Libraries/Coordination/UpstreamHealth.cpp
@@ -110,8 +110,20 @@
 state::Duration
 UpstreamHealth::BodyWait(state::Instant aNow) const
 {
-  return std::max(report_.bodyWait - (aNow - reportReceivedAt_),
-                  state::Duration{ 0 });
+  return RemainingWait(report_.bodyWait, aNow);
+}
+
+state::Duration
+UpstreamHealth::AnswerWait(state::Instant aNow) const
+{
+  return RemainingWait(report_.answerWait, aNow);
+}
+
+state::Duration
+UpstreamHealth::RemainingWait(state::Duration aReported,
+                              state::Instant aNow) const
+{
+  return std::max(aReported - (aNow - reportReceivedAt_), state::Duration{ 0 });
 }
 
 double
--- a/Libraries/Coordination/UpstreamHealth.h
+++ b/Libraries/Coordination/UpstreamHealth.h
@@ -53,6 +53,10 @@
   /// @return the estimated wait until a large body may be sent to the upstream.
   state::Duration BodyWait(state::Instant aNow) const;
 
+  /// @return the estimated wait until the upstream's host may send a large
+  ///         answer.
+  state::Duration AnswerWait(state::Instant aNow) const;
+
   /// @return the estimated number of requests that run or wait at the upstream.
   double OutstandingRequests(state::Instant aNow) const;
 
@@ -80,6 +84,8 @@
 
 private:
   double FailureRate(state::Instant aNow) const;
+  state::Duration RemainingWait(state::Duration aReported,
+                                state::Instant aNow) const;
   bool Eject(state::Duration aTime, state::Instant aNow);
   bool EjectWithBackoff(double aJitter, state::Instant aNow);
   bool Recover();
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -23,6 +23,10 @@
 inline constexpr const char* kIdempotent = "Teaselhold-Idempotent";
 /// Milliseconds that a request may wait for a slot beside the upstream.
 inline constexpr const char* kMaxWait = "Teaselhold-Max-Wait-Ms";
+/// Expected size of the answer's body, if it is large.
+inline constexpr const char* kAnswerBytes = "Teaselhold-Answer-Bytes";
+/// With the above: milliseconds until the answer must be sent to be useful.
+inline constexpr const char* kAnswerTime = "Teaselhold-Answer-Ms";
 /// "yes": the caller has no time for another try after a refusal.
 inline constexpr const char* kFinalTry = "Teaselhold-Final-Try";
 /// The load of the upstream beside the answering node.
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -27,9 +27,28 @@
 using BodyAdmitter =
   std::function<boost::asio::awaitable<BodyAdmission>(const HttpRequest&)>;
 
+/// Waits until a part of an answer's body may be written.
+/// @return the size of the part, at least 1.
+using NextPiece = std::function<boost::asio::awaitable<std::size_t>()>;
+
+/// How answers share the outgoing link.
+struct AnswerPacing
+{
+  /// Bodies from this size on are written in pieces.
+  std::size_t largeBytes = 0;
+  /// Registers a large body of the given size. The function that it returns is
+  /// called for each piece until all bytes are written, and destroyed when the
+  /// answer ends.
+  std::function<NextPiece(std::size_t)> begin;
+  /// Called with the size of each smaller answer.
+  std::function<void(std::size_t)> onSmallAnswer;
+};
+
 /// Bounds on what clients may occupy.
 struct HttpServerOptions
 {
+  /// Nothing writes each answer at once.
+  std::optional<AnswerPacing> pacing;
   /// Asked before a body is invited; empty invites at once.
   BodyAdmitter admitBody;
   std::size_t maxConnections = 4096;
@@ -44,6 +63,7 @@
   /// Longer than the client pool keeps idle connections, so that the client
   /// closes them and no request crosses with the close.
   std::chrono::milliseconds idleTimeout{ 60000 };
+  /// For an answer, or for each piece of a paced one.
   std::chrono::milliseconds writeTimeout{ 20000 };
 };
 
--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -495,6 +495,13 @@
 asio::awaitable<bool>
 HttpServerConnection::Write(HttpResponse& aResponse)
 {
+  const auto& pacing = shared_->options.pacing;
+  if (pacing && aResponse.body().size() >= pacing->largeBytes) {
+    co_return co_await WritePaced(aResponse);
+  }
+  if (pacing) {
+    pacing->onSmallAnswer(aResponse.body().size());
+  }
   SetDeadline(shared_->options.writeTimeout);
   boost::system::error_code error;
   co_await http::async_write(
@@ -503,6 +510,36 @@
   co_return !error;
 }
 
+asio::awaitable<bool>
+HttpServerConnection::WritePaced(HttpResponse& aResponse)
+{
+  const auto nextPiece =
+    shared_->options.pacing->begin(aResponse.body().size());
+  http::response_serializer<http::string_body> serializer(aResponse);
+  SetDeadline(shared_->options.writeTimeout);
+  boost::system::error_code error;
+  co_await http::async_write_header(
+    socket_, serializer, asio::redirect_error(asio::use_awaitable, error));
+  auto left = asio::buffer(aResponse.body());
+  while (!error && left.size() > 0) {
+    deadline_ = Steady::time_point::max();
+    const auto granted = co_await nextPiece();
+    if (isBroken_) {
+      // The client closed the connection during the wait.
+      co_return false;
+    }
+    const auto size = std::min(granted, left.size());
+    SetDeadline(shared_->options.writeTimeout);
+    co_await asio::async_write(
+      socket_,
+      asio::buffer(left, size),
+      asio::redirect_error(asio::use_awaitable, error));
+    left += size;
+  }
+  deadline_ = Steady::time_point::max();
+  co_return !error;
+}
+
 asio::awaitable<void>
 HttpServerConnection::WriteError(http::status aStatus, const char* aReason)
 {
--- a/Libraries/Transport/HttpServerConnection.h
+++ b/Libraries/Transport/HttpServerConnection.h
@@ -63,6 +63,8 @@
   void WatchForClose();
   void CancelExchanges();
   Awaitable<bool> Write(HttpResponse& aResponse);
+  /// Writes a large answer in pieces.
+  Awaitable<bool> WritePaced(HttpResponse& aResponse);
   Awaitable<void> WriteError(boost::beast::http::status aStatus,
                              const char* aReason);
   Awaitable<void> Reject(const boost::system::error_code& aError);
--- a/Services/teaselholdd/BodyQueue.h
+++ b/Services/teaselholdd/BodyQueue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Coordination/BodyScheduler.h"
+#include "Coordination/Links/BodyScheduler.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/Exchange.h"
 
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -374,6 +374,7 @@
       ParseLoadReport(ReadHeader(exchange.response, headers::kLoad));
     const bool isSmall = aCall.request.body().size() <= kSmallBytes &&
                          exchange.response.body().size() <= kSmallBytes;
+    RecordAnswerSize(aCall, exchange);
     aCall.response = std::move(exchange.response);
     auto next = aCall.session.Finish(
       exchange.outcome, clock_.Now(), exchange.retriesLeft);
@@ -408,6 +409,19 @@
   co_return co_await CallStore(aCall, std::get<ClaimStep>(aStep));
 }
 
+void
+CallerSide::RecordAnswerSize(const Call& aCall, const Exchange& aExchange)
+{
+  const bool isSuccess = std::holds_alternative<Answered>(aExchange.outcome) &&
+                         to_status_class(aExchange.response.result()) ==
+                           boost::beast::http::status_class::successful;
+  if (isSuccess) {
+    environment_.answerSizes.Record(
+      aCall.session.Route()->name,
+      static_cast<std::int64_t>(aExchange.response.body().size()));
+  }
+}
+
 void
 CallerSide::FinishAnswer(Response& aResponse, const Outcome& aOutcome)
 {
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -59,6 +59,7 @@
 
   void FinishAnswer(Response& aResponse, const coordination::Outcome& aOutcome);
   void ShareRetryBudget();
+  void RecordAnswerSize(const Call& aCall, const Exchange& aExchange);
   static CallEnd Describe(const Call& aCall);
   Response Refuse(const Request& aRequest,
                   coordination::NotRunReason aReason,
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -49,6 +49,9 @@
   , adapters_(aAdapters)
   , clock_(aClock)
   , changeSink_(std::move(aChangeSink))
+  , link_(std::make_shared<OutgoingLink>(context_,
+                                         aClock,
+                                         LinkBytesPerSecond(settings_)))
   , upstreamSide_(context_,
                   settings_,
                   adapters_,
@@ -56,7 +59,8 @@
                   aIncarnation,
                   changeSink_,
                   std::move(aCrashSink),
-                  aCallMetrics)
+                  aCallMetrics,
+                  link_)
   , callerSide_(context_,
                 settings_,
                 adapters_,
@@ -81,6 +85,10 @@
 {
   transport::HttpServerOptions options;
   options.maxConnections = kMaxConnections;
+  if (settings_.environment == Environment::Standalone) {
+    // On the platform the callers are on this host.
+    options.pacing = link_->Pacing();
+  }
   auto callerServer = transport::HttpServer::Listen(
     context_,
     settings_.callerAddress,
@@ -93,6 +101,7 @@
     return tl::make_unexpected(callerServer.error());
   }
   auto nodeOptions = options;
+  nodeOptions.pacing = link_->Pacing();
   nodeOptions.admitBody = [this](const Request& aHead) {
     return upstreamSide_.AdmitBody(aHead);
   };
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -62,6 +62,7 @@
   const Clock& clock_;
   ChangeSink changeSink_;
   boost::asio::io_context context_{ 1 };
+  std::shared_ptr<OutgoingLink> link_;
   UpstreamSide upstreamSide_;
   CallerSide callerSide_;
   std::unique_ptr<transport::HttpServer> callerServer_;
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -81,6 +81,8 @@
                             headers::kOutcome,
                             headers::kReason,
                             headers::kMaxWait,
+                            headers::kAnswerBytes,
+                            headers::kAnswerTime,
                             headers::kFinalTry }) {
     aFields.erase(name);
   }
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -68,6 +68,11 @@
   Exchange exchange;
   // GCC 12 destroys the operands of a conditional expression twice if they
   // contain co_await.
+  if (isLocal && settings_.environment == Environment::Platform) {
+    // The platform's callers are on this host, so that the answer does not use
+    // the link.
+    aRequest.erase(headers::kAnswerBytes);
+  }
   if (isLocal) {
     exchange = co_await local_.ServeLocal(aRequest, std::move(aCancellation));
   } else {
@@ -158,6 +163,14 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(*aAttempt.maxWait);
     SetHeader(aRequest, headers::kMaxWait, std::to_string(wait.count()));
   }
+  if (aAttempt.largeAnswer) {
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aAttempt.largeAnswer->maxTime);
+    SetHeader(aRequest,
+              headers::kAnswerBytes,
+              std::to_string(aAttempt.largeAnswer->bytes));
+    SetHeader(aRequest, headers::kAnswerTime, std::to_string(time.count()));
+  }
   if (aAttempt.isFinalTry) {
     SetHeader(aRequest, headers::kFinalTry, "yes");
   }
--- a/Services/teaselholdd/Settings.cpp
+++ b/Services/teaselholdd/Settings.cpp
@@ -380,4 +380,11 @@
   return result;
 }
 
+double
+LinkBytesPerSecond(const Settings& aSettings)
+{
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  return aSettings.linkMegabits * kBytesPerMegabit;
+}
+
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/Settings.h
+++ b/Services/teaselholdd/Settings.h
@@ -80,6 +80,10 @@
   std::string logLevel = "info";
 };
 
+/// @return the bandwidth of the host's link.
+double
+LinkBytesPerSecond(const Settings& aSettings);
+
 /// Valid settings and what an operator should know about them.
 struct CheckedSettings
 {
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -19,7 +19,6 @@
 /// times only adds latency.
 constexpr std::uint32_t kQueuePerSlot = 4;
 
-constexpr double kBytesPerMegabit = 1e6 / 8;
 /// How long a body may wait if its request names no bound.
 constexpr state::Duration kBodyWait = std::chrono::seconds(1);
 
@@ -83,7 +82,8 @@
                            std::uint64_t aIncarnation,
                            AnnouncedUpstream::ChangeSink aChangeSink,
                            UpstreamLink::CrashSink aCrashSink,
-                           CallMetrics& aCallMetrics)
+                           CallMetrics& aCallMetrics,
+                           std::shared_ptr<OutgoingLink> aLink)
   : context_(aContext)
   , settings_(aSettings)
   , adapters_(aAdapters)
@@ -96,10 +96,10 @@
       aContext,
       aClock,
       MakeAdmissionOptions(aSettings, aAdapters)))
-  , bodies_(
-      std::make_shared<BodyQueue>(aContext,
-                                  aClock,
-                                  aSettings.linkMegabits * kBytesPerMegabit))
+  , bodies_(std::make_shared<BodyQueue>(aContext,
+                                        aClock,
+                                        LinkBytesPerSecond(aSettings)))
+  , link_(std::move(aLink))
   , announced_(aAdapters.IsAnnounced() ? std::make_unique<AnnouncedUpstream>(
                                            aContext,
                                            aSettings,
@@ -366,7 +366,17 @@
                   const AdmissionRequest& aAdmission,
                   transport::CancellationPointer aCancellation)
 {
-  const auto refused = co_await admission_->Enter(aAdmission, aCancellation);
+  const auto answerBytes =
+    ReadNumber<std::uint64_t>(aRequest, headers::kAnswerBytes).value_or(0);
+  const std::chrono::milliseconds answerTime{
+    ReadNumber<std::uint32_t>(aRequest, headers::kAnswerTime).value_or(0)
+  };
+  auto refused = link_->Refusal(answerBytes, answerTime);
+  if (refused) {
+    co_return MakeExchange(*refused);
+  }
+  const OutgoingLink::Expectation expectation(link_, answerBytes);
+  refused = co_await admission_->Enter(aAdmission, aCancellation);
   if (refused) {
     co_return MakeExchange(*refused);
   }
@@ -395,6 +405,7 @@
   auto report = admission_->Report();
   report.residence = clock_.Now() - aArrived;
   report.bodyWait = bodies_->PredictedWait();
+  report.answerWait = link_->PredictedWait();
   if (std::holds_alternative<Answered>(aExchange.outcome)) {
     report.ownServiceTime = aExchange.serviceTime;
   }
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -4,6 +4,7 @@
 #include "Services/teaselholdd/AdmissionQueue.h"
 #include "Services/teaselholdd/BodyQueue.h"
 #include "Services/teaselholdd/KeyedRuns.h"
+#include "Services/teaselholdd/OutgoingLink.h"
 #include "Services/teaselholdd/RequestLines.h"
 #include "Services/teaselholdd/UpstreamLink.h"
 #include "State/ArrivalLog.h"
@@ -25,7 +26,8 @@
                std::uint64_t aIncarnation,
                AnnouncedUpstream::ChangeSink aChangeSink,
                UpstreamLink::CrashSink aCrashSink,
-               coordination::CallMetrics& aCallMetrics);
+               coordination::CallMetrics& aCallMetrics,
+               std::shared_ptr<OutgoingLink> aLink);
 
   /// Starts to probe the upstream, or to take its announcements.
   void Start();
@@ -98,6 +100,7 @@
   KeyedRuns keyedRuns_;
   std::shared_ptr<AdmissionQueue> admission_;
   std::shared_ptr<BodyQueue> bodies_;
+  std::shared_ptr<OutgoingLink> link_;
   std::unique_ptr<AnnouncedUpstream> announced_;
   UpstreamLink upstream_;
   std::uint64_t nextRequest_ = 1;
--- a/Tests/Coordination/LoadPolicyTest.cpp
+++ b/Tests/Coordination/LoadPolicyTest.cpp
@@ -154,6 +154,29 @@
   CHECK(maxWait(BodySize::Small) > 1s);
 }
 
+TEST_CASE("a large answer has until its objective to be sent, and less from "
+          "another data centre")
+{
+  // Guards against downloads that take the links of another data centre from
+  // the callers there, and against bounds that no answer can meet.
+  auto environment = MakeEnvironment();
+  environment.policy = CallPolicy::WithLoadReports();
+  const auto largeAnswer = [&](const std::string& aDataCentre) {
+    const auto snapshot =
+      MakeSnapshot(MakeTable({ MakeEndpoint("a", aDataCentre) }),
+                   MakeObjectiveConfiguration());
+    CallSession session(MakeTimedFacts(true, 3s), snapshot, environment);
+    return std::get<Attempt>(session.Start(0s)).largeAnswer;
+  };
+  CHECK_FALSE(largeAnswer("bud1"));
+  environment.answerSizes.Record("look", 90'000);
+  const auto near = largeAnswer("bud1");
+  REQUIRE(near);
+  CHECK(near->bytes == 90'000);
+  CHECK(near->maxTime == 400ms);
+  CHECK(largeAnswer("bud2")->maxTime < near->maxTime);
+}
+
 TEST_CASE("a request whose expected wait exceeds its limit is refused at once")
 {
   Admission admission(AdmissionOptions{ 2, 100, false, 0s });
@@ -243,10 +266,32 @@
   LoadReport report{ 0, 12, 100ms, 0 };
   report.bodyWait = 800ms;
   router.RecordLoadReport(*first, report, 1s);
-  CHECK(router.Pick("visits", {}, 1s, BodySize::Large)->node == "far");
+  CHECK(router.Pick("visits", {}, 1s, { BodySize::Large })->node == "far");
   CHECK(router.Pick("visits", {}, 1s)->node == "near");
   // By then the reported wait has passed.
-  CHECK(router.Pick("visits", {}, 2s, BodySize::Large)->node == "near");
+  CHECK(router.Pick("visits", {}, 2s, { BodySize::Large })->node == "near");
+}
+
+TEST_CASE("large answers come from another data centre only if the near link "
+          "is much fuller")
+{
+  // Guards against downloads that fill the links of one data centre, and
+  // against dear bytes between data centres that save little time.
+  Router router(kRouterOptions);
+  router.SetEndpoints(
+    MakeTable({ MakeEndpoint("near"), MakeEndpoint("far", "bud2") }), 0s);
+  const auto first = router.Pick("visits", {}, 1s);
+  REQUIRE(first->node == "near");
+  router.OnRequestFinished(*first, kAnswer, 1s);
+  const TransferSizes download{ BodySize::Small, BodySize::Large };
+  LoadReport report{ 0, 12, 100ms, 0 };
+  report.answerWait = 300ms;
+  router.RecordLoadReport(*first, report, 1s);
+  CHECK(router.Pick("visits", {}, 1s, download)->node == "near");
+  report.answerWait = 800ms;
+  router.RecordLoadReport(*first, report, 1s);
+  CHECK(router.Pick("visits", {}, 1s, download)->node == "far");
+  CHECK(router.Pick("visits", {}, 1s)->node == "near");
 }
 
 TEST_CASE("an upstream with free slots but a high failure rate is avoided")
@@ -264,7 +309,7 @@
 TEST_CASE(
   "a load report is parsed as formatted and malformed ones are rejected")
 {
-  const LoadReport report{ 7, 12, 123ms, 0.25, 45ms, 67ms, 89ms };
+  const LoadReport report{ 7, 12, 123ms, 0.25, 45ms, 67ms, 89ms, 12ms };
   const auto read = ParseLoadReport(FormatLoadReport(report));
   REQUIRE(read);
   CHECK(read->outstandingRequests == 7);
@@ -274,9 +319,17 @@
   CHECK(read->ownServiceTime == 45ms);
   CHECK(read->residence == 67ms);
   CHECK(read->bodyWait == 89ms);
+  CHECK(read->answerWait == 12ms);
+  // Nodes of the version before this field are still understood.
+  const auto old = ParseLoadReport("1;2;3;4;5;6;7");
+  REQUIRE(old);
+  CHECK(old->bodyWait == 7us);
+  CHECK(old->answerWait == 0s);
   for (const auto* bad : { "",
                            "1;2;3;4;5;6",
-                           "1;2;3;4;5;6;7;8",
+                           "1;2;3;4;5;6;7;",
+                           "1;2;3;4;5;6;7;8;9",
+                           "1;2;3;4;5;6;7;8 ",
                            "a;2;3;4;5;6;7",
                            "1;2;3;4;5;6;7 " }) {
     CHECK_FALSE(ParseLoadReport(bad));
--- a/Tests/Transport/HttpServerTest.cpp
+++ b/Tests/Transport/HttpServerTest.cpp
@@ -506,3 +506,101 @@
   CHECK(result.error().code == TransportErrorCode::NotInvited);
   CHECK(handled == 0);
 }
+
+namespace {
+
+/// Grants pieces of 1000 bytes and counts what it is told.
+struct PieceCounter
+{
+  std::atomic<int> begun = 0;
+  std::atomic<int> pieces = 0;
+  std::atomic<int> ended = 0;
+  std::atomic<std::size_t> smallBytes = 0;
+
+  /// A coroutine that is a lambda would lose its captures.
+  static asio::awaitable<std::size_t> NextPiece(PieceCounter& aCounter)
+  {
+    constexpr std::size_t kPieceBytes = 1000;
+    ++aCounter.pieces;
+    co_return kPieceBytes;
+  }
+
+  AnswerPacing Pacing()
+  {
+    AnswerPacing pacing;
+    pacing.largeBytes = 2000;
+    pacing.begin = [this](std::size_t) {
+      ++begun;
+      const std::shared_ptr<void> end(nullptr, [this](void*) { ++ended; });
+      return transport::NextPiece([this, end] { return NextPiece(*this); });
+    };
+    pacing.onSmallAnswer = [this](std::size_t aBytes) { smallBytes += aBytes; };
+    return pacing;
+  }
+};
+
+std::string
+Post(const std::string& aBody, const char* aHeaders)
+{
+  return std::string("POST / HTTP/1.1\r\nHost: a\r\n") + aHeaders +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+} // namespace
+
+TEST_CASE("a paced answer arrives whole and in order with others")
+{
+  // Guards against answers in pieces that lose bytes, or that another answer
+  // of the same connection is written into.
+  PieceCounter counter;
+  HttpServerOptions options;
+  options.pacing = counter.Pacing();
+  RunningServer server(Echo, options);
+  const std::string large(4500, 'x');
+  const auto answers = server.Exchange(Post(large, "") + Post("small", kClose));
+  const auto body = answers.find("<" + large + ">");
+  REQUIRE(body != std::string::npos);
+  CHECK(answers.find("Content-Length: 4502") < body);
+  CHECK(answers.find("<small>") > body);
+  CHECK(counter.pieces == 5);
+  CHECK(counter.begun == 1);
+  CHECK(counter.ended == 1);
+  CHECK(counter.smallBytes == 7);
+}
+
+TEST_CASE("a paced answer ends when its client closes or stops reading")
+{
+  // Guards against connections and link shares that are held for good by a
+  // client that left or that reads a byte a second.
+  PieceCounter counter;
+  HttpServerOptions options;
+  options.pacing = counter.Pacing();
+  options.writeTimeout = std::chrono::milliseconds(200);
+  RunningServer server(
+    [](HttpRequest, CancellationPointer) -> asio::awaitable<HttpResponse> {
+      constexpr std::size_t kMoreThanBuffersTake = 12UL * 1024 * 1024;
+      HttpResponse response;
+      response.body().assign(kMoreThanBuffersTake, 'x');
+      co_return response;
+    },
+    options);
+  auto socket = server.Connect();
+  asio::write(socket, asio::buffer(Post("", "")));
+  const bool isStalled = GENERATE(true, false);
+  if (!isStalled) {
+    socket.close();
+  }
+  // Generous, for a busy machine; the bound is the time of one piece.
+  const auto deadline =
+    std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  const auto inFlight = [&] {
+    return server.OnServer(
+      [](const HttpServer& aServer) { return aServer.InFlight(); });
+  };
+  while ((counter.begun == 0 || inFlight() > 0) &&
+         std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK(inFlight() == 0);
+  CHECK(counter.ended == counter.begun);
+}
