Coordination: Keep the buffers of a link short when its settings are wrong

Headers of small answers (68 a second on these hosts), requests, packets and acknowledgements were not counted, so the estimate ran ahead of the link and its queue grew without bound.

Change: headers and the requests to other nodes are counted, the usable share is 0.9, and at most two pieces are written at the same time, so that a link slower than its settings makes the writers wait instead of its buffers. A piece that its receiver does not take within 250 ms no longer counts as being written.

--- a/Libraries/Coordination/Links/LinkScheduler.cpp
+++ b/Libraries/Coordination/Links/LinkScheduler.cpp
@@ -6,9 +6,16 @@
 
 namespace {
 
-/// The rest of the bandwidth carries packet headers, acknowledgements and the
-/// messages that are not counted, such as store calls.
-constexpr double kUsableShare = 0.95;
+/// The rest of the bandwidth carries the headers of packets, acknowledgements
+/// and store calls.
+constexpr double kUsableShare = 0.9;
+/// HTTP headers of a request or an answer between nodes.
+constexpr std::uint64_t kHeaderBytes = 500;
+/// With two, the link is busy while one writer has not been woken yet.
+constexpr std::size_t kMaxPiecesInWriting = 2;
+/// A receiver that takes a piece no faster than this does not hold up the other
+/// messages.
+constexpr state::Duration kMaxPieceTime = std::chrono::milliseconds(250);
 /// A small message waits behind at most this much of the large ones, and one
 /// piece more.
 constexpr state::Duration kMaxQueueTime = std::chrono::milliseconds(20);
@@ -36,14 +43,14 @@
 void
 LinkScheduler::RecordSent(std::uint64_t aBytes, state::Instant aNow)
 {
-  busyUntil_ = std::max(busyUntil_, aNow) + TransferTime(aBytes);
+  busyUntil_ = std::max(busyUntil_, aNow) + TransferTime(aBytes + kHeaderBytes);
 }
 
 std::uint64_t
 LinkScheduler::Begin(std::uint64_t aBytes)
 {
   const auto message = nextMessage_++;
-  messages_.emplace(message, Message{ aBytes, false });
+  messages_.emplace(message, Message{ aBytes, false, {} });
   queuedBytes_ += aBytes;
   return message;
 }
@@ -64,15 +71,27 @@
   const auto found = messages_.find(aMessage);
   if (found != messages_.end()) {
     found->second.isWaiting = true;
+    found->second.writingUntil = state::Instant{ 0 };
   }
 }
 
+std::size_t
+LinkScheduler::PiecesInWriting(state::Instant aNow) const
+{
+  const auto pieces =
+    std::ranges::count_if(messages_, [aNow](const auto& aEntry) {
+      return aEntry.second.writingUntil > aNow;
+    });
+  return static_cast<std::size_t>(pieces);
+}
+
 std::vector<LinkGrant>
 LinkScheduler::TakeGrants(state::Instant aNow)
 {
   std::vector<LinkGrant> grants;
+  auto inWriting = PiecesInWriting(aNow);
   for (auto& [number, message] : messages_) {
-    if (busyUntil_ > aNow + kMaxQueueTime) {
+    if (busyUntil_ > aNow + kMaxQueueTime || inWriting >= kMaxPiecesInWriting) {
       break;
     }
     if (!message.isWaiting) {
@@ -81,19 +100,34 @@
     const auto bytes = std::min(message.bytesLeft, kPieceBytes);
     message.isWaiting = false;
     message.bytesLeft -= bytes;
+    message.writingUntil = aNow + kMaxPieceTime;
+    ++inWriting;
     queuedBytes_ -= bytes;
-    RecordSent(bytes, aNow);
+    busyUntil_ = std::max(busyUntil_, aNow) + TransferTime(bytes);
     grants.push_back({ number, bytes });
   }
   return grants;
 }
 
 state::Instant
-LinkScheduler::NextGrant() const
+LinkScheduler::NextGrant(state::Instant aNow) const
 {
-  const bool isAnyWaiting = std::ranges::any_of(
-    messages_, [](const auto& aEntry) { return aEntry.second.isWaiting; });
-  return isAnyWaiting ? busyUntil_ - kMaxQueueTime : state::Instant::max();
+  bool isAnyWaiting = false;
+  std::size_t inWriting = 0;
+  auto nextWritten = state::Instant::max();
+  for (const auto& [number, message] : messages_) {
+    isAnyWaiting = isAnyWaiting || message.isWaiting;
+    if (message.writingUntil > aNow) {
+      ++inWriting;
+      nextWritten = std::min(nextWritten, message.writingUntil);
+    }
+  }
+  if (!isAnyWaiting) {
+    return state::Instant::max();
+  }
+  const auto whenShort = busyUntil_ - kMaxQueueTime;
+  return inWriting < kMaxPiecesInWriting ? whenShort
+                                         : std::max(whenShort, nextWritten);
 }
 
 state::Duration
--- a/Libraries/Coordination/Links/LinkScheduler.h
+++ b/Libraries/Coordination/Links/LinkScheduler.h
@@ -21,7 +21,9 @@
 /// written at once, they fill the buffers of the link, and small answers, store
 /// calls and lease renewals wait behind them for seconds. Therefore large
 /// messages are sent in pieces, oldest message first, and a piece is granted
-/// only while the estimated queue of the link is short. Small messages are
+/// only while the estimated queue of the link is short. Few pieces are written
+/// at the same time, so that little waits in the buffers of the link even if it
+/// is slower than its settings say. Small messages are
 /// never delayed; their bytes make the large ones wait. Not thread-safe.
 class LinkScheduler
 {
@@ -32,7 +34,7 @@
   /// @param aBytesPerSecond bandwidth of the link.
   explicit LinkScheduler(double aBytesPerSecond);
 
-  /// Counts a message that is written without a grant.
+  /// Counts a message that is written without a grant, and its headers.
   void RecordSent(std::uint64_t aBytes, state::Instant aNow);
 
   /// Counts an answer that a request in progress is expected to produce. Must
@@ -52,9 +54,9 @@
   /// Returns the pieces that may be written now.
   std::vector<LinkGrant> TakeGrants(state::Instant aNow);
 
-  /// Returns the time of the next grant, or Instant::max() if no message
-  /// waits for one.
-  state::Instant NextGrant() const;
+  /// Returns the time of the next grant unless a message asks for a piece
+  /// before, or Instant::max() if no message waits for one.
+  state::Instant NextGrant(state::Instant aNow) const;
 
   /// Predicts the time until the last byte of an answer of this size is sent,
   /// if its request is admitted now.
@@ -75,8 +77,12 @@
   {
     std::uint64_t bytesLeft = 0;
     bool isWaiting = false;
+    /// Until then its last piece counts as being written.
+    state::Instant writingUntil{ 0 };
   };
 
+  std::size_t PiecesInWriting(state::Instant aNow) const;
+
   state::Duration TransferTime(std::uint64_t aBytes) const;
 
   double bytesPerSecond_;
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -95,6 +95,7 @@
   const auto id = idPrefix_ + std::to_string(nextRequest_++);
   SetHeader(aRequest, headers::kRequestId, id);
   versions_.Tell(aRequest);
+  local_.RecordSent(aRequest.body().size());
   if (aRequest.body().size() >= kOfferedBytes) {
     // A refusal then costs none of the body's bytes.
     aRequest.set(boost::beast::http::field::expect, "100-continue");
--- a/Services/teaselholdd/OutgoingLink.cpp
+++ b/Services/teaselholdd/OutgoingLink.cpp
@@ -77,7 +77,8 @@
 void
 OutgoingLink::Grant()
 {
-  for (const auto& grant : scheduler_.TakeGrants(clock_.Now())) {
+  const auto now = clock_.Now();
+  for (const auto& grant : scheduler_.TakeGrants(now)) {
     const auto found = transfers_.find(grant.message);
     const auto transfer =
       found == transfers_.end() ? nullptr : found->second.lock();
@@ -86,7 +87,7 @@
       transfer->granted.cancel();
     }
   }
-  const auto next = scheduler_.NextGrant();
+  const auto next = scheduler_.NextGrant(now);
   if (next != state::Instant::max()) {
     WakeAt(next);
   }
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -58,6 +58,9 @@
 
   std::size_t InFlight() const { return admission_->InFlight(); }
 
+  /// Counts a message that this node sends on the link of its host.
+  void RecordSent(std::uint64_t aBytes) { link_->RecordSent(aBytes); }
+
 private:
   /// A request that has not ended yet; leaves its list on its own.
   struct Delivery
