Coordination: Keep requests of full data centres at home

Cause: when every upstream looks full, the router drew two from all data centres, so two thirds of the requests crossed, although the others were as full.

Change: a farther group is taken only if its expected time is below 0.7 of the nearer one's.

Test: LoadPolicyTest "full data centres do not exchange their requests"; it fails without the change.

--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -20,6 +20,11 @@
 /// Bytes between data centres are dear, so a large answer comes from another
 /// one only if it saves more than this time.
 constexpr state::Duration kFarAnswerCost = std::chrono::milliseconds(400);
+/// If every upstream looks full, an upstream of a farther group is taken only
+/// if its expected time is below this share of the nearer one's. A smaller gain
+/// is not worth the bytes between data centres: the requests that are pushed
+/// out there take slots from the callers of that data centre.
+constexpr double kMaxFarTimeShare = 0.7;
 /// Service time of an upstream whose UpstreamHealth::RelativeCost() is 1.
 constexpr state::Duration kDefaultServiceTime = std::chrono::milliseconds(100);
 
@@ -268,10 +273,6 @@
 const Router::Candidate*
 Router::PickFrom(const ServiceList& aList, const PickCriteria& aCriteria)
 {
-  if (aCriteria.ignoresLoad) {
-    // If every upstream looks full, load matters more than distance.
-    return SampleGroup(aList, 0, aList.candidates.size(), aCriteria);
-  }
   const auto expected = [&](const Candidate& aCandidate) {
     return aCandidate.ExpectedTime(aCriteria.sizes, aCriteria.now);
   };
@@ -282,9 +283,13 @@
     if (candidate == nullptr) {
       continue;
     }
-    if (best == nullptr || expected(*candidate) < expected(*best)) {
+    const double share = aCriteria.ignoresLoad ? kMaxFarTimeShare : 1;
+    if (best == nullptr || expected(*candidate) < share * expected(*best)) {
       best = candidate;
     }
+    if (aCriteria.ignoresLoad) {
+      continue;
+    }
     if (best->TransferTime(aCriteria.sizes, aCriteria.now) <=
         kCongestedTransferTime) {
       break;
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -68,8 +68,8 @@
   /// random upstreams with a free slot from the nearest group (this host, data
   /// centre, region, elsewhere) that has any, and takes the one with the lower
   /// expected response time. If it is behind a congested link, farther groups
-  /// are considered too. If no upstream appears to have a free slot, the two
-  /// are drawn from all groups.
+  /// are considered too. If no upstream appears to have a free slot, a farther
+  /// group is taken only if its expected time is clearly lower.
   /// @return nullptr if no ready upstream is left.
   EndpointPointer Pick(std::string_view aService,
                        const std::vector<EndpointPointer>& aTried,
--- a/Tests/Coordination/LoadPolicyTest.cpp
+++ b/Tests/Coordination/LoadPolicyTest.cpp
@@ -272,6 +272,27 @@
   CHECK(router.Pick("visits", {}, 2s, { BodySize::Large })->node == "near");
 }
 
+TEST_CASE("full data centres do not exchange their requests")
+{
+  // Guards against dear bytes between data centres that gain nothing, because
+  // the other one is as full.
+  Router router(kRouterOptions);
+  router.SetEndpoints(
+    MakeTable({ MakeEndpoint("near"), MakeEndpoint("far", "bud2") }), 0s);
+  const auto report = [&](const char* aNode, std::uint32_t aOutstanding) {
+    const auto endpoint = router.Find(aNode);
+    router.OnRequestStarted(endpoint, 1s);
+    router.OnRequestFinished(*endpoint, kAnswer, 1s);
+    router.RecordLoadReport(*endpoint, { aOutstanding, 12, 100ms, 0 }, 1s);
+  };
+  router.OnRequestFinished(*router.Pick("visits", {}, 1s), kAnswer, 1s);
+  report("near", 24);
+  report("far", 20);
+  CHECK(router.Pick("visits", {}, 1s)->node == "near");
+  report("far", 13);
+  CHECK(router.Pick("visits", {}, 1s)->node == "far");
+}
+
 TEST_CASE("large answers come from another data centre only if the near link "
           "is much fuller")
 {
