Coordination: Ask no far link that is known to be busy for a large answer

Cause: a download that the near links refuse asked up to three hosts of other data centres, although each answer carries their wait.

Change: unless the own data centre has no upstream of the service, a far upstream whose reported wait is above 150 ms gets no request for a large answer. The wait decays with a half-life of 1 s instead of passing with time, because links stay full while downloads keep coming.

Test: LoadPolicyTest "a download does not ask far links that are known to be busy".

--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -21,10 +21,6 @@
 /// The part of the latency objective that is left for the way of a large answer
 /// from the node beside the upstream to the caller.
 constexpr int kAnswerTravelDivisor = 5;
-/// A large answer comes from another data centre only if a link there has this
-/// much room: the bytes are dear, and the callers of that data centre need the
-/// link too.
-constexpr state::Duration kFarAnswerMaxWait = std::chrono::milliseconds(150);
 /// Longer keys would exceed the size budgets of the store and the run ledger.
 constexpr std::size_t kMaxKeyBytes = 256;
 
@@ -255,7 +251,7 @@
     time = std::max(time, objective_ - aNow - travel);
   }
   if (environment_.router.IsFar(*currentEndpoint_)) {
-    time = std::min(time, kFarAnswerMaxWait + service);
+    time = std::min(time, Router::kMaxFarAnswerWait + service);
   }
   return LargeAnswer{ answerBytes_, std::max(time, state::Duration{ 0 }) };
 }
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -80,6 +80,13 @@
            !health->IsOverloaded(aNow) && !health->IsFailing(aNow);
   }
 
+  /// False for a large answer from another data centre whose link is busy.
+  bool HasRoomForAnswer(TransferSizes aSizes, state::Instant aNow) const
+  {
+    return aSizes.answer == BodySize::Small || distance < kSameRegionGroup ||
+           health->AnswerWait(aNow) <= kMaxFarAnswerWait;
+  }
+
   double LoadWithOneMore(state::Instant aNow) const
   {
     return (health->OutstandingRequests(aNow) + 1) /
@@ -309,8 +316,10 @@
   if (size == 0) {
     return nullptr;
   }
+  const bool isAnyNear = aList.groupBegin[kSameRegionGroup] > 0;
   const auto usable = [&](const Candidate& aCandidate) {
     return aCandidate.IsAllowed(aList.panic, now) &&
+           (!isAnyNear || aCandidate.HasRoomForAnswer(aCriteria.sizes, now)) &&
            (aCriteria.ignoresLoad || aCandidate.HasFreeSlot(now)) &&
            !Contains(aCriteria.tried, *aCandidate.record);
   };
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -56,6 +56,12 @@
 class Router
 {
 public:
+  /// A large answer comes from another data centre only if a link there has
+  /// this much room: the bytes are dear, and the callers of that data centre
+  /// need the link too.
+  static constexpr state::Duration kMaxFarAnswerWait{ std::chrono::milliseconds(
+    150) };
+
   explicit Router(RouterOptions aOptions);
   ~Router();
 
--- a/Libraries/Coordination/UpstreamHealth.cpp
+++ b/Libraries/Coordination/UpstreamHealth.cpp
@@ -33,6 +33,8 @@
 /// half-life with which that time decays.
 constexpr double kNewestRoundTripWeight = 0.3;
 constexpr double kRoundTripHalfLifeSeconds = 2;
+/// The reported wait of large answers decays with this half-life.
+constexpr double kAnswerWaitHalfLifeSeconds = 1;
 /// Weight of the failure rate relative to the service time in the cost of a
 /// request.
 constexpr double kFailureCostWeight = 4;
@@ -110,20 +112,19 @@
 state::Duration
 UpstreamHealth::BodyWait(state::Instant aNow) const
 {
-  return RemainingWait(report_.bodyWait, aNow);
+  return std::max(report_.bodyWait - (aNow - reportReceivedAt_),
+                  state::Duration{ 0 });
 }
 
 state::Duration
 UpstreamHealth::AnswerWait(state::Instant aNow) const
 {
-  return RemainingWait(report_.answerWait, aNow);
-}
-
-state::Duration
-UpstreamHealth::RemainingWait(state::Duration aReported,
-                              state::Instant aNow) const
-{
-  return std::max(aReported - (aNow - reportReceivedAt_), state::Duration{ 0 });
+  // Links stay full while downloads keep coming, so the wait does not simply
+  // pass with time.
+  const std::chrono::duration<double> age = aNow - reportReceivedAt_;
+  const auto left = static_cast<double>(report_.answerWait.count()) *
+                    std::exp2(-age.count() / kAnswerWaitHalfLifeSeconds);
+  return state::Duration(static_cast<state::Duration::rep>(left));
 }
 
 double
--- a/Libraries/Coordination/UpstreamHealth.h
+++ b/Libraries/Coordination/UpstreamHealth.h
@@ -84,8 +84,6 @@
 
 private:
   double FailureRate(state::Instant aNow) const;
-  state::Duration RemainingWait(state::Duration aReported,
-                                state::Instant aNow) const;
   bool Eject(state::Duration aTime, state::Instant aNow);
   bool EjectWithBackoff(double aJitter, state::Instant aNow);
   bool Recover();
--- a/Tests/Coordination/LoadPolicyTest.cpp
+++ b/Tests/Coordination/LoadPolicyTest.cpp
@@ -315,6 +315,32 @@
   CHECK(router.Pick("visits", {}, 1s)->node == "near");
 }
 
+TEST_CASE("a download does not ask far links that are known to be busy")
+{
+  // Guards against requests that cross data centres only to be refused.
+  Router router(kRouterOptions);
+  router.SetEndpoints(
+    MakeTable({ MakeEndpoint("near"), MakeEndpoint("far", "bud2") }), 0s);
+  const TransferSizes download{ BodySize::Small, BodySize::Large };
+  const auto near = router.Pick("visits", {}, 1s, download);
+  REQUIRE(near->node == "near");
+  const auto far = router.Pick("visits", { near }, 1s, download);
+  REQUIRE(far->node == "far");
+  router.OnRequestFinished(*far, Outcome(NotRun{ NotRunReason::LinkBusy }), 1s);
+  LoadReport report{ 0, 12, 100ms, 0 };
+  report.answerWait = 800ms;
+  router.RecordLoadReport(*far, report, 1s);
+  CHECK(router.Pick("visits", { near }, 2s, download) == nullptr);
+  CHECK(router.Pick("visits", { near }, 2s)->node == "far");
+  // The report is old by then.
+  CHECK(router.Pick("visits", { near }, 4s, download)->node == "far");
+  SECTION("unless its own data centre has no upstream of the service")
+  {
+    router.SetEndpoints(MakeTable({ MakeEndpoint("far", "bud2") }), 2s);
+    CHECK(router.Pick("visits", {}, 2s, download)->node == "far");
+  }
+}
+
 TEST_CASE("an upstream with free slots but a high failure rate is avoided")
 {
   Router router(kRouterOptions);
