teaselholdd: Let the next large answer go on as soon as one ends

Cause, found by reading the change once more: a large answer that ended freed its place among the two in writing, but nothing granted the place to the next one. That one waited for the timer, up to 250 ms, or for another answer's next piece, and the link could idle meanwhile.

Change: the end of a transfer grants.

--- a/Libraries/Coordination/Links/LinkScheduler.cpp
+++ b/Libraries/Coordination/Links/LinkScheduler.cpp
@@ -21,7 +21,7 @@
 constexpr state::Duration kMaxQueueTime = std::chrono::milliseconds(20);
 /// 13 ms on a link of 10 Mbit/s.
 constexpr std::uint64_t kPieceBytes = 16UL * 1024;
-/// A link that is slower than one byte per second is not meant.
+/// Keeps transfer times finite.
 constexpr double kMinBytesPerSecond = 1;
 
 } // namespace
--- a/Libraries/Coordination/Links/LinkScheduler.h
+++ b/Libraries/Coordination/Links/LinkScheduler.h
@@ -23,8 +23,8 @@
 /// messages are sent in pieces, oldest message first, and a piece is granted
 /// only while the estimated queue of the link is short. Few pieces are written
 /// at the same time, so that little waits in the buffers of the link even if it
-/// is slower than its settings say. Small messages are
-/// never delayed; their bytes make the large ones wait. Not thread-safe.
+/// is slower than its settings say. Small messages are never delayed; their
+/// bytes make the large ones wait. Not thread-safe.
 class LinkScheduler
 {
 public:
@@ -43,7 +43,7 @@
   void Forget(std::uint64_t aBytes) { expectedBytes_ -= aBytes; }
 
   /// Registers a large message. It ends with End(), also if it was not sent
-  /// completely.
+  /// completely; another message may get a grant then.
   /// @return the number of the message.
   std::uint64_t Begin(std::uint64_t aBytes);
   void End(std::uint64_t aMessage);
@@ -82,7 +82,6 @@
   };
 
   std::size_t PiecesInWriting(state::Instant aNow) const;
-
   state::Duration TransferTime(std::uint64_t aBytes) const;
 
   double bytesPerSecond_;
--- a/Services/teaselholdd/OutgoingLink.cpp
+++ b/Services/teaselholdd/OutgoingLink.cpp
@@ -22,6 +22,8 @@
   {
     link->scheduler_.End(message);
     link->transfers_.erase(message);
+    // The next message takes the place of this one at once.
+    link->Grant();
   }
   Transfer(const Transfer&) = delete;
   Transfer& operator=(const Transfer&) = delete;
