Coordination: Read the size of the probe order before it is moved

Membership::ProbeRelays passed std::move(probeOrder_) and probeOrder_.size() to the same call. The order in which arguments are evaluated is unspecified: GCC for arm64 moves the list into the parameter first, so the sample was of 0 items and no relay was ever probed. GCC for x86-64 reads the size first. The size is now taken into a local.

--- a/Libraries/Coordination/Membership.cpp
+++ b/Libraries/Coordination/Membership.cpp
@@ -295,7 +295,8 @@
       for (const auto& relay : peers_.relays) {
         probeOrder_.push_back(relay.node);
       }
-      probeOrder_ = random_.Sample(std::move(probeOrder_), probeOrder_.size());
+      const auto count = probeOrder_.size();
+      probeOrder_ = random_.Sample(std::move(probeOrder_), count);
     }
     while (!probeOrder_.empty()) {
       const auto* record = endpoints_.Table().Find(probeOrder_.back());
