--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -384,6 +384,10 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
+        # A script that is stopped ends what it started, too.
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         async with Lab(folder) as lab:
             lab.record(f"TROUBLE={int(trouble)}")
             try:
@@ -403,4 +407,7 @@
     if not (ROOT / "target/teaselholdd").exists():
         print("target/teaselholdd is missing: run the build of the deploy file")
         sys.exit(2)
-    sys.exit(asyncio.run(play()))
+    try:
+        sys.exit(asyncio.run(play()))
+    except asyncio.CancelledError:
+        sys.exit(2)
