Coordination: Merge departures with those that the store holds

Cause: a node read what its previous process had recorded once, with its first listing. If the store did not answer within 3 s, it served as if there had been nothing, a late announcement made the upstream ready, and the swap of the record replaced the departure that the store held.

Ruled out: that the record had expired (the new revision came directly after the old one), and that the announcement was taken for another run (id and start time were those of the departed run).

A node takes departures from each listing and from a record that its swap fails against, and all nodes apply them to the records that they list. A departure of an earlier run, which was acknowledged but not saved, is saved as well. As long as the store has not answered, an upstream is ready after two announcements, not one.

--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 /// If the store is unavailable for this long after the start, the node serves
-/// without the state that its previous process stored.
+/// without the departures that its previous process stored. They are taken
+/// whenever the store shows them.
 constexpr state::Duration kRestoreTimeout = std::chrono::seconds(3);
 /// All requests in flight at an upstream that crashes, about a dozen, are
 /// suspected of causing the crash.
@@ -65,6 +66,7 @@
   , publisher_(callNumbers_, random_)
   , directory_(options_.identity.name, callNumbers_, random_)
   , registration_(options_.identity.name, callNumbers_, random_)
+  , departures_(callNumbers_, random_)
 {
   const auto& identity = options_.identity;
   self_.node = identity.name;
@@ -89,6 +91,8 @@
     OnStoreAnswer(*answer, aNow, commands);
   } else if (const auto* change = std::get_if<UpstreamChanged>(&aEvent)) {
     OnUpstreamChanged(*change);
+  } else if (const auto* departure = std::get_if<UpstreamDeparted>(&aEvent)) {
+    OnUpstreamDeparted(*departure, aNow);
   } else if (const auto* crash = std::get_if<CrashObserved>(&aEvent)) {
     OnCrash(crash->fingerprint);
   } else if (const auto* seen = std::get_if<PeerVersionSeen>(&aEvent)) {
@@ -106,8 +110,9 @@
   configuration_.Tick(aNow, commands);
   publisher_.Tick(aNow, commands);
   directory_.Tick(aNow, commands);
+  RestoreDepartures(aNow, commands);
+  departures_.Tick(aNow, commands);
   registration_.Tick(directory_, aNow, commands);
-  RestoreUpstreamOnce(aNow, commands);
   if (directory_.TakeChanged()) {
     ReportCrashSuspects(aNow);
     isReader_ = IsSelectedReader(directory_.Table(), self_.node);
@@ -212,18 +217,26 @@
                          aChange.state == state::EndpointState::Draining ||
                          aChange.state == state::EndpointState::Gone;
   if (isLasting) {
-    Register(aChange.saveNumber);
+    Register();
   }
 }
 
 void
-DirectCore::Register(std::uint64_t aSaveNumber)
+DirectCore::OnUpstreamDeparted(const UpstreamDeparted& aDeparture,
+                               state::Instant aNow)
+{
+  directory_.AddDeparture(aDeparture.node, aDeparture.upstream);
+  departures_.Add(aDeparture, aNow);
+}
+
+void
+DirectCore::Register()
 {
   auto record = self_;
   // A constant sequence keeps records with the same content equal, so that they
   // are not written again.
   record.sequence = 1;
-  registration_.Set(record, aSaveNumber);
+  registration_.Set(record);
 }
 
 void
@@ -236,7 +249,7 @@
   }
   ++self_.sequence;
   directory_.SetSelf(self_);
-  Register(0);
+  Register();
 }
 
 void
@@ -253,21 +266,22 @@
 }
 
 void
-DirectCore::RestoreUpstreamOnce(state::Instant aNow, Commands& aCommands)
+DirectCore::RestoreDepartures(state::Instant aNow, Commands& aCommands)
 {
+  const bool isComplete = directory_.IsListed();
   const bool isDue =
-    directory_.IsListed() || aNow - *startTime_ >= kRestoreTimeout;
-  if (isRestored_ || !isDue) {
+    isComplete || isRestored_ || aNow - *startTime_ >= kRestoreTimeout;
+  if (!isDue) {
     return;
   }
-  isRestored_ = true;
-  RestoreUpstream restore;
-  const auto& previous = directory_.PreviousSelf();
-  if (previous && previous->state != state::EndpointState::Ready &&
-      !previous->upstream.id.empty()) {
-    restore.leavingUpstream = previous->upstream;
+  const bool isChanged = directory_.TakeOwnDeparturesChanged();
+  if (isRestored_ && isRestoreComplete_ == isComplete && !isChanged) {
+    return;
   }
-  aCommands.push_back(std::move(restore));
+  isRestored_ = true;
+  isRestoreComplete_ = isComplete;
+  aCommands.push_back(
+    RestoreUpstream{ directory_.OwnDepartures().Runs(), isComplete });
 }
 
 void
@@ -291,9 +305,25 @@
   }
   const bool isHandled = directory_.OnStoreAnswer(aAnswer, aNow, aCommands) ||
                          follower_.OnStoreAnswer(aAnswer, aNow) ||
-                         publisher_.OnStoreAnswer(aAnswer, aNow);
+                         publisher_.OnStoreAnswer(aAnswer, aNow) ||
+                         departures_.OnStoreAnswer(aAnswer, aNow, aCommands);
   if (!isHandled) {
-    registration_.OnStoreAnswer(aAnswer, aNow, aCommands);
+    OnRegistrationAnswer(aAnswer, aNow, aCommands);
+  }
+}
+
+void
+DirectCore::OnRegistrationAnswer(const StoreAnswered& aAnswer,
+                                 state::Instant aNow,
+                                 Commands& aCommands)
+{
+  if (!registration_.OnStoreAnswer(aAnswer, aNow, aCommands)) {
+    return;
+  }
+  // The record may be one that a previous process wrote after this one started.
+  const auto* swap = std::get_if<protocol::SwapResult>(&aAnswer.result);
+  if (swap != nullptr && !swap->swapped) {
+    directory_.LearnFromOwnRecord(swap->current.value);
   }
 }
 
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -4,6 +4,7 @@
 #include "Coordination/ChangePublisher.h"
 #include "Coordination/ConfigurationWatch.h"
 #include "Coordination/CrashGuard.h"
+#include "Coordination/DepartureLog.h"
 #include "Coordination/NodeDirectory.h"
 #include "Coordination/NodeRegistration.h"
 #include "Coordination/StoreCircuitBreaker.h"
@@ -34,14 +35,19 @@
 
 private:
   void OnUpstreamChanged(const UpstreamChanged& aChange);
+  void OnUpstreamDeparted(const UpstreamDeparted& aDeparture,
+                          state::Instant aNow);
   void OnCrash(std::uint64_t aFingerprint);
   void OnStoreAnswer(const StoreAnswered& aAnswer,
                      state::Instant aNow,
                      Commands& aCommands);
+  void OnRegistrationAnswer(const StoreAnswered& aAnswer,
+                            state::Instant aNow,
+                            Commands& aCommands);
   void OnApply(const ApplyRequested& aRequest, Commands& aCommands);
   void OnSwapAnswer(const StoreResult& aResult, Commands& aCommands);
-  void RestoreUpstreamOnce(state::Instant aNow, Commands& aCommands);
-  void Register(std::uint64_t aSaveNumber);
+  void RestoreDepartures(state::Instant aNow, Commands& aCommands);
+  void Register();
   void ReportCrashSuspects(state::Instant aNow);
   void SelectConfigurationSource(state::Instant aNow);
   state::Duration PollInterval(state::Instant aNow) const;
@@ -61,10 +67,13 @@
   ChangePublisher publisher_;
   NodeDirectory directory_;
   NodeRegistration registration_;
+  DepartureLog departures_;
   CrashGuard crashGuard_;
   state::ConfigurationPointer published_;
   std::optional<state::Instant> startTime_;
   bool isRestored_ = false;
+  /// The restored departures include all that the store holds.
+  bool isRestoreComplete_ = false;
   bool isReader_ = true;
   /// The store was listed and nodes that started together with this one had
   /// time to write their records, so the selection of readers can be trusted.
--- a/Libraries/Coordination/NodeDirectory.cpp
+++ b/Libraries/Coordination/NodeDirectory.cpp
@@ -1,5 +1,6 @@
 #include "Coordination/NodeDirectory.h"
 
+#include "Coordination/DepartureLog.h"
 #include "Coordination/EndpointCodec.h"
 
 #include <algorithm>
@@ -27,6 +28,17 @@
   return aKey.substr(std::string_view(protocol::kNodePrefix).size());
 }
 
+/// @return the node whose departures the key holds; nullopt for another key.
+std::optional<std::string>
+NodeOfDepartures(const std::string& aKey)
+{
+  const std::string_view suffix(protocol::kDeparturesSuffix);
+  if (!aKey.ends_with(suffix)) {
+    return std::nullopt;
+  }
+  return NodeNameFromKey(aKey.substr(0, aKey.size() - suffix.size()));
+}
+
 } // namespace
 
 NodeDirectory::NodeDirectory(std::string aOwnNode,
@@ -93,13 +105,11 @@
 {
   std::set<std::string> listed;
   for (const auto& item : aListing.items) {
-    listed.insert(item.key);
-    if (item.key == ownKey_ && !isListed_) {
-      wire::Endpoint endpoint;
-      if (endpoint.ParseFromString(item.value)) {
-        previousSelf_ = FromWire(endpoint);
-      }
+    if (const auto node = NodeOfDepartures(item.key)) {
+      OnDepartures(*node, item.value);
+      continue;
     }
+    listed.insert(item.key);
     OnRecord(item.key, item.value, item.revision);
   }
   std::vector<std::string> missing;
@@ -136,6 +146,7 @@
   removalTimes_.erase(aKey);
   if (aKey == ownKey_) {
     ownRevision_ = aRevision;
+    LearnFromOwnRecord(aValue);
     return;
   }
   wire::Endpoint endpoint;
@@ -146,11 +157,62 @@
   // The store's revision decides which record is newer, because the clocks of
   // restarted hosts may differ. Without the erase, Merge() would compare the
   // records themselves.
-  table_.Erase(endpoint.node());
-  table_.Merge(FromWire(endpoint));
+  auto record = FromWire(endpoint);
+  const auto departed = departures_.find(record.node);
+  if (departed != departures_.end() &&
+      departed->second.Contains(record.upstream)) {
+    record.state = state::EndpointState::Gone;
+  }
+  table_.Erase(record.node);
+  table_.Merge(record);
   isChanged_ = true;
 }
 
+void
+NodeDirectory::OnDepartures(const std::string& aNode, const std::string& aValue)
+{
+  const auto departures = ParseDepartures(aValue);
+  for (const auto& run : departures.Runs()) {
+    AddDeparture(aNode, run);
+  }
+}
+
+void
+NodeDirectory::AddDeparture(const std::string& aNode,
+                            const state::UpstreamIdentity& aRun)
+{
+  if (protocol::kNodePrefix + aNode == ownKey_) {
+    isOwnDeparturesChanged_ =
+      ownDepartures_.Add(aRun) || isOwnDeparturesChanged_;
+    return;
+  }
+  const auto* known = table_.Find(aNode);
+  if (!departures_[aNode].Add(aRun) || known == nullptr ||
+      !known->upstream.IsSameRun(aRun)) {
+    return;
+  }
+  auto record = *known;
+  record.state = state::EndpointState::Gone;
+  table_.Erase(aNode);
+  table_.Merge(record);
+  isChanged_ = true;
+}
+
+void
+NodeDirectory::LearnFromOwnRecord(const std::string& aValue)
+{
+  wire::Endpoint endpoint;
+  if (!endpoint.ParseFromString(aValue)) {
+    return;
+  }
+  const auto record = FromWire(endpoint);
+  const bool isLeaving = record.state == state::EndpointState::Draining ||
+                         record.state == state::EndpointState::Gone;
+  if (isLeaving && !record.upstream.id.empty()) {
+    AddDeparture(record.node, record.upstream);
+  }
+}
+
 void
 NodeDirectory::OnRecordMissing(const std::string& aKey,
                                std::uint64_t aRevision,
@@ -177,6 +239,7 @@
     }
     const auto node = NodeNameFromKey(aEntry.first);
     isChanged_ = table_.Erase(node) || isChanged_;
+    departures_.erase(node);
     aCommands.push_back(
       WriteLog{ LogLevel::Info, "membership", "Node left. node=" + node });
     return true;
--- a/Libraries/Coordination/NodeDirectory.h
+++ b/Libraries/Coordination/NodeDirectory.h
@@ -3,6 +3,7 @@
 #include "Coordination/Backoff.h"
 #include "Coordination/NodeEvents.h"
 #include "Coordination/StoreCallNumbers.h"
+#include "State/DepartureSet.h"
 #include "State/EndpointTable.h"
 
 #include <map>
@@ -13,7 +14,8 @@
 /// stale reads are cheap, while with a watch each change of one record would
 /// cost a call by every node. A node stays in the table for a grace period
 /// after its record disappeared, because records also expire during a store
-/// outage.
+/// outage. The departures of upstreams are listed along with the records; a run
+/// that departed is never ready, whatever a record says.
 class NodeDirectory
 {
 public:
@@ -38,11 +40,22 @@
   /// @return true if the records were listed at least once.
   bool IsListed() const { return isListed_; }
 
-  /// Returns the record that a previous process of this node left in the store,
-  /// as of the first listing.
-  const std::optional<state::EndpointRecord>& PreviousSelf() const
+  /// Records that an upstream beside a node announced its departure.
+  void AddDeparture(const std::string& aNode,
+                    const state::UpstreamIdentity& aRun);
+
+  /// Takes the departure that a value of this node's own record tells of, such
+  /// as one that a previous process wrote.
+  void LearnFromOwnRecord(const std::string& aValue);
+
+  /// Returns the known departures of the upstreams beside this node, those of
+  /// previous processes included.
+  const state::DepartureSet& OwnDepartures() const { return ownDepartures_; }
+
+  /// @return true once after each change of OwnDepartures().
+  bool TakeOwnDeparturesChanged()
   {
-    return previousSelf_;
+    return std::exchange(isOwnDeparturesChanged_, false);
   }
 
   /// Returns the revision of this node's own record in the store; 0 if it is
@@ -64,6 +77,7 @@
   void OnRecordMissing(const std::string& aKey,
                        std::uint64_t aRevision,
                        state::Instant aNow);
+  void OnDepartures(const std::string& aNode, const std::string& aValue);
   void EraseExpired(state::Instant aNow, Commands& aCommands);
 
   std::string ownKey_;
@@ -73,7 +87,10 @@
   /// from the table.
   std::map<std::string, state::Instant> removalTimes_;
   std::map<std::string, std::uint64_t> revisions_;
-  std::optional<state::EndpointRecord> previousSelf_;
+  /// Of the other nodes, by name.
+  std::map<std::string, state::DepartureSet> departures_;
+  state::DepartureSet ownDepartures_;
+  bool isOwnDeparturesChanged_ = false;
   std::uint64_t ownRevision_ = 0;
   std::uint64_t ownAbsentRevision_ = 0;
   std::uint64_t listedRevision_ = 0;
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -53,8 +53,16 @@
   state::EndpointState state;
   /// Set if the upstream announces itself.
   std::optional<state::UpstreamIdentity> upstream = std::nullopt;
-  /// If not 0, a UpstreamStateSaved command with this number is emitted once
-  /// the state is in the store.
+};
+
+/// An upstream announced its departure, to the node beside it.
+struct UpstreamDeparted
+{
+  /// The node beside the upstream; it may be another one than this.
+  std::string node;
+  state::UpstreamIdentity upstream;
+  /// A DepartureSaved command with this number is emitted once the store holds
+  /// the departure.
   std::uint64_t saveNumber = 0;
 };
 
@@ -89,6 +97,7 @@
                            MessageReceived,
                            StoreAnswered,
                            UpstreamChanged,
+                           UpstreamDeparted,
                            CrashObserved,
                            PeerVersionSeen,
                            ApplyRequested,
@@ -163,18 +172,20 @@
     request;
 };
 
-/// The state that the upstream announced is in the store and so survives a
-/// restart of this node.
-struct UpstreamStateSaved
+/// A departure is in the store and so survives a restart of any node.
+struct DepartureSaved
 {
   std::uint64_t saveNumber;
 };
 
-/// Restores the state that a previous process of this node stored.
+/// Adds the departures beside this node that the store holds to those that this
+/// process knows. Emitted again whenever more of them become known.
 struct RestoreUpstream
 {
-  /// The upstream whose stored state was other than Ready, if there is one.
-  std::optional<state::UpstreamIdentity> leavingUpstream;
+  std::vector<state::UpstreamIdentity> departed;
+  /// False if the store has not answered yet, so that a previous process of
+  /// this node may have acknowledged more departures.
+  bool isComplete = false;
 };
 
 struct PublishSnapshot
@@ -232,7 +243,7 @@
                              PublishSnapshot,
                              FinishApply,
                              WriteLog,
-                             UpstreamStateSaved,
+                             DepartureSaved,
                              RestoreUpstream>;
 using Commands = std::vector<Command>;
 
--- a/Libraries/Coordination/NodeRegistration.cpp
+++ b/Libraries/Coordination/NodeRegistration.cpp
@@ -24,11 +24,9 @@
 }
 
 void
-NodeRegistration::Set(const state::EndpointRecord& aRecord,
-                      std::uint64_t aSaveNumber)
+NodeRegistration::Set(const state::EndpointRecord& aRecord)
 {
   desiredValue_ = ToWire(aRecord).SerializeAsString();
-  saveNumber_ = aSaveNumber != 0 ? aSaveNumber : saveNumber_;
   nextAttempt_ = state::Instant{ 0 };
 }
 
@@ -91,7 +89,7 @@
       OnGranted(aAnswer.result, aNow);
       break;
     case Pending::Swap:
-      OnSwapped(aAnswer.result, aNow, aCommands);
+      OnSwapped(aAnswer.result, aNow);
       break;
     default:
       OnRenewed(aAnswer.result, aNow, aCommands);
@@ -109,9 +107,7 @@
 }
 
 void
-NodeRegistration::OnSwapped(const StoreResult& aResult,
-                            state::Instant aNow,
-                            Commands& aCommands)
+NodeRegistration::OnSwapped(const StoreResult& aResult, state::Instant aNow)
 {
   const auto* error = std::get_if<protocol::StoreError>(&aResult);
   if (error != nullptr) {
@@ -133,9 +129,6 @@
   }
   storedValue_ = valueInFlight_;
   nextRenewal_ = aNow + kRenewalInterval;
-  if (storedValue_ == desiredValue_ && saveNumber_ != 0) {
-    aCommands.push_back(UpstreamStateSaved{ std::exchange(saveNumber_, 0) });
-  }
 }
 
 void
--- a/Libraries/Coordination/NodeRegistration.h
+++ b/Libraries/Coordination/NodeRegistration.h
@@ -17,9 +17,7 @@
                    RandomSource& aRandom);
 
   /// Sets the record that the store is to hold from now on.
-  /// @param aSaveNumber if not 0, a UpstreamStateSaved command with this number
-  /// is emitted once the record is stored.
-  void Set(const state::EndpointRecord& aRecord, std::uint64_t aSaveNumber);
+  void Set(const state::EndpointRecord& aRecord);
 
   /// @param aDirectory provides the revision of this node's record in the
   /// store.
@@ -34,9 +32,7 @@
 
 private:
   void OnGranted(const StoreResult& aResult, state::Instant aNow);
-  void OnSwapped(const StoreResult& aResult,
-                 state::Instant aNow,
-                 Commands& aCommands);
+  void OnSwapped(const StoreResult& aResult, state::Instant aNow);
   void OnRenewed(const StoreResult& aResult,
                  state::Instant aNow,
                  Commands& aCommands);
@@ -55,7 +51,6 @@
   StoreCallNumbers& callNumbers_;
   /// The value that the store is to hold; empty until Set() is called.
   std::string desiredValue_;
-  std::uint64_t saveNumber_ = 0;
   std::string storedValue_;
   std::uint64_t revision_ = 0;
   protocol::LeaseId lease_ = 0;
--- a/Libraries/Coordination/UpstreamRegistry.cpp
+++ b/Libraries/Coordination/UpstreamRegistry.cpp
@@ -55,16 +55,18 @@
   });
 }
 
-void
+bool
 UpstreamRegistry::RecordDeparture(const state::UpstreamIdentity& aUpstream,
                                   state::Instant aNow)
 {
-  if (!HasDeparted(aUpstream)) {
-    departures_.push_back({ aUpstream, aNow });
+  if (HasDeparted(aUpstream)) {
+    return false;
   }
+  departures_.push_back({ aUpstream, aNow });
   if (departures_.size() > kMaxDepartures) {
     departures_.pop_front();
   }
+  return true;
 }
 
 void
@@ -79,6 +81,7 @@
                          !IsSequencePossible(age, aUpstream.sequence);
     if (isMatch) {
       departure.upstream.bornMilliseconds = aUpstream.bornMilliseconds;
+      newDepartures_.push_back(departure.upstream);
     }
   }
 }
@@ -118,6 +121,7 @@
   }
   const bool isNewRun = !upstream.IsSameRun(current_);
   current_ = upstream;
+  firstAnnouncementAt_ = isNewRun ? aNow : firstAnnouncementAt_;
   lastAnnouncementAt_ = aNow;
   if (aMessage.state == EndpointState::Draining) {
     BeginDrain(upstream, aNow);
@@ -144,7 +148,7 @@
   };
   if (!isCurrent && !current_.id.empty()) {
     // Late announcements of the departed run may still arrive.
-    RecordDeparture(departed, aNow);
+    AnnounceDeparture(departed, aNow);
     return AnnouncementVerdict::Stale;
   }
   if (!isCurrent) {
@@ -160,29 +164,60 @@
 UpstreamRegistry::BeginDrain(const state::UpstreamIdentity& aUpstream,
                              state::Instant aNow)
 {
-  RecordDeparture(aUpstream, aNow);
-  if (state_ != EndpointState::Draining && state_ != EndpointState::Gone) {
+  AnnounceDeparture(aUpstream, aNow);
+  if (!IsLeaving()) {
     state_ = EndpointState::Draining;
     goneAt_ = aNow + drainLimit_;
   }
 }
 
 void
-UpstreamRegistry::Restore(
-  const std::optional<state::UpstreamIdentity>& aDeparture,
-  state::Instant aNow)
+UpstreamRegistry::AnnounceDeparture(const state::UpstreamIdentity& aUpstream,
+                                    state::Instant aNow)
+{
+  if (RecordDeparture(aUpstream, aNow)) {
+    newDepartures_.push_back(aUpstream);
+  }
+}
+
+bool
+UpstreamRegistry::IsLeaving() const
+{
+  return state_ == EndpointState::Draining || state_ == EndpointState::Gone;
+}
+
+bool
+UpstreamRegistry::Restore(const std::vector<state::UpstreamIdentity>& aDeparted,
+                          bool aIsComplete,
+                          state::Instant aNow)
 {
-  isRestored_ = true;
-  if (!aDeparture) {
-    return;
+  restored_ =
+    aIsComplete ? Restored::Completely : std::max(restored_, Restored::Partly);
+  bool isChanged = false;
+  for (const auto& run : aDeparted) {
+    isChanged = RecordDeparture(run, aNow) || isChanged;
   }
-  RecordDeparture(*aDeparture, aNow);
-  if (aDeparture->IsSameRun(current_)) {
+  if (HasDeparted(current_) && !IsLeaving()) {
     // The time of the acknowledgement is unknown, so the drain limit is treated
     // as passed.
     state_ = EndpointState::Gone;
     goneAt_ = aNow;
   }
+  return isChanged;
+}
+
+bool
+UpstreamRegistry::IsConfirmed() const
+{
+  switch (restored_) {
+    case Restored::Partly:
+      return lastAnnouncementAt_ - firstAnnouncementAt_ >=
+             kShortestAnnouncementInterval;
+    case Restored::Completely:
+      return true;
+    default:
+      return false;
+  }
 }
 
 void
@@ -204,7 +239,7 @@
 state::EndpointState
 UpstreamRegistry::State() const
 {
-  const bool isKnown = isRestored_ || state_ != EndpointState::Ready;
+  const bool isKnown = state_ != EndpointState::Ready || IsConfirmed();
   return isKnown ? state_ : EndpointState::Starting;
 }
 
--- a/Libraries/Coordination/UpstreamRegistry.h
+++ b/Libraries/Coordination/UpstreamRegistry.h
@@ -4,9 +4,9 @@
 #include "State/UpstreamAnnouncement.h"
 
 #include <deque>
-#include <optional>
 #include <string>
-#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace teaselhold::coordination {
 
@@ -48,11 +48,24 @@
   AnnouncementVerdict Depart(const state::UpstreamDeparture& aMessage,
                              state::Instant aNow);
 
-  /// Restores the departure that an earlier process of this node recorded, if
-  /// any. Until this call no upstream is ready, because it may be leaving.
-  void Restore(const std::optional<state::UpstreamIdentity>& aDeparture,
+  /// Adds departures that earlier processes of this node recorded. Until the
+  /// first call no upstream is ready, because it may be leaving.
+  /// @param aIsComplete false if an earlier process may have recorded more.
+  /// Until a call with true, an upstream is ready only once it has announced
+  /// itself twice, because a single announcement may be a late one of a run
+  /// that left.
+  /// @return true if any of the departures was not known.
+  bool Restore(const std::vector<state::UpstreamIdentity>& aDeparted,
+               bool aIsComplete,
                state::Instant aNow);
 
+  /// @return the departures that messages told since the last call of this
+  ///         function.
+  std::vector<state::UpstreamIdentity> TakeDepartures()
+  {
+    return std::exchange(newDepartures_, {});
+  }
+
   /// Marks the upstream as not ready after it refused a connection or turned
   /// out to be a different one than announced. Its next announcement makes it
   /// ready again.
@@ -80,8 +93,17 @@
     state::Instant receivedAt;
   };
 
+  /// How much of what earlier processes recorded is known.
+  enum class Restored : std::uint8_t
+  {
+    Nothing,
+    Partly,
+    Completely,
+  };
+
   bool HasDeparted(const state::UpstreamIdentity& aUpstream) const;
-  void RecordDeparture(const state::UpstreamIdentity& aUpstream,
+  /// @return false if it was known.
+  bool RecordDeparture(const state::UpstreamIdentity& aUpstream,
                        state::Instant aNow);
   /// Fills in the start time of a departure that named none, once an
   /// announcement of the same run arrives.
@@ -89,6 +111,12 @@
                         state::Instant aNow);
   bool IsSuperseded(const state::UpstreamIdentity& aUpstream,
                     state::Instant aNow);
+  /// Records a departure that a message told, so that it has to be saved.
+  void AnnounceDeparture(const state::UpstreamIdentity& aUpstream,
+                         state::Instant aNow);
+  bool IsLeaving() const;
+  /// @return true if an announcement suffices to make the current run ready.
+  bool IsConfirmed() const;
   void BeginDrain(const state::UpstreamIdentity& aUpstream,
                   state::Instant aNow);
 
@@ -97,14 +125,17 @@
   state::Duration drainLimit_;
   state::UpstreamIdentity current_;
   state::EndpointState state_ = state::EndpointState::Starting;
+  /// Of the current run.
+  state::Instant firstAnnouncementAt_{ 0 };
   state::Instant lastAnnouncementAt_{ 0 };
   state::Instant goneAt_ = state::Instant::max();
   /// Sorted by time of receipt, newest last.
   std::deque<Departure> departures_;
+  std::vector<state::UpstreamIdentity> newDepartures_;
   /// The last run that announced itself with an earlier start time than the
   /// current run.
   state::UpstreamIdentity earlierRun_;
-  bool isRestored_ = false;
+  Restored restored_ = Restored::Nothing;
   state::EndpointState reportedState_ = state::EndpointState::Starting;
   state::UpstreamIdentity reportedUpstream_;
 };
--- a/Libraries/Protocol/StoreClient.h
+++ b/Libraries/Protocol/StoreClient.h
@@ -173,6 +173,11 @@
 /// The nodes that carry requests, one record each under a lease of its own.
 inline constexpr const char* kNodePrefix = "teaselhold/nodes/";
 
+/// Follows the key of a node's record in the key of the departures of the
+/// upstreams beside it, a wire::Departures under a lease of its own, so that
+/// one listing shows both.
+inline constexpr const char* kDeparturesSuffix = "/departures";
+
 /// The key of the accepted configuration, a wire::StoredConfiguration.
 inline constexpr const char* kConfigurationKey = "teaselhold/configuration";
 
--- a/Services/teaselholdd/AnnouncedUpstream.cpp
+++ b/Services/teaselholdd/AnnouncedUpstream.cpp
@@ -26,6 +26,16 @@
                                    state::Duration{ 0 });
 }
 
+/// @return true if the message says that an upstream leaves.
+bool
+IsDeparture(const protocol::UpstreamMessage& aMessage)
+{
+  const auto* announcement =
+    std::get_if<state::UpstreamAnnouncement>(&aMessage);
+  return announcement == nullptr ||
+         announcement->state == state::EndpointState::Draining;
+}
+
 Response
 Answer(http::status aStatus, std::string aBody)
 {
@@ -43,12 +53,15 @@
                                      const Clock& aClock,
                                      protocol::UpstreamMessageReader aReader,
                                      std::shared_ptr<AdmissionQueue> aAdmission,
+                                     DepartureSaver& aSaver,
                                      ChangeSink aChangeSink)
   : context_(aContext)
   , clock_(aClock)
   , reader_(std::move(aReader))
   , admission_(std::move(aAdmission))
+  , saver_(aSaver)
   , changeSink_(std::move(aChangeSink))
+  , nodeName_(aSettings.nodeName)
   , registry_(aSettings.service,
               aSettings.upstreamAddress,
               DrainLimit(aSettings))
@@ -76,7 +89,7 @@
     boost::system::error_code error;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     registry_.Tick(clock_.Now());
-    Apply(0);
+    Apply();
   }
 }
 
@@ -110,12 +123,10 @@
   if (verdict == AnnouncementVerdict::Foreign) {
     co_return Answer(http::status::bad_request, "{}");
   }
-  const bool isLeaving = registry_.State() == state::EndpointState::Draining &&
-                         before != state::EndpointState::Draining;
-  if (isLeaving) {
-    co_await SaveLeaving();
-  } else {
-    Apply(0);
+  StartSaving();
+  Apply();
+  if (IsDeparture(message)) {
+    co_await WaitUntilSaved();
   }
   co_return Answer(http::status::ok, "{}");
 }
@@ -144,49 +155,53 @@
     current.sequence);
 }
 
-asio::awaitable<void>
-AnnouncedUpstream::SaveLeaving()
+void
+AnnouncedUpstream::StartSaving()
 {
-  const auto number = nextSave_++;
-  const auto timer =
-    std::make_shared<asio::steady_timer>(context_, kSaveTimeout);
-  saving_.emplace(number, timer);
-  Apply(number);
-  boost::system::error_code error;
-  co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, error));
-  if (saving_.erase(number) > 0) {
-    spdlog::warn("[upstream] Leaving is not in the store yet. id={}",
-                 registry_.Upstream().id);
+  std::erase_if(unsaved_, [this](const auto& aEntry) {
+    return saver_.IsSaved(aEntry.first);
+  });
+  for (const auto& upstream : registry_.TakeDepartures()) {
+    unsaved_.emplace(saver_.Start(nodeName_, upstream), upstream);
   }
 }
 
-void
-AnnouncedUpstream::OnSaved(std::uint64_t aSaveNumber)
+asio::awaitable<void>
+AnnouncedUpstream::WaitUntilSaved()
 {
-  const auto found = saving_.find(aSaveNumber);
-  if (found != saving_.end()) {
-    found->second->cancel();
-    saving_.erase(found);
+  // Copied, because messages that arrive meanwhile change it.
+  const auto waiting = unsaved_;
+  for (const auto& [number, upstream] : waiting) {
+    if (!co_await saver_.Wait(number, kSaveTimeout)) {
+      spdlog::warn("[upstream] Departure is not in the store yet. id={}",
+                   upstream.id);
+      co_return;
+    }
   }
 }
 
 void
-AnnouncedUpstream::Restore(
-  const std::optional<state::UpstreamIdentity>& aLeaving)
+AnnouncedUpstream::Restore(const coordination::RestoreUpstream& aRestored)
 {
-  if (aLeaving) {
-    spdlog::info("[upstream] An earlier process knew it as leaving. id={}",
-                 aLeaving->id);
-  }
-  registry_.Restore(aLeaving, clock_.Now());
-  Apply(0);
+  const bool isChanged =
+    registry_.Restore(aRestored.departed, aRestored.isComplete, clock_.Now());
+  spdlog::info("[upstream] Departures restored. count={} complete={} new={} "
+               "newest_id={} newest_born={}",
+               aRestored.departed.size(),
+               aRestored.isComplete,
+               isChanged,
+               aRestored.departed.empty() ? "" : aRestored.departed.back().id,
+               aRestored.departed.empty()
+                 ? 0
+                 : aRestored.departed.back().bornMilliseconds);
+  Apply();
 }
 
 void
 AnnouncedUpstream::MarkUnreachable()
 {
   registry_.MarkUnreachable();
-  Apply(0);
+  Apply();
 }
 
 void
@@ -197,7 +212,7 @@
 }
 
 void
-AnnouncedUpstream::Apply(std::uint64_t aSaveNumber)
+AnnouncedUpstream::Apply()
 {
   const auto state = registry_.State();
   // A node that ends takes no work, but a leaving must outlast it.
@@ -216,7 +231,7 @@
                upstream.id,
                upstream.bornMilliseconds,
                upstream.slots);
-  changeSink_({ state, upstream, aSaveNumber });
+  changeSink_({ state, upstream });
 }
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/AnnouncedUpstream.h
+++ b/Services/teaselholdd/AnnouncedUpstream.h
@@ -4,6 +4,7 @@
 #include "Coordination/UpstreamRegistry.h"
 #include "Protocol/UpstreamMessages.h"
 #include "Services/teaselholdd/AdmissionQueue.h"
+#include "Services/teaselholdd/DepartureSaver.h"
 #include "Services/teaselholdd/Settings.h"
 
 #include <functional>
@@ -24,6 +25,7 @@
                     const Clock& aClock,
                     protocol::UpstreamMessageReader aReader,
                     std::shared_ptr<AdmissionQueue> aAdmission,
+                    DepartureSaver& aSaver,
                     ChangeSink aChangeSink);
 
   /// Serves one message of the upstream.
@@ -35,8 +37,8 @@
   /// The settings have changed.
   void OnSettings(const Settings& aSettings);
 
-  void OnSaved(std::uint64_t aSaveNumber);
-  void Restore(const std::optional<state::UpstreamIdentity>& aLeaving);
+  /// Takes departures that previous processes of this node acknowledged.
+  void Restore(const coordination::RestoreUpstream& aRestored);
 
   /// A connection to the upstream was refused, or another upstream answered.
   void MarkUnreachable();
@@ -50,9 +52,10 @@
   void Close();
 
 private:
-  Awaitable<void> SaveLeaving();
+  void StartSaving();
+  Awaitable<void> WaitUntilSaved();
   Awaitable<void> Tick();
-  void Apply(std::uint64_t aSaveNumber);
+  void Apply();
   void LogMessage(const protocol::UpstreamMessage& aMessage,
                   coordination::AnnouncementVerdict aVerdict) const;
 
@@ -60,10 +63,12 @@
   const Clock& clock_;
   protocol::UpstreamMessageReader reader_;
   std::shared_ptr<AdmissionQueue> admission_;
+  DepartureSaver& saver_;
   ChangeSink changeSink_;
+  std::string nodeName_;
   coordination::UpstreamRegistry registry_;
-  std::uint64_t nextSave_ = 1;
-  std::map<std::uint64_t, std::shared_ptr<boost::asio::steady_timer>> saving_;
+  /// Departures that the store may not hold yet, by the saver's numbers.
+  std::map<std::uint64_t, state::UpstreamIdentity> unsaved_;
   bool isClosed_ = false;
 };
 
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -71,13 +71,13 @@
     plane.snapshot_.store(aCommand.snapshot);
     plane.sinks_.snapshot(aCommand.snapshot);
   }
-  void operator()(const UpstreamStateSaved& aCommand) const
+  void operator()(const DepartureSaved& aCommand) const
   {
-    plane.sinks_.upstreamStateSaved(aCommand.saveNumber);
+    plane.sinks_.departureSaved(aCommand.saveNumber);
   }
   void operator()(const coordination::RestoreUpstream& aCommand) const
   {
-    plane.sinks_.restoreUpstream(aCommand.leavingUpstream);
+    plane.sinks_.restoreUpstream(aCommand);
   }
   void operator()(const FinishApply& aCommand) const
   {
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -28,8 +28,8 @@
   struct Sinks
   {
     std::function<void(coordination::RoutingSnapshotPointer)> snapshot;
-    std::function<void(std::uint64_t aSaveNumber)> upstreamStateSaved;
-    std::function<void(std::optional<state::UpstreamIdentity>)> restoreUpstream;
+    std::function<void(std::uint64_t aSaveNumber)> departureSaved;
+    std::function<void(const coordination::RestoreUpstream&)> restoreUpstream;
   };
 
   ControlPlane(const Settings& aSettings,
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -43,6 +43,7 @@
                      const Clock& aClock,
                      std::uint64_t aIncarnation,
                      ChangeSink aChangeSink,
+                     DepartureSaver::Sink aDepartureSink,
                      CrashSink aCrashSink,
                      VersionExchange::Sink aVersionSink,
                      coordination::CallMetrics& aCallMetrics)
@@ -54,12 +55,14 @@
                                          aClock,
                                          LinkBytesPerSecond(settings_)))
   , versions_(aClock, std::move(aVersionSink))
+  , departures_(context_, std::move(aDepartureSink))
   , upstreamSide_(context_,
                   settings_,
                   adapters_,
                   aClock,
                   aIncarnation,
                   changeSink_,
+                  departures_,
                   std::move(aCrashSink),
                   aCallMetrics,
                   link_,
@@ -202,21 +205,18 @@
 }
 
 void
-DataPlane::OnUpstreamStateSaved(std::uint64_t aSaveNumber)
+DataPlane::OnDepartureSaved(std::uint64_t aSaveNumber)
 {
-  asio::post(context_, [this, aSaveNumber] {
-    if (auto* announced = upstreamSide_.Announced()) {
-      announced->OnSaved(aSaveNumber);
-    }
-  });
+  asio::post(context_,
+             [this, aSaveNumber] { departures_.OnSaved(aSaveNumber); });
 }
 
 void
-DataPlane::RestoreUpstream(std::optional<state::UpstreamIdentity> aLeaving)
+DataPlane::RestoreUpstream(coordination::RestoreUpstream aRestored)
 {
-  asio::post(context_, [this, leaving = std::move(aLeaving)] {
+  asio::post(context_, [this, restored = std::move(aRestored)] {
     if (auto* announced = upstreamSide_.Announced()) {
-      announced->Restore(leaving);
+      announced->Restore(restored);
     }
   });
 }
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -22,6 +22,7 @@
             const Clock& aClock,
             std::uint64_t aIncarnation,
             ChangeSink aChangeSink,
+            DepartureSaver::Sink aDepartureSink,
             CrashSink aCrashSink,
             VersionExchange::Sink aVersionSink,
             coordination::CallMetrics& aCallMetrics);
@@ -32,9 +33,9 @@
   /// Takes a new snapshot. Safe on any thread.
   void SetSnapshot(coordination::RoutingSnapshotPointer aSnapshot);
 
-  /// Take what the control plane knows of the upstream. Safe on any thread.
-  void OnUpstreamStateSaved(std::uint64_t aSaveNumber);
-  void RestoreUpstream(std::optional<state::UpstreamIdentity> aLeaving);
+  /// Take what the control plane knows of departures. Safe on any thread.
+  void OnDepartureSaved(std::uint64_t aSaveNumber);
+  void RestoreUpstream(coordination::RestoreUpstream aRestored);
 
   /// Takes the settings that a running process can take. Must be called on the
   /// thread that calls DrainAndStop.
@@ -65,6 +66,7 @@
   boost::asio::io_context context_{ 1 };
   std::shared_ptr<OutgoingLink> link_;
   VersionExchange versions_;
+  DepartureSaver departures_;
   UpstreamSide upstreamSide_;
   CallerSide callerSide_;
   std::unique_ptr<transport::HttpServer> callerServer_;
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -81,6 +81,7 @@
                            const Clock& aClock,
                            std::uint64_t aIncarnation,
                            AnnouncedUpstream::ChangeSink aChangeSink,
+                           DepartureSaver& aDepartures,
                            UpstreamLink::CrashSink aCrashSink,
                            CallMetrics& aCallMetrics,
                            std::shared_ptr<OutgoingLink> aLink,
@@ -108,6 +109,7 @@
                                            aClock,
                                            aAdapters.readUpstreamMessage,
                                            admission_,
+                                           aDepartures,
                                            aChangeSink)
                                        : nullptr)
   , upstream_(
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -26,6 +26,7 @@
                const Clock& aClock,
                std::uint64_t aIncarnation,
                AnnouncedUpstream::ChangeSink aChangeSink,
+               DepartureSaver& aDepartures,
                UpstreamLink::CrashSink aCrashSink,
                coordination::CallMetrics& aCallMetrics,
                std::shared_ptr<OutgoingLink> aLink,
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -155,6 +155,9 @@
     [&](coordination::UpstreamChanged aChange) {
       controlPlane->Post(std::move(aChange));
     },
+    [&](coordination::UpstreamDeparted aDeparture) {
+      controlPlane->Post(std::move(aDeparture));
+    },
     [&](std::uint64_t aFingerprint) {
       controlPlane->Post(coordination::CrashObserved{ aFingerprint });
     },
@@ -173,10 +176,10 @@
         dataPlane.SetSnapshot(std::move(aSnapshot));
       },
       [&](std::uint64_t aSaveNumber) {
-        dataPlane.OnUpstreamStateSaved(aSaveNumber);
+        dataPlane.OnDepartureSaved(aSaveNumber);
       },
-      [&](std::optional<state::UpstreamIdentity> aLeaving) {
-        dataPlane.RestoreUpstream(std::move(aLeaving));
+      [&](const coordination::RestoreUpstream& aRestored) {
+        dataPlane.RestoreUpstream(aRestored);
       } });
   for (const auto& started : { dataPlane.Start(), controlPlane->Start() }) {
     if (!started) {
--- a/Tests/Coordination/UpstreamRegistryTest.cpp
+++ b/Tests/Coordination/UpstreamRegistryTest.cpp
@@ -30,7 +30,7 @@
 MakeRegistry()
 {
   UpstreamRegistry registry("visits", "10.0.0.1:80", kDrainLimit);
-  registry.Restore(std::nullopt, 0s);
+  registry.Restore({}, true, 0s);
   return registry;
 }
 
@@ -96,7 +96,7 @@
   // A late announcement from before the departure arrives first.
   registry.Announce(Announcement("a", 100, 2), 1s);
   CHECK(registry.State() == EndpointState::Starting);
-  registry.Restore(state::UpstreamIdentity{ "a", 100, 3, 12 }, 2s);
+  registry.Restore({ { "a", 100, 3, 12 } }, true, 2s);
   CHECK(registry.State() == EndpointState::Gone);
   registry.Announce(Announcement("a", 100, 5), 3s);
   CHECK(registry.State() == EndpointState::Gone);
@@ -104,6 +104,65 @@
   CHECK(registry.State() == EndpointState::Ready);
 }
 
+TEST_CASE("a departure that becomes known late ends the use of its upstream")
+{
+  // Guards against a restarted node that uses an upstream that had left,
+  // because the store answered it only after the first announcement.
+  UpstreamRegistry registry("visits", "10.0.0.1:80", kDrainLimit);
+  registry.Restore({}, false, 1s);
+  registry.Announce(Announcement("a", 100, 2), 2s);
+  registry.Announce(Announcement("a", 100, 3), 4s);
+  CHECK(registry.State() == EndpointState::Ready);
+  registry.Restore({ { "a", 100, 0, 0 } }, true, 5s);
+  CHECK(registry.State() == EndpointState::Gone);
+  registry.Announce(Announcement("a", 100, 4), 6s);
+  CHECK(registry.State() == EndpointState::Gone);
+}
+
+TEST_CASE("a single announcement is no proof while departures may be unknown")
+{
+  // Guards against a late announcement of a run that left, which a restarted
+  // node gets while the store does not answer.
+  UpstreamRegistry registry("visits", "10.0.0.1:80", kDrainLimit);
+  registry.Restore({}, false, 3s);
+  registry.Announce(Announcement("a", 100, 5), 4s);
+  CHECK(registry.State() == EndpointState::Starting);
+  SECTION("a second one is")
+  {
+    registry.Announce(Announcement("a", 100, 6), 5s);
+    CHECK(registry.State() == EndpointState::Ready);
+  }
+  SECTION("so is the word of the store that it knows no departure")
+  {
+    registry.Restore({}, true, 5s);
+    CHECK(registry.State() == EndpointState::Ready);
+  }
+  SECTION("announcements that were held up together are not")
+  {
+    registry.Announce(Announcement("a", 100, 6), 4s);
+    registry.Announce(Announcement("a", 100, 7), 4s + 10ms);
+    CHECK(registry.State() == EndpointState::Starting);
+  }
+}
+
+TEST_CASE("each departure that a message tells has to be saved once")
+{
+  // Guards against a late departure of an earlier run that is acknowledged but
+  // forgotten by a restart.
+  auto registry = MakeRegistry();
+  registry.Announce(Announcement("old", 100, 1), 1s);
+  registry.Announce(Announcement("new", 200, 1), 2s);
+  CHECK(registry.TakeDepartures().empty());
+  registry.Depart({ "old", 100 }, 3s);
+  auto told = registry.TakeDepartures();
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].id == "old");
+  registry.Depart({ "old", 100 }, 4s);
+  CHECK(registry.TakeDepartures().empty());
+  registry.Depart({ "new", 200 }, 5s);
+  CHECK(registry.TakeDepartures().size() == 1);
+}
+
 TEST_CASE("messages for another service or address are rejected as foreign")
 {
   auto registry = MakeRegistry();
@@ -183,7 +242,7 @@
   "a restored departure without a start time keeps the run from being ready")
 {
   UpstreamRegistry registry("visits", "10.0.0.1:80", kDrainLimit);
-  registry.Restore(state::UpstreamIdentity{ "a", 0, 0, 12 }, 1s);
+  registry.Restore({ { "a", 0, 0, 12 } }, true, 1s);
   registry.Announce(Announcement("a", 100, 18), 2s);
   CHECK(registry.State() != EndpointState::Ready);
 }
--- a/Tests/Services/teaselholdd/AnnouncedUpstreamTest.cpp
+++ b/Tests/Services/teaselholdd/AnnouncedUpstreamTest.cpp
@@ -34,6 +34,11 @@
 
   Settings settings = MakeSettings();
   boost::asio::io_context context;
+  std::vector<coordination::UpstreamDeparted> departures;
+  DepartureSaver saver{ context,
+                        [this](coordination::UpstreamDeparted aDeparture) {
+                          departures.push_back(std::move(aDeparture));
+                        } };
   Clock clock;
   protocol::UpstreamMessage next;
   std::vector<coordination::UpstreamChanged> changes;
@@ -46,6 +51,7 @@
                               clock,
                               [this](auto, auto, auto) { return next; },
                               admission,
+                              saver,
                               [this](coordination::UpstreamChanged aChange) {
                                 changes.push_back(std::move(aChange));
                               } };
@@ -69,7 +75,7 @@
 TEST_CASE("A leaving that is told to a node that ends is still saved")
 {
   Fixture fixture;
-  fixture.upstream.Restore(std::nullopt);
+  fixture.upstream.Restore({ {}, true });
   fixture.Serve(MakeAnnouncement(1));
   fixture.upstream.Close();
   fixture.changes.clear();
@@ -78,13 +84,14 @@
   fixture.Serve(leaving);
   REQUIRE(fixture.changes.size() == 1);
   CHECK(fixture.changes[0].state == state::EndpointState::Draining);
-  CHECK(fixture.changes[0].saveNumber != 0);
+  REQUIRE(fixture.departures.size() == 1);
+  CHECK(fixture.departures[0].upstream.id == "i-1");
 }
 
 TEST_CASE("An upstream that becomes ready at a node that ends gets no work")
 {
   Fixture fixture;
-  fixture.upstream.Restore(std::nullopt);
+  fixture.upstream.Restore({ {}, true });
   fixture.upstream.Close();
   fixture.Serve(MakeAnnouncement(1));
   CHECK(fixture.changes.empty());
