Daemon: Acknowledge a departure once it outlasts its node

The departure had been acknowledged while the store turned the node away.

Cause: after 600 ms without the store the departure was acknowledged although only the memory of one process held it.

The log said that the leaving was not in the store, and the record was written once, by the restarted process.

Change: if the store does not take a departure within 300 ms, three nodes of different data centres are asked. Each writes it, or keeps it until the store answers and reminds the node each second. One write, or two nodes that keep it, make the acknowledgement true. If nobody takes it, the upstream gets 503. All nodes that know of the departure treat the run as gone.

--- a/Libraries/Coordination/UpstreamRegistry.cpp
+++ b/Libraries/Coordination/UpstreamRegistry.cpp
@@ -193,6 +193,14 @@
 {
   restored_ =
     aIsComplete ? Restored::Completely : std::max(restored_, Restored::Partly);
+  return AddDepartures(aDeparted, aNow);
+}
+
+bool
+UpstreamRegistry::AddDepartures(
+  const std::vector<state::UpstreamIdentity>& aDeparted,
+  state::Instant aNow)
+{
   bool isChanged = false;
   for (const auto& run : aDeparted) {
     isChanged = RecordDeparture(run, aNow) || isChanged;
--- a/Libraries/Coordination/UpstreamRegistry.h
+++ b/Libraries/Coordination/UpstreamRegistry.h
@@ -59,6 +59,11 @@
                bool aIsComplete,
                state::Instant aNow);
 
+  /// Adds departures without a word on whether there are more.
+  /// @return true if any of them was not known.
+  bool AddDepartures(const std::vector<state::UpstreamIdentity>& aDeparted,
+                     state::Instant aNow);
+
   /// @return the departures that messages told since the last call of this
   ///         function.
   std::vector<state::UpstreamIdentity> TakeDepartures()
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -48,5 +48,12 @@
 inline constexpr const char* kProbePath = "/.teaselhold/probe";
 /// Asks whether the request in Teaselhold-Request-Id ever arrived.
 inline constexpr const char* kArrivalPath = "/.teaselhold/arrival";
+/// Hands over the departure of the upstream beside Teaselhold-Node. Answered
+/// with 200 once the store holds it, or 202 if the answering node keeps it.
+inline constexpr const char* kDeparturePath = "/.teaselhold/departure";
+inline constexpr const char* kNode = "Teaselhold-Node";
+inline constexpr const char* kUpstream = "Teaselhold-Upstream";
+/// The start time of the upstream in milliseconds; 0 if it is not known.
+inline constexpr const char* kUpstreamBorn = "Teaselhold-Upstream-Born";
 
 } // namespace teaselhold::protocol::headers
--- a/Services/teaselholdd/AnnouncedUpstream.cpp
+++ b/Services/teaselholdd/AnnouncedUpstream.cpp
@@ -10,9 +10,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-/// The upstream waits for 1 s; with the store out, this process's memory has
-/// to do.
-constexpr std::chrono::milliseconds kSaveTimeout{ 600 };
 constexpr std::chrono::milliseconds kTickInterval{ 100 };
 
 /// Requests that wait when the upstream leaves are delivered until shortly
@@ -54,12 +51,14 @@
                                      protocol::UpstreamMessageReader aReader,
                                      std::shared_ptr<AdmissionQueue> aAdmission,
                                      DepartureSaver& aSaver,
+                                     DepartureReplicator& aReplicator,
                                      ChangeSink aChangeSink)
   : context_(aContext)
   , clock_(aClock)
   , reader_(std::move(aReader))
   , admission_(std::move(aAdmission))
   , saver_(aSaver)
+  , replicator_(aReplicator)
   , changeSink_(std::move(aChangeSink))
   , nodeName_(aSettings.nodeName)
   , registry_(aSettings.service,
@@ -125,8 +124,8 @@
   }
   StartSaving();
   Apply();
-  if (IsDeparture(message)) {
-    co_await WaitUntilSaved();
+  if (IsDeparture(message) && !co_await SecureDepartures()) {
+    co_return Answer(http::status::service_unavailable, "{}");
   }
   co_return Answer(http::status::ok, "{}");
 }
@@ -158,26 +157,27 @@
 void
 AnnouncedUpstream::StartSaving()
 {
-  std::erase_if(unsaved_, [this](const auto& aEntry) {
-    return saver_.IsSaved(aEntry.first);
-  });
   for (const auto& upstream : registry_.TakeDepartures()) {
-    unsaved_.emplace(saver_.Start(nodeName_, upstream), upstream);
+    unsecured_.emplace(saver_.Start(nodeName_, upstream), upstream);
   }
 }
 
-asio::awaitable<void>
-AnnouncedUpstream::WaitUntilSaved()
+asio::awaitable<bool>
+AnnouncedUpstream::SecureDepartures()
 {
   // Copied, because messages that arrive meanwhile change it.
-  const auto waiting = unsaved_;
+  const auto waiting = unsecured_;
   for (const auto& [number, upstream] : waiting) {
-    if (!co_await saver_.Wait(number, kSaveTimeout)) {
-      spdlog::warn("[upstream] Departure is not in the store yet. id={}",
-                   upstream.id);
-      co_return;
+    if (!co_await replicator_.Secure(number, upstream)) {
+      spdlog::warn(
+        "[upstream] Departure is not acknowledged: neither the store "
+        "nor another node holds it. id={}",
+        upstream.id);
+      co_return false;
     }
+    unsecured_.erase(number);
   }
+  co_return true;
 }
 
 void
@@ -197,6 +197,18 @@
   Apply();
 }
 
+void
+AnnouncedUpstream::AddDeparture(const state::UpstreamIdentity& aUpstream)
+{
+  if (!registry_.AddDepartures({ aUpstream }, clock_.Now())) {
+    return;
+  }
+  spdlog::info("[upstream] Another node kept a departure. id={} born={}",
+               aUpstream.id,
+               aUpstream.bornMilliseconds);
+  Apply();
+}
+
 void
 AnnouncedUpstream::MarkUnreachable()
 {
--- a/Services/teaselholdd/AnnouncedUpstream.h
+++ b/Services/teaselholdd/AnnouncedUpstream.h
@@ -4,7 +4,7 @@
 #include "Coordination/UpstreamRegistry.h"
 #include "Protocol/UpstreamMessages.h"
 #include "Services/teaselholdd/AdmissionQueue.h"
-#include "Services/teaselholdd/DepartureSaver.h"
+#include "Services/teaselholdd/DepartureReplicator.h"
 #include "Services/teaselholdd/Settings.h"
 
 #include <functional>
@@ -14,7 +14,8 @@
 
 /// Takes the messages of the upstream beside this node and opens or closes
 /// admission accordingly. The message that the upstream leaves is acknowledged
-/// once the store holds it, so that a restart of this node does not forget it.
+/// once the store or other nodes hold it, so that a restart of this node does
+/// not forget it.
 class AnnouncedUpstream
 {
 public:
@@ -26,6 +27,7 @@
                     protocol::UpstreamMessageReader aReader,
                     std::shared_ptr<AdmissionQueue> aAdmission,
                     DepartureSaver& aSaver,
+                    DepartureReplicator& aReplicator,
                     ChangeSink aChangeSink);
 
   /// Serves one message of the upstream.
@@ -40,6 +42,9 @@
   /// Takes departures that previous processes of this node acknowledged.
   void Restore(const coordination::RestoreUpstream& aRestored);
 
+  /// Takes a departure that another node keeps for this one.
+  void AddDeparture(const state::UpstreamIdentity& aUpstream);
+
   /// A connection to the upstream was refused, or another upstream answered.
   void MarkUnreachable();
 
@@ -53,7 +58,8 @@
 
 private:
   void StartSaving();
-  Awaitable<void> WaitUntilSaved();
+  /// @return false if a restart would forget a departure.
+  Awaitable<bool> SecureDepartures();
   Awaitable<void> Tick();
   void Apply();
   void LogMessage(const protocol::UpstreamMessage& aMessage,
@@ -64,11 +70,13 @@
   protocol::UpstreamMessageReader reader_;
   std::shared_ptr<AdmissionQueue> admission_;
   DepartureSaver& saver_;
+  DepartureReplicator& replicator_;
   ChangeSink changeSink_;
   std::string nodeName_;
   coordination::UpstreamRegistry registry_;
-  /// Departures that the store may not hold yet, by the saver's numbers.
-  std::map<std::uint64_t, state::UpstreamIdentity> unsaved_;
+  /// Departures that neither the store nor other nodes may hold yet, by the
+  /// saver's numbers.
+  std::map<std::uint64_t, state::UpstreamIdentity> unsecured_;
   bool isClosed_ = false;
 };
 
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -56,6 +56,7 @@
                                          LinkBytesPerSecond(settings_)))
   , versions_(aClock, std::move(aVersionSink))
   , departures_(context_, std::move(aDepartureSink))
+  , replicator_(context_, settings_, aIncarnation, departures_)
   , upstreamSide_(context_,
                   settings_,
                   adapters_,
@@ -63,6 +64,7 @@
                   aIncarnation,
                   changeSink_,
                   departures_,
+                  replicator_,
                   std::move(aCrashSink),
                   aCallMetrics,
                   link_,
@@ -185,6 +187,7 @@
     if (snapshot->configuration != nullptr) {
       versions_.SetOwn(snapshot->configuration->GetGeneration());
     }
+    replicator_.SetSnapshot(snapshot);
     callerSide_.SetSnapshot(std::move(snapshot));
   });
 }
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -67,6 +67,7 @@
   std::shared_ptr<OutgoingLink> link_;
   VersionExchange versions_;
   DepartureSaver departures_;
+  DepartureReplicator replicator_;
   UpstreamSide upstreamSide_;
   CallerSide callerSide_;
   std::unique_ptr<transport::HttpServer> callerServer_;
--- a/Services/teaselholdd/DepartureSaver.cpp
+++ b/Services/teaselholdd/DepartureSaver.cpp
@@ -34,14 +34,19 @@
 
 void
 DepartureSaver::OnSaved(std::uint64_t aNumber)
+{
+  EndWait(aNumber);
+  waiting_.erase(aNumber);
+}
+
+void
+DepartureSaver::EndWait(std::uint64_t aNumber)
 {
   const auto found = waiting_.find(aNumber);
   if (found == waiting_.end()) {
     return;
   }
-  const auto timers = std::move(found->second);
-  waiting_.erase(found);
-  for (const auto& timer : timers) {
+  for (const auto& timer : found->second) {
     timer->cancel();
   }
 }
--- a/Services/teaselholdd/DepartureSaver.h
+++ b/Services/teaselholdd/DepartureSaver.h
@@ -32,6 +32,9 @@
   Awaitable<bool> Wait(std::uint64_t aNumber,
                        std::chrono::milliseconds aTimeout);
 
+  /// Ends the waits for this number before their timeout; they return false.
+  void EndWait(std::uint64_t aNumber);
+
   bool IsSaved(std::uint64_t aNumber) const
   {
     return !waiting_.contains(aNumber);
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -82,6 +82,7 @@
                            std::uint64_t aIncarnation,
                            AnnouncedUpstream::ChangeSink aChangeSink,
                            DepartureSaver& aDepartures,
+                           DepartureReplicator& aReplicator,
                            UpstreamLink::CrashSink aCrashSink,
                            CallMetrics& aCallMetrics,
                            std::shared_ptr<OutgoingLink> aLink,
@@ -103,6 +104,7 @@
                                         LinkBytesPerSecond(aSettings)))
   , link_(std::move(aLink))
   , versions_(aVersions)
+  , replicator_(aReplicator)
   , announced_(aAdapters.IsAnnounced() ? std::make_unique<AnnouncedUpstream>(
                                            aContext,
                                            aSettings,
@@ -110,6 +112,7 @@
                                            aAdapters.readUpstreamMessage,
                                            admission_,
                                            aDepartures,
+                                           aReplicator,
                                            aChangeSink)
                                        : nullptr)
   , upstream_(
@@ -206,6 +209,9 @@
   if (aRequest.target() == headers::kArrivalPath) {
     co_return AnswerArrival(aRequest);
   }
+  if (aRequest.target() == headers::kDeparturePath) {
+    co_return co_await AnswerDeparture(aRequest);
+  }
   const auto arrived = clock_.Now();
   versions_.Learn(aRequest);
   const std::string id(ReadHeader(aRequest, headers::kRequestId));
@@ -239,6 +245,19 @@
                         : Outcome(Unknown{ UnknownReason::ConnectionLost }));
 }
 
+asio::awaitable<Response>
+UpstreamSide::AnswerDeparture(const Request& aRequest)
+{
+  const auto reminder = replicator_.ReadReminder(aRequest);
+  if (!reminder) {
+    co_return co_await replicator_.Serve(aRequest);
+  }
+  if (announced_ != nullptr) {
+    announced_->AddDeparture(*reminder);
+  }
+  co_return Response();
+}
+
 std::optional<Outcome>
 UpstreamSide::CheckArrival(const Request& aRequest)
 {
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -27,6 +27,7 @@
                std::uint64_t aIncarnation,
                AnnouncedUpstream::ChangeSink aChangeSink,
                DepartureSaver& aDepartures,
+               DepartureReplicator& aReplicator,
                UpstreamLink::CrashSink aCrashSink,
                coordination::CallMetrics& aCallMetrics,
                std::shared_ptr<OutgoingLink> aLink,
@@ -84,6 +85,7 @@
   DeliveryStart Describe(const Request& aRequest,
                          const OptionalAdmission& aAdmission) const;
   Response AnswerArrival(const Request& aRequest);
+  Awaitable<Response> AnswerDeparture(const Request& aRequest);
   std::optional<coordination::Outcome> CheckArrival(const Request& aRequest);
   Awaitable<Exchange> RunKeyed(
     Request& aRequest,
@@ -108,6 +110,7 @@
   std::shared_ptr<BodyQueue> bodies_;
   std::shared_ptr<OutgoingLink> link_;
   VersionExchange& versions_;
+  DepartureReplicator& replicator_;
   std::unique_ptr<AnnouncedUpstream> announced_;
   UpstreamLink upstream_;
   std::uint64_t nextRequest_ = 1;
--- a/Tests/Services/teaselholdd/AnnouncedUpstreamTest.cpp
+++ b/Tests/Services/teaselholdd/AnnouncedUpstreamTest.cpp
@@ -12,6 +12,7 @@
 MakeSettings()
 {
   Settings settings;
+  settings.nodeName = "one";
   settings.service = "visits";
   settings.upstreamAddress = "127.0.0.1:9001";
   settings.upstreamDrain = 2s;
@@ -40,6 +41,7 @@
                           departures.push_back(std::move(aDeparture));
                         } };
   Clock clock;
+  DepartureReplicator replicator{ context, settings, 1, saver };
   protocol::UpstreamMessage next;
   std::vector<coordination::UpstreamChanged> changes;
   std::shared_ptr<AdmissionQueue> admission = std::make_shared<AdmissionQueue>(
@@ -52,6 +54,7 @@
                               [this](auto, auto, auto) { return next; },
                               admission,
                               saver,
+                              replicator,
                               [this](coordination::UpstreamChanged aChange) {
                                 changes.push_back(std::move(aChange));
                               } };
