Coordination: Write the change that makes a configuration small again

Cause: nodes that have a large version in force follow the log of changes, but a reader wrote a change to it only if the new version was large as well. The version that crosses the limit downwards was in no log, and the followers found it by their polls.

Ruled out: a change that cannot be applied, and followers that stop too early. The simulated fleet shows no write of the log at that version.

Change: a reader writes the change if either version is large.

--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -46,6 +46,14 @@
 /// pauses.
 constexpr int kDeliveryPercent = 10;
 
+/// @return true if only the readers read this version in full.
+bool
+IsLarge(const state::ConfigurationPointer& aConfiguration)
+{
+  return aConfiguration != nullptr &&
+         aConfiguration->Text().size() >= kLargeConfigurationBytes;
+}
+
 state::Duration
 PercentOf(state::Duration aTime, int aPercent)
 {
@@ -130,9 +138,7 @@
 void
 DirectCore::SelectConfigurationSource(state::Instant aNow)
 {
-  const auto& active = configuration_.Active();
-  const bool isLarge =
-    active != nullptr && active->Text().size() >= kLargeConfigurationBytes;
+  const bool isLarge = IsLarge(configuration_.Active());
   // Until the other nodes are known, every node would select itself as a
   // reader.
   isFleetKnown_ =
@@ -194,8 +200,9 @@
 DirectCore::PublishChange(state::ConfigurationPointer aPrevious)
 {
   const auto& active = configuration_.Active();
-  if (active != aPrevious &&
-      active->Text().size() >= kLargeConfigurationBytes) {
+  // Followers are the nodes that have a large version in force, so the change
+  // that makes it small again has to reach them, too.
+  if (active != aPrevious && (IsLarge(active) || IsLarge(aPrevious))) {
     publisher_.OnVersion(
       std::move(aPrevious), active, configuration_.Revision());
   }
--- a/Tests/Coordination/DirectCoreTest.cpp
+++ b/Tests/Coordination/DirectCoreTest.cpp
@@ -666,6 +666,31 @@
   }
 }
 
+TEST_CASE("a reader writes the change that makes a configuration small again")
+{
+  // Guards against followers that learn of such a version only from their
+  // polls.
+  CoreHarness harness;
+  harness.Answer<StoreWatch>(MakeLargeVersion(7, 3, "900ms"));
+  harness.Answer<StoreList>(protocol::StoreListing{ {}, 9 });
+  harness.RunFor(4s);
+  harness.Answer<StoreWatch>(protocol::StoreEntry{});
+  harness.RunFor(1s);
+  REQUIRE(harness.Pending<StoreWatch>()->key == protocol::kConfigurationKey);
+  harness.Answer<StoreWatch>(MakeVersion(12, 6));
+  const auto* swap = harness.PendingSwap(protocol::kChangesKey);
+  REQUIRE(swap != nullptr);
+  const auto log = ConfigurationChangeLog::Parse(swap->value);
+  REQUIRE(log);
+  CHECK(log->NewestGeneration() == 12);
+  // Versions that stay small are read by each node.
+  harness.AnswerSwap(protocol::kChangesKey,
+                     protocol::SwapResult{ true, { swap->value, 20 } });
+  harness.RunFor(1s);
+  harness.Answer<StoreWatch>(MakeVersion(14, 8));
+  CHECK(harness.PendingSwap(protocol::kChangesKey) == nullptr);
+}
+
 TEST_CASE("hosts with the most capacity in several data centres become readers")
 {
   state::EndpointTable table;
--- a/Tests/Coordination/DirectFleetTest.cpp
+++ b/Tests/Coordination/DirectFleetTest.cpp
@@ -113,6 +113,40 @@
 
 } // namespace
 
+TEST_CASE("versions are in force in time when their size crosses the limit")
+{
+  // Guards against followers of a large configuration that nobody tells of the
+  // version that makes it small again, and against small fleets, in which a
+  // data centre may have no reader.
+  const std::size_t nodes = GENERATE(9U, kNodes);
+  DirectFleet fleet(nodes, kBound, GENERATE(1U, 2U, 3U), 4, MakeText(4));
+  fleet.Run(12s);
+  for (unsigned version = 6; version < 26; version += 4) {
+    fleet.WriteVersion(version, MakeSmallText(version));
+    fleet.Run(5s);
+    Write(fleet, version + 2);
+    fleet.Run(5s);
+  }
+  CHECK(fleet.WorstLag() < kBound);
+}
+
+TEST_CASE("quick versions on both sides of the limit are in force in time")
+{
+  // Guards against a reader that merges the change to a small version into the
+  // one that makes the configuration large again, or skips it.
+  DirectFleet fleet(kNodes, kBound, GENERATE(1U, 2U, 3U), 4, MakeText(4));
+  fleet.Run(12s);
+  for (unsigned version = 6; version < 46; version += 4) {
+    fleet.WriteVersion(version, MakeSmallText(version));
+    fleet.Run(330ms);
+    Write(fleet, version + 2);
+    fleet.Run(270ms);
+  }
+  fleet.WriteVersion(50, MakeSmallText(50));
+  fleet.Run(5s);
+  CHECK(fleet.WorstLag() < kBound);
+}
+
 TEST_CASE("nodes that hear from each other share the polls for missed versions")
 {
   // Guards against a store that gets a full-price poll from every node each
