Coordination: Notice the loss of all readers at once

The version came just after the kill of the four nodes that read the configuration for the others.

Cause: the only sign of a reader's death was its record, which outlives it by up to 9 s. Until then the others follow a log that nobody writes; their polls, two a second in the mean over all listed nodes, leave gaps of over two seconds once half of the nodes are gone.

Ruled out: that a poll finds the version in time and its finder does not tell it (it writes the log, and all nodes then get it together), and that restarted readers hide the loss (the simulated fleet has no restarts and shows the same).

Change: a node that follows the log keeps one question open at one of the readers, which is answered as soon as that node stops reading, drains or cannot reach the store, and whose connection breaks if its process ends. It then asks the readers and all nodes before it in the common order.

--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -105,6 +105,8 @@
     OnCrash(crash->fingerprint);
   } else if (const auto* seen = std::get_if<PeerVersionSeen>(&aEvent)) {
     peerVersions_.OnSeen(seen->generation, aNow);
+  } else if (const auto* reader = std::get_if<ReaderAnswered>(&aEvent)) {
+    readers_.OnAnswer(*reader, aNow);
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
     OnApply(*apply, commands);
   }
@@ -112,7 +114,7 @@
     configuration_.Restart(aNow);
     follower_.Restart(aNow);
   }
-  SelectConfigurationSource(aNow);
+  SelectConfigurationSource(aNow, commands);
   CheckAfterPeers(aNow);
   FollowChanges(aNow, commands);
   configuration_.Tick(aNow, commands);
@@ -124,6 +126,7 @@
   if (directory_.TakeChanged()) {
     ReportCrashSuspects(aNow);
     isReader_ = IsSelectedReader(directory_.Table(), self_.node);
+    readers_.SetCandidates(ReadersBefore(directory_.Table(), self_.node));
     isPublishDue_ = true;
   }
   isPublishDue_ = crashGuard_.Expire(aNow) || isPublishDue_ ||
@@ -136,14 +139,43 @@
 }
 
 void
-DirectCore::SelectConfigurationSource(state::Instant aNow)
+DirectCore::MonitorReaders(state::Instant aNow, Commands& aCommands)
+{
+  const bool wasSubstitute = readers_.IsSubstitute();
+  const bool isWanted = IsLarge(configuration_.Active()) && isFleetKnown_ &&
+                        !isReader_ && !gate_.IsOutage();
+  readers_.Tick(isWanted, aNow, aCommands);
+  if (readers_.IsSubstitute() && !wasSubstitute) {
+    // The readers may have missed a version before they were lost.
+    configuration_.CheckNow(aNow);
+  }
+}
+
+ReaderRole
+DirectCore::Role() const
+{
+  if (!isFleetKnown_ || gate_.IsOutage() ||
+      configuration_.Active() == nullptr) {
+    return ReaderRole::Unavailable;
+  }
+  return isFollowing_ ? ReaderRole::Following : ReaderRole::Reading;
+}
+
+void
+DirectCore::SelectConfigurationSource(state::Instant aNow, Commands& aCommands)
 {
   const bool isLarge = IsLarge(configuration_.Active());
   // Until the other nodes are known, every node would select itself as a
   // reader.
   isFleetKnown_ =
     directory_.IsListed() && aNow - *startTime_ >= kFleetStartTime;
-  isFollowing_ = isLarge && !(isReader_ && isFleetKnown_);
+  MonitorReaders(aNow, aCommands);
+  const bool isReading = isReader_ || readers_.IsSubstitute();
+  isFollowing_ = isLarge && !(isReading && isFleetKnown_);
+  if (publishedRole_ != Role()) {
+    publishedRole_ = Role();
+    aCommands.push_back(SetReaderRole{ publishedRole_ });
+  }
   gate_.SetFleetSize(directory_.Table().Size());
   configuration_.SetWatching(!isFollowing_, PollInterval(aNow));
   configuration_.SetPauseAfterChange(
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -7,6 +7,7 @@
 #include "Coordination/DepartureLog.h"
 #include "Coordination/NodeDirectory.h"
 #include "Coordination/NodeRegistration.h"
+#include "Coordination/ReaderMonitor.h"
 #include "Coordination/StoreCircuitBreaker.h"
 #include "Coordination/Versions/PeerVersions.h"
 
@@ -29,10 +30,13 @@
 
   FleetStatus Status() const;
 
-  /// @return true if this node reads a large configuration in full for the
-  /// others.
+  /// @return true if this node is selected to read a large configuration in
+  /// full for the others.
   bool IsReader() const { return isReader_; }
 
+  /// @return what this node tells others of its part in reading.
+  ReaderRole Role() const;
+
 private:
   void OnUpstreamChanged(const UpstreamChanged& aChange);
   void OnUpstreamDeparted(const UpstreamDeparted& aDeparture,
@@ -49,7 +53,8 @@
   void RestoreDepartures(state::Instant aNow, Commands& aCommands);
   void Register();
   void ReportCrashSuspects(state::Instant aNow);
-  void SelectConfigurationSource(state::Instant aNow);
+  void MonitorReaders(state::Instant aNow, Commands& aCommands);
+  void SelectConfigurationSource(state::Instant aNow, Commands& aCommands);
   state::Duration PollInterval(state::Instant aNow) const;
   void CheckAfterPeers(state::Instant aNow);
   void PublishChange(state::ConfigurationPointer aPrevious);
@@ -65,6 +70,7 @@
   PeerVersions peerVersions_;
   ChangeFollower follower_;
   ChangePublisher publisher_;
+  ReaderMonitor readers_;
   NodeDirectory directory_;
   NodeRegistration registration_;
   DepartureLog departures_;
@@ -81,6 +87,7 @@
   /// This node learns a large configuration from the changes that readers
   /// write.
   bool isFollowing_ = false;
+  ReaderRole publishedRole_ = ReaderRole::Unavailable;
   bool isPublishDue_ = true;
   std::uint64_t applyCall_ = 0;
   ApplyRequested pendingApply_;
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -66,6 +66,30 @@
   std::uint64_t saveNumber = 0;
 };
 
+/// Whether a node reads the configuration for others.
+enum class ReaderRole : std::uint8_t
+{
+  Reading,
+  /// It learns changes from others, and could read.
+  Following,
+  /// It cannot read now: it starts, ends, cannot reach the store, or does not
+  /// answer.
+  Unavailable,
+};
+
+inline constexpr std::array<state::EnumName<ReaderRole>, 3> kReaderRoleNames{ {
+  { ReaderRole::Reading, "reading" },
+  { ReaderRole::Following, "following" },
+  { ReaderRole::Unavailable, "unavailable" },
+} };
+
+/// The answer to an AskReader command.
+struct ReaderAnswered
+{
+  std::uint64_t call;
+  ReaderRole role;
+};
+
 /// The upstream crashed while it ran a request with this fingerprint.
 struct CrashObserved
 {
@@ -100,6 +124,7 @@
                            UpstreamDeparted,
                            CrashObserved,
                            PeerVersionSeen,
+                           ReaderAnswered,
                            ApplyRequested,
                            StatusRequested>;
 
@@ -188,6 +213,22 @@
   bool isComplete = false;
 };
 
+/// Asks another node for its ReaderRole.
+struct AskReader
+{
+  std::uint64_t call;
+  /// IP:port of the node's data address.
+  std::string address;
+  /// A node that reads may answer once that has changed, or after some seconds.
+  bool mayWait = false;
+};
+
+/// What this node tells others of its role from now on.
+struct SetReaderRole
+{
+  ReaderRole role;
+};
+
 struct PublishSnapshot
 {
   RoutingSnapshotPointer snapshot;
@@ -244,7 +285,9 @@
                              FinishApply,
                              WriteLog,
                              DepartureSaved,
-                             RestoreUpstream>;
+                             RestoreUpstream,
+                             AskReader,
+                             SetReaderRole>;
 using Commands = std::vector<Command>;
 
 /// The name, location and addresses of this node, from its settings.
--- a/Libraries/Coordination/ReaderSelection.h
+++ b/Libraries/Coordination/ReaderSelection.h
@@ -2,7 +2,9 @@
 
 #include "State/EndpointTable.h"
 
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace teaselhold::coordination {
 
@@ -13,4 +15,10 @@
 bool
 IsSelectedReader(const state::EndpointTable& aTable, std::string_view aNode);
 
+/// Returns the data addresses of the nodes that read rather than a node that is
+/// not selected: the readers, beginning with one that differs by node, then
+/// those that come before it in the order of capacity.
+std::vector<std::string>
+ReadersBefore(const state::EndpointTable& aTable, std::string_view aNode);
+
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/StoreCircuitBreaker.h
+++ b/Libraries/Coordination/StoreCircuitBreaker.h
@@ -29,6 +29,9 @@
   /// @return true if the answer belongs to a probe of the gate.
   bool OnStoreAnswer(const StoreAnswered& aAnswer, state::Instant aNow);
 
+  /// Returns true while reads of the store fail.
+  bool IsOutage() const { return isOutage_; }
+
   /// Returns true once after each outage. Watches that were open during the
   /// outage may never be answered, so the caller must restart them; queued
   /// watches are dropped.
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -48,6 +48,11 @@
 inline constexpr const char* kProbePath = "/.teaselhold/probe";
 /// Asks whether the request in Teaselhold-Request-Id ever arrived.
 inline constexpr const char* kArrivalPath = "/.teaselhold/arrival";
+/// Asks whether a node reads the configuration for the others. With the second
+/// path, one that does answers only once that may have changed.
+inline constexpr const char* kReaderPath = "/.teaselhold/reader";
+inline constexpr const char* kReaderWaitPath = "/.teaselhold/reader-wait";
+inline constexpr const char* kReader = "Teaselhold-Reader";
 /// Hands over the departure of the upstream beside Teaselhold-Node. Answered
 /// with 200 once the store holds it, or 202 if the answering node keeps it.
 inline constexpr const char* kDeparturePath = "/.teaselhold/departure";
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -79,6 +79,14 @@
   {
     plane.sinks_.restoreUpstream(aCommand);
   }
+  void operator()(const AskReader& aCommand) const
+  {
+    plane.sinks_.askReader(aCommand);
+  }
+  void operator()(const SetReaderRole& aCommand) const
+  {
+    plane.sinks_.setReaderRole(aCommand.role);
+  }
   void operator()(const FinishApply& aCommand) const
   {
     const std::lock_guard lock(plane.appliesMutex_);
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -30,6 +30,8 @@
     std::function<void(coordination::RoutingSnapshotPointer)> snapshot;
     std::function<void(std::uint64_t aSaveNumber)> departureSaved;
     std::function<void(const coordination::RestoreUpstream&)> restoreUpstream;
+    std::function<void(const coordination::AskReader&)> askReader;
+    std::function<void(coordination::ReaderRole)> setReaderRole;
   };
 
   ControlPlane(const Settings& aSettings,
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -46,6 +46,7 @@
                      DepartureSaver::Sink aDepartureSink,
                      CrashSink aCrashSink,
                      VersionExchange::Sink aVersionSink,
+                     ReaderExchange::Sink aReaderSink,
                      coordination::CallMetrics& aCallMetrics)
   : settings_(aSettings)
   , adapters_(aAdapters)
@@ -57,6 +58,7 @@
   , versions_(aClock, std::move(aVersionSink))
   , departures_(context_, std::move(aDepartureSink))
   , replicator_(context_, settings_, aIncarnation, departures_)
+  , readers_(context_, std::move(aReaderSink))
   , upstreamSide_(context_,
                   settings_,
                   adapters_,
@@ -119,8 +121,7 @@
     settings_.dataAddress,
     transport::HttpServer::CancellableHandler(
       [this](Request aRequest, transport::CancellationPointer aCancellation) {
-        return upstreamSide_.ServeNode(std::move(aRequest),
-                                       std::move(aCancellation));
+        return ServeNode(std::move(aRequest), std::move(aCancellation));
       }),
     nodeOptions);
   if (!nodeServer) {
@@ -162,6 +163,17 @@
   return {};
 }
 
+asio::awaitable<Response>
+DataPlane::ServeNode(Request aRequest,
+                     transport::CancellationPointer aCancellation)
+{
+  const bool mayWait = aRequest.target() == protocol::headers::kReaderWaitPath;
+  if (mayWait || aRequest.target() == protocol::headers::kReaderPath) {
+    return readers_.Serve(mayWait, std::move(aCancellation));
+  }
+  return upstreamSide_.ServeNode(std::move(aRequest), std::move(aCancellation));
+}
+
 asio::awaitable<Response>
 DataPlane::AnswerReady(Request aRequest)
 {
@@ -224,6 +236,20 @@
   });
 }
 
+void
+DataPlane::AskReader(coordination::AskReader aQuestion)
+{
+  asio::post(context_, [this, question = std::move(aQuestion)] {
+    readers_.Ask(question);
+  });
+}
+
+void
+DataPlane::SetReaderRole(ReaderRole aRole)
+{
+  asio::post(context_, [this, aRole] { readers_.SetRole(aRole); });
+}
+
 void
 DataPlane::TakeSettings(const Settings& aSettings)
 {
@@ -267,6 +293,7 @@
     start + settings_.drainTimeout - (isOnPlatform ? kExitTime : kExitTime * 0);
   asio::post(context_, [this, deadline, isOnPlatform] {
     isStopping_ = true;
+    readers_.Stop();
     if (isOnPlatform) {
       const auto left = deadline - kAnswerTime - Clock::Steady::now();
       callerSide_.SetStopTime(
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Services/teaselholdd/CallerSide.h"
+#include "Services/teaselholdd/ReaderExchange.h"
 #include "Services/teaselholdd/UpstreamSide.h"
 #include "Transport/HttpServer.h"
 
@@ -25,6 +26,7 @@
             DepartureSaver::Sink aDepartureSink,
             CrashSink aCrashSink,
             VersionExchange::Sink aVersionSink,
+            ReaderExchange::Sink aReaderSink,
             coordination::CallMetrics& aCallMetrics);
   ~DataPlane();
 
@@ -37,6 +39,10 @@
   void OnDepartureSaved(std::uint64_t aSaveNumber);
   void RestoreUpstream(coordination::RestoreUpstream aRestored);
 
+  /// Exchange with other nodes who reads the configuration. Safe on any thread.
+  void AskReader(coordination::AskReader aQuestion);
+  void SetReaderRole(coordination::ReaderRole aRole);
+
   /// Takes the settings that a running process can take. Must be called on the
   /// thread that calls DrainAndStop.
   void TakeSettings(const Settings& aSettings);
@@ -48,6 +54,8 @@
 private:
   tl::expected<void, transport::TransportError> StartPlatformServers();
   Awaitable<Response> AnswerReady(Request aRequest);
+  Awaitable<Response> ServeNode(Request aRequest,
+                                transport::CancellationPointer aCancellation);
   void UseLimits(const coordination::RoutingSnapshotPointer& aSnapshot);
 
   /// Runs a function on the data thread and waits for its result.
@@ -68,6 +76,7 @@
   VersionExchange versions_;
   DepartureSaver departures_;
   DepartureReplicator replicator_;
+  ReaderExchange readers_;
   UpstreamSide upstreamSide_;
   CallerSide callerSide_;
   std::unique_ptr<transport::HttpServer> callerServer_;
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -164,6 +164,7 @@
     [&](state::Generation aGeneration) {
       controlPlane->Post(coordination::PeerVersionSeen{ aGeneration });
     },
+    [&](coordination::ReaderAnswered aAnswer) { controlPlane->Post(aAnswer); },
     callMetrics);
   controlPlane = std::make_unique<daemon::ControlPlane>(
     settings,
@@ -180,6 +181,12 @@
       },
       [&](const coordination::RestoreUpstream& aRestored) {
         dataPlane.RestoreUpstream(aRestored);
+      },
+      [&](const coordination::AskReader& aQuestion) {
+        dataPlane.AskReader(aQuestion);
+      },
+      [&](coordination::ReaderRole aRole) {
+        dataPlane.SetReaderRole(aRole);
       } });
   for (const auto& started : { dataPlane.Start(), controlPlane->Start() }) {
     if (!started) {
--- a/Tests/Coordination/DirectFleet.cpp
+++ b/Tests/Coordination/DirectFleet.cpp
@@ -105,6 +105,9 @@
   for (auto& command : node.core->Handle(aEvent, now_)) {
     if (auto* call = std::get_if<CallStore>(&command)) {
       Submit(aNode, std::move(*call));
+    } else if (const auto* ask = std::get_if<AskReader>(&command)) {
+      questions_.push_back(
+        { aNode, ask->call, ask->address, ask->mayWait, now_ });
     } else if (const auto* publish = std::get_if<PublishSnapshot>(&command)) {
       const auto& configuration = publish->snapshot->configuration;
       if (configuration != nullptr) {
@@ -307,6 +310,7 @@
   for (const auto end = now_ + aTime; now_ < end;) {
     now_ += kStep;
     HearFromPeers();
+    AnswerQuestions();
     while (!answers_.empty() && answers_.begin()->first <= now_) {
       auto answer = std::move(answers_.begin()->second);
       answers_.erase(answers_.begin());
@@ -340,20 +344,70 @@
   }
 }
 
+std::size_t
+DirectFleet::NodeAt(const std::string& aAddress) const
+{
+  constexpr std::size_t kFirstPort = 1000;
+  return std::stoul(aAddress.substr(aAddress.find(':') + 1)) - kFirstPort;
+}
+
+void
+DirectFleet::AnswerQuestions()
+{
+  constexpr state::Duration kHoldTime = 10s;
+  const auto questions = std::move(questions_);
+  questions_.clear();
+  for (const auto& question : questions) {
+    if (now_ - question.asked < kLatency) {
+      questions_.push_back(question);
+      continue;
+    }
+    const auto& node = nodes_[NodeAt(question.address)];
+    const auto role =
+      node.isAlive ? node.core->Role() : ReaderRole::Unavailable;
+    if (question.mayWait && role == ReaderRole::Reading &&
+        now_ - question.asked < kHoldTime) {
+      questions_.push_back(question);
+    } else if (nodes_[question.asker].isAlive) {
+      Handle(question.asker, ReaderAnswered{ question.call, role });
+    }
+  }
+}
+
+void
+DirectFleet::Kill(Node& aNode)
+{
+  aNode.isAlive = false;
+  aNode.leaseExpiry = now_ + kLeaseDuration;
+}
+
 std::size_t
 DirectFleet::KillReaders()
 {
   std::size_t killed = 0;
   for (auto& node : nodes_) {
     if (node.isAlive && node.core->IsReader()) {
-      node.isAlive = false;
-      node.leaseExpiry = now_ + kLeaseDuration;
+      Kill(node);
       ++killed;
     }
   }
   return killed;
 }
 
+void
+DirectFleet::KillShareWithReaders(double aShare)
+{
+  auto left =
+    static_cast<std::size_t>(aShare * static_cast<double>(nodes_.size())) -
+    KillReaders();
+  for (auto& node : nodes_) {
+    if (node.isAlive && left > 0) {
+      Kill(node);
+      --left;
+    }
+  }
+}
+
 state::Duration
 DirectFleet::WorstLag() const
 {
--- a/Tests/Coordination/DirectFleet.h
+++ b/Tests/Coordination/DirectFleet.h
@@ -47,6 +47,9 @@
   /// Kills the nodes that are readers at this moment.
   /// @return the number of killed nodes.
   std::size_t KillReaders();
+  /// Kills the readers and further nodes, the first ones, until the given share
+  /// of all is dead.
+  void KillShareWithReaders(double aShare);
 
   /// Returns the longest time from the acknowledgement of a version until a
   /// running node had it or a newer one in force. Versions that are not yet in
@@ -71,6 +74,16 @@
     StoreResult result;
   };
 
+  /// A question of one node to another about its part in reading.
+  struct Question
+  {
+    std::size_t asker;
+    std::uint64_t call;
+    std::string address;
+    bool mayWait;
+    state::Instant asked;
+  };
+
   struct Node
   {
     std::unique_ptr<DirectCore> core;
@@ -106,6 +119,9 @@
   void Reply(std::size_t aNode, std::size_t aConnection, StoreResult aResult);
   void WakeWatches();
   void HearFromPeers();
+  void AnswerQuestions();
+  std::size_t NodeAt(const std::string& aAddress) const;
+  void Kill(Node& aNode);
   void RecordInForce(std::size_t aNode, state::Generation aGeneration);
   protocol::StoreListing MakeListing() const;
   StoredValue& Put(const std::string& aKey, std::string aValue);
@@ -115,6 +131,7 @@
   std::uint64_t revision_ = 1;
   std::vector<Node> nodes_;
   std::multimap<state::Instant, Answer> answers_;
+  std::vector<Question> questions_;
   std::vector<Version> versions_;
   bool hasTraffic_ = false;
   state::Instant nextTraffic_{ 0 };
--- a/Tests/Coordination/DirectFleetTest.cpp
+++ b/Tests/Coordination/DirectFleetTest.cpp
@@ -100,6 +100,48 @@
   CHECK(fleet.WorstLag() < kBound);
 }
 
+TEST_CASE("a version just after the loss of all readers is in force in time")
+{
+  // Guards against nodes that follow a log that nobody writes any more, until
+  // the leases of the killed readers have expired or one of them polls.
+  const std::size_t nodes = GENERATE(9U, 20U, kNodes);
+  const bool hasTraffic = GENERATE(true, false);
+  DirectFleet fleet(nodes, kBound, GENERATE(1U, 2U, 3U), 4, MakeText(4));
+  if (hasTraffic) {
+    fleet.StartTraffic();
+  }
+  fleet.Run(12s);
+  Write(fleet, 6);
+  fleet.Run(4s);
+  const auto wait = GENERATE(0ms, 100ms, 700ms);
+  CAPTURE(nodes, hasTraffic, wait.count());
+  constexpr double kKilledShare = 0.55;
+  fleet.KillShareWithReaders(kKilledShare);
+  fleet.Run(wait);
+  Write(fleet, 8);
+  fleet.Run(1s);
+  Write(fleet, 10);
+  fleet.Run(5s);
+  CHECK(fleet.WorstLag() < kBound);
+}
+
+TEST_CASE("substitutes of the readers keep few nodes reading")
+{
+  // Guards against a loss of the readers after which every node reads the whole
+  // configuration.
+  DirectFleet fleet(kNodes, kBound, GENERATE(1U, 2U, 3U), 4, MakeText(4));
+  fleet.Run(12s);
+  Write(fleet, 6);
+  fleet.Run(4s);
+  fleet.KillShareWithReaders(0.55);
+  fleet.ResetCounts();
+  fleet.Run(2s);
+  Write(fleet, 8);
+  fleet.Run(4s);
+  CHECK(fleet.Counts().fullReads < 20);
+  CHECK(fleet.WorstLag() < kBound);
+}
+
 namespace {
 
 /// A configuration that every node reads for itself.
