Protocol: Put each version in force that the store has accepted

Cause: the translation of an operator's document is longer than the document, and the reader of the product's text refuses more than 1 MB less 16 KB. That bound is for texts that are submitted to this store: they have to fit into one value. It was also applied to what the store already holds.

Change: a submitted text keeps its bound (CompileSubmission, for the tool and both ways of an apply). What the store holds is compiled up to 8 MB and 20,000 routes, more than a document of 1 MB can become. A change in the log carries at most 128 KiB of sections, so that it can be written on a link of 5 Mbit/s; beyond that, the others read the document.

--- a/Libraries/Coordination/ApplyCoordinator.cpp
+++ b/Libraries/Coordination/ApplyCoordinator.cpp
@@ -50,7 +50,7 @@
   Session session;
   session.request = aRequest;
   const auto held = distribution_.Held().generation();
-  const auto compiled = protocol::CompileConfiguration(aRequest.text, held + 1);
+  const auto compiled = protocol::CompileSubmission(aRequest.text, held + 1);
   if (!compiled) {
     Finish(session,
            ApplyOutcome::Refused,
--- a/Libraries/Coordination/ConfigurationChangeLog.cpp
+++ b/Libraries/Coordination/ConfigurationChangeLog.cpp
@@ -10,6 +10,10 @@
 /// each one.
 constexpr std::size_t kMaxLogBytes = std::size_t{ 32 } * 1024;
 
+/// A longer change would take too long to write on a link of 5 Mbit/s, and may
+/// be more than the store takes; the others then read the whole configuration.
+constexpr std::size_t kMaxChangeBytes = std::size_t{ 128 } * 1024;
+
 } // namespace
 
 std::optional<ConfigurationChangeLog>
@@ -73,6 +77,10 @@
     change.set_base_generation(aBase->generation);
     *change.mutable_sections() = std::move(*sections);
   }
+  if (change.ByteSizeLong() > kMaxChangeBytes) {
+    change.clear_base_generation();
+    change.clear_sections();
+  }
   DropOldest();
 }
 
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -371,7 +371,7 @@
 {
   const auto& active = configuration_.Active();
   const auto current = active == nullptr ? 0 : active->GetGeneration();
-  auto compiled = protocol::CompileConfiguration(aRequest.text, current + 1);
+  auto compiled = protocol::CompileSubmission(aRequest.text, current + 1);
   if (!compiled) {
     aCommands.push_back(
       FinishApply{ aRequest.id,
--- a/Libraries/Protocol/ConfigurationText.cpp
+++ b/Libraries/Protocol/ConfigurationText.cpp
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr std::size_t kMaxServices = 2000;
-constexpr std::size_t kMaxRoutes = 10000;
+/// More than fit into a document of 1 MB.
+constexpr std::size_t kMaxRoutes = 20000;
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::uint32_t kMaxAttempts = 16;
 constexpr std::uint32_t kMaxWeight = 1000000;
@@ -568,6 +569,19 @@
   return Compiler().Compile(document, std::move(errors), aText, aGeneration);
 }
 
+tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
+CompileSubmission(std::string_view aText, state::Generation aGeneration)
+{
+  if (aText.size() > kMaxSubmissionBytes) {
+    return tl::make_unexpected(std::vector<ProtocolError>{
+      { ProtocolErrorCode::TooLarge,
+        0,
+        "the text has " + std::to_string(aText.size()) + " bytes; at most " +
+          std::to_string(kMaxSubmissionBytes) + " are allowed" } });
+  }
+  return CompileConfiguration(aText, aGeneration);
+}
+
 std::string
 FormatErrors(std::string_view aFileName,
              const std::vector<ProtocolError>& aErrors)
--- a/Libraries/Protocol/ConfigurationText.h
+++ b/Libraries/Protocol/ConfigurationText.h
@@ -10,10 +10,20 @@
 
 namespace teaselhold::protocol {
 
-/// Checks an operators' text and compiles it. Returns every error at once.
+/// The longest text that can be submitted: the store takes values of 1 MB, of
+/// which some bytes are for the fields beside the text.
+inline constexpr std::size_t kMaxSubmissionBytes = 1024 * 1024 - 16 * 1024;
+
+/// Checks an operators' text and compiles it. Returns every error at once. What
+/// the store already holds is compiled whatever its size, as it was accepted.
 tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
 CompileConfiguration(std::string_view aText, state::Generation aGeneration);
 
+/// As CompileConfiguration(), for a text that is yet to be written to the
+/// store: one that the store could not hold is refused.
+tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
+CompileSubmission(std::string_view aText, state::Generation aGeneration);
+
 /// Formats errors as "FILE:LINE: message", one a line.
 std::string
 FormatErrors(std::string_view aFileName,
--- a/Libraries/Protocol/IniDocument.h
+++ b/Libraries/Protocol/IniDocument.h
@@ -31,7 +31,9 @@
 class IniDocument
 {
 public:
-  static constexpr std::size_t kMaxBytes = 1024 * 1024 - 16 * 1024;
+  /// Bounds the memory for a text. An operator's document of 1 MB can become
+  /// several times as long when it is translated.
+  static constexpr std::size_t kMaxBytes = 8 * 1024 * 1024;
   static constexpr std::size_t kMaxLineBytes = 16 * 1024;
   /// Reading stops after this many errors, so that noise gives a short report.
   static constexpr std::size_t kMaxErrors = 50;
--- a/Tests/Coordination/ConfigurationChangeLogTest.cpp
+++ b/Tests/Coordination/ConfigurationChangeLogTest.cpp
@@ -62,8 +62,34 @@
     std::get<StoreSwap>(aCall.request).value);
 }
 
+/// Returns a configuration with many routes, all with the same timeout.
+std::string
+MakeManyRoutes(int aCount, int aChanged)
+{
+  std::vector<std::pair<std::string, std::string>> routes;
+  for (int i = 0; i < aCount; ++i) {
+    routes.emplace_back("r" + std::to_string(i), i < aChanged ? "2s" : "1s");
+  }
+  return MakeText(routes);
+}
+
 } // namespace
 
+TEST_CASE("a change that is too long to be written in time has no sections")
+{
+  // Guards against a log that the store refuses or a slow link cannot carry, so
+  // that no follower learns of the version.
+  constexpr int kRoutes = 6000;
+  constexpr int kChanged = 3000;
+  const ConfigurationVersion before{ MakeManyRoutes(kRoutes, 0), 8, 1 };
+  const ConfigurationVersion after{ MakeManyRoutes(kRoutes, kChanged), 9, 2 };
+  ConfigurationChangeLog log;
+  log.Append(&before, after);
+  CHECK(log.Serialize().size() < 1000);
+  CHECK(log.NewestGeneration() == 9);
+  CHECK_FALSE(log.Advance(before.text, 8));
+}
+
 TEST_CASE("the log updates a version between two of its versions to the newest")
 {
   // Guards against a full read by every node that holds a version which the
--- a/Tests/Platform/OperatorConfigurationTest.cpp
+++ b/Tests/Platform/OperatorConfigurationTest.cpp
@@ -41,6 +41,40 @@
 
 } // namespace
 
+TEST_CASE("a document of any size that the store takes comes into force")
+{
+  // Guards against a configuration that the platform has accepted and every
+  // node refuses, because its translation is longer than the document.
+  constexpr std::size_t kMaxValueBytes = 1048576;
+  std::string document =
+    R"({"version":"r12","services":[{"name":"huvo11a"}],"virtualHosts":[)"
+    R"({"host":"one.example","paths":[)";
+  const std::string end = "]}]}";
+  // The shortest routes give the most of them, long ones the longest text.
+  const bool isShort = GENERATE(true, false);
+  const std::string rest =
+    isShort ? R"(/","kind":"safe","timeout":"1s","service":"huvo11a"})"
+            : R"(/ab12/","kind":"safe","timeout":"1500ms","targetLatency":)"
+              R"("600ms","priority":1,"service":"huvo11a","maxAttempts":2})";
+  std::size_t routes = 0;
+  while (true) {
+    const auto number = std::to_string(routes);
+    const auto route = std::string(routes == 0 ? "" : ",") + R"({"name":"r)" +
+                       number + R"(","prefix":"/p)" + number + rest;
+    if (document.size() + route.size() + end.size() > kMaxValueBytes) {
+      break;
+    }
+    document += route;
+    ++routes;
+  }
+  document += end;
+  const auto stored = Translate(document);
+  CHECK(stored.defect() == "");
+  const auto compiled = protocol::CompileConfiguration(stored.text(), 12);
+  REQUIRE(compiled);
+  CHECK((*compiled)->Routes().size() == routes);
+}
+
 TEST_CASE("a platform route is translated with all its settings")
 {
   const auto stored = Translate(kDocument);
--- a/Utilities/teaselctl/TextCommands.cpp
+++ b/Utilities/teaselctl/TextCommands.cpp
@@ -27,7 +27,7 @@
     aContext.report.Fail(Failed, text.error());
     return std::nullopt;
   }
-  const auto compiled = protocol::CompileConfiguration(*text, 1);
+  const auto compiled = protocol::CompileSubmission(*text, 1);
   if (compiled) {
     return std::move(*text);
   }
