Coordination: Write departures again that were revoked, and soak them

What callers could see: the store can be made to drop keys before their lease ends. A node writes its record again when it misses it; its departures would have been missing until the next departure, and a restart in that time would have forgotten them.

Change: whoever wrote a departure compares it with each listing that is newer than the write, and writes it again if it is missing, for as long as its lease would have lasted.

The soak gets a series beside its other faults: an upstream leaves while the store turns its node away, the node is killed or terminated and started again, and an announcement from before arrives late.

--- a/Libraries/Coordination/DepartureLog.cpp
+++ b/Libraries/Coordination/DepartureLog.cpp
@@ -1,5 +1,7 @@
 #include "Coordination/DepartureLog.h"
 
+#include <algorithm>
+
 namespace teaselhold::coordination {
 
 namespace {
@@ -67,8 +69,11 @@
   if (call_ != 0) {
     return;
   }
-  std::erase_if(
-    unsaved_, [&](const auto& aEntry) { return aNow >= aEntry.second.expiry; });
+  const auto isExpired = [&](const auto& aEntry) {
+    return aNow >= aEntry.second.expiry;
+  };
+  std::erase_if(unsaved_, isExpired);
+  std::erase_if(saved_, isExpired);
   if (unsaved_.empty() || aNow < nextAttempt_) {
     return;
   }
@@ -150,7 +155,42 @@
               "upstream",
               "Departure is in the store. node=" + nodeInFlight_ +
                 " revision=" + std::to_string(unsaved.revision) });
+  Save(nodeInFlight_, unsaved);
   unsaved_.erase(found);
 }
 
+void
+DepartureLog::Save(const std::string& aNode, const Unsaved& aUnsaved)
+{
+  auto& saved = saved_[aNode];
+  saved.departures.Merge(aUnsaved.departures);
+  saved.revision = aUnsaved.revision;
+  saved.expiry = std::max(saved.expiry, aUnsaved.expiry);
+}
+
+void
+DepartureLog::OnListing(const protocol::StoreListing& aListing,
+                        state::Instant aNow)
+{
+  for (auto& [node, saved] : saved_) {
+    // A stale listing may be older than the write.
+    if (aListing.revision <= saved.revision) {
+      continue;
+    }
+    const auto key = DeparturesKey(node);
+    const auto found =
+      std::ranges::find(aListing.items, key, &protocol::StoreItem::key);
+    auto listed = found == aListing.items.end() ? state::DepartureSet()
+                                                : ParseDepartures(found->value);
+    if (!listed.Merge(saved.departures)) {
+      continue;
+    }
+    auto& unsaved = unsaved_[node];
+    unsaved.departures.Merge(saved.departures);
+    unsaved.expiry = std::max(unsaved.expiry, saved.expiry);
+    saved.revision = aListing.revision;
+    nextAttempt_ = std::min(nextAttempt_, aNow);
+  }
+}
+
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/DepartureLog.h
+++ b/Libraries/Coordination/DepartureLog.h
@@ -38,6 +38,11 @@
   /// that its upstream has long ended.
   void Add(const UpstreamDeparted& aDeparture, state::Instant aNow);
 
+  /// Compares a listing of the nodes with what was written. A key that was
+  /// removed before its lease ended, as by an operator of the store, is written
+  /// again.
+  void OnListing(const protocol::StoreListing& aListing, state::Instant aNow);
+
   void Tick(state::Instant aNow, Commands& aCommands);
 
   /// @return false if the answer belongs to a call of another component.
@@ -58,12 +63,22 @@
   };
   using UnsavedByNode = std::map<std::string, Unsaved>;
 
+  /// The departures beside one node that this process has written.
+  struct Saved
+  {
+    state::DepartureSet departures;
+    std::uint64_t revision = 0;
+    state::Instant expiry{ 0 };
+  };
+
+  void Save(const std::string& aNode, const Unsaved& aUnsaved);
   void OnGranted(const StoreResult& aResult, state::Instant aNow);
   void OnSwapped(const StoreResult& aResult, Commands& aCommands);
 
   StoreCallNumbers& callNumbers_;
   RandomSource& random_;
   UnsavedByNode unsaved_;
+  std::map<std::string, Saved> saved_;
   protocol::LeaseId lease_ = 0;
   state::Instant leaseReuseEnd_{ 0 };
   std::uint64_t call_ = 0;
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -342,8 +342,14 @@
     PublishChange(std::move(previous));
     return;
   }
-  const bool isHandled = directory_.OnStoreAnswer(aAnswer, aNow, aCommands) ||
-                         follower_.OnStoreAnswer(aAnswer, aNow) ||
+  if (directory_.OnStoreAnswer(aAnswer, aNow, aCommands)) {
+    if (const auto* listing =
+          std::get_if<protocol::StoreListing>(&aAnswer.result)) {
+      departures_.OnListing(*listing, aNow);
+    }
+    return;
+  }
+  const bool isHandled = follower_.OnStoreAnswer(aAnswer, aNow) ||
                          publisher_.OnStoreAnswer(aAnswer, aNow) ||
                          departures_.OnStoreAnswer(aAnswer, aNow, aCommands);
   if (!isHandled) {
--- a/Tests/Coordination/DirectCoreTest.cpp
+++ b/Tests/Coordination/DirectCoreTest.cpp
@@ -283,6 +283,30 @@
   CHECK(written.Contains(kOwnUpstream));
 }
 
+TEST_CASE("a departure that is removed from the store is written again")
+{
+  // Guards against keys that are revoked while the departure still counts.
+  CoreHarness harness;
+  Depart(harness);
+  const auto value = harness.PendingSwap(kOwnDepartures)->value;
+  harness.AnswerSwap(kOwnDepartures,
+                     protocol::SwapResult{ true, { value, 15 } });
+  CHECK(harness.savedNumber == 41);
+  harness.RunFor(1s);
+  // A stale listing that is older than the write shows nothing.
+  harness.Answer<StoreList>(protocol::StoreListing{ {}, 14 });
+  harness.RunFor(1s);
+  CHECK(harness.PendingSwap(kOwnDepartures) == nullptr);
+  harness.Answer<StoreList>(
+    protocol::StoreListing{ { { kOwnDepartures, value, 15 } }, 20 });
+  harness.RunFor(1s);
+  CHECK(harness.PendingSwap(kOwnDepartures) == nullptr);
+  harness.Answer<StoreList>(protocol::StoreListing{ {}, 30 });
+  harness.RunFor(300ms);
+  REQUIRE(harness.PendingSwap(kOwnDepartures) != nullptr);
+  CHECK(harness.PendingSwap(kOwnDepartures)->value == value);
+}
+
 TEST_CASE("a departure outlasts the lease of the node's record")
 {
   // Guards against a departure that is forgotten when a restarted node was
--- a/Tests/Soak/backend.py
+++ b/Tests/Soak/backend.py
@@ -77,19 +77,39 @@
         await self._say("instances.deregister", {"born": self.born})
         self.crash()
 
+    async def leave_at_once(self, serve_seconds):
+        """Deregisters without a word before, serves on and ends. Returns an
+        announcement from before that can still arrive."""
+        late = self._make_heartbeat()
+        self._beat.cancel()
+        self.state = "draining"
+        self.ends_at = time.monotonic() + serve_seconds
+        await self._say("instances.deregister", {"born": self.born})
+        return late
+
+    async def arrive_late(self, heartbeat):
+        await self._say("instances.heartbeat", heartbeat)
+
+    async def end(self):
+        await asyncio.sleep(self.ends_at - time.monotonic())
+        self.crash()
+
     async def _announce(self):
         while True:
             await self._say_heartbeat()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def _say_heartbeat(self):
+        await self._say("instances.heartbeat", self._make_heartbeat())
+
+    def _make_heartbeat(self):
         self.sequence += 1
-        await self._say("instances.heartbeat", {
+        return {
             "address": self.announced, "born": self.born,
             "info": {"service": self.service, "version": "v1", "zone": "one",
                      "slots": SLOTS},
             "status": {"state": self.state, "seq": self.sequence,
-                       "coldLeft": "0ms"}})
+                       "coldLeft": "0ms"}}
 
     async def _say(self, name, body):
         is_leaving = self.state == "draining"
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -264,6 +264,7 @@
 
     async def run(self, seconds):
         end = time.monotonic() + seconds
+        departures = asyncio.create_task(self.run_departures(end))
         while time.monotonic() < end:
             fault = self.random.choice(self.kinds)
             machine = self.random.choice(self.fleet.machines)
@@ -273,8 +274,18 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        await departures
         await asyncio.gather(*self.tasks)
 
+    async def run_departures(self, end):
+        """A series beside the other faults, as each takes many seconds."""
+        while time.monotonic() < end:
+            await asyncio.sleep(self.random.uniform(1.0, 4.0))
+            machine = self.random.choice(self.fleet.machines)
+            self.log.append(f"{time.monotonic():.2f} leave_unseen "
+                            f"{machine.name}")
+            await self.leave_unseen(machine)
+
     async def exit_of(self, machine, process, seconds):
         end = time.monotonic() + seconds
         while process.poll() is None and time.monotonic() < end:
@@ -397,6 +408,24 @@
         await asyncio.sleep(0.3)
         await backend.restart(keep_id=False)
 
+    async def leave_unseen(self, machine):
+        """An upstream leaves while the store turns its node away, the node is
+        restarted, and an announcement from before arrives late."""
+        backend = machine.backend
+        if not backend.is_up or backend.state != "ready":
+            return
+        link = machine.store_link
+        link.silence(to_target=True)
+        late = await backend.leave_at_once(self.random.uniform(9.0, 12.0))
+        await self.random.choice((self.kill, self.terminate))(machine)
+        await asyncio.sleep(self.random.uniform(0.0, 3.0))
+        link.heal()
+        await asyncio.sleep(self.random.uniform(0.0, 1.0))
+        await backend.arrive_late(late)
+        await backend.end()
+        await asyncio.sleep(0.3)
+        await backend.restart(keep_id=False)
+
     async def fail_backend(self, machine):
         backend = machine.backend
         self.note_all()
