--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -1,8 +1,6 @@
 #include "Coordination/DirectCore.h"
 
 #include "Coordination/ReaderSelection.h"
-#include "Protocol/ConfigurationText.h"
-#include "admin.pb.h"
 
 #include <algorithm>
 
@@ -68,6 +66,7 @@
   , random_(options_.randomSeed)
   , gate_(callNumbers_, random_)
   , configuration_(callNumbers_, random_)
+  , apply_(callNumbers_)
   , follower_(callNumbers_,
               random_,
               PercentOf(options_.applyBound, kFollowerPausePercent))
@@ -108,7 +107,7 @@
   } else if (const auto* reader = std::get_if<ReaderAnswered>(&aEvent)) {
     readers_.OnAnswer(*reader, aNow);
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
-    OnApply(*apply, commands);
+    apply_.OnApply(*apply, configuration_, commands);
   }
   if (gate_.TakeRecovered()) {
     configuration_.Restart(aNow);
@@ -331,9 +330,7 @@
   if (gate_.OnStoreAnswer(aAnswer, aNow)) {
     return;
   }
-  if (aAnswer.call == applyCall_) {
-    applyCall_ = 0;
-    OnSwapAnswer(aAnswer.result, aCommands);
+  if (apply_.OnStoreAnswer(aAnswer, configuration_, aCommands)) {
     return;
   }
   // Keeps the previous version alive, because the answer may replace it.
@@ -372,70 +369,6 @@
   }
 }
 
-void
-DirectCore::OnApply(const ApplyRequested& aRequest, Commands& aCommands)
-{
-  const auto& active = configuration_.Active();
-  const auto current = active == nullptr ? 0 : active->GetGeneration();
-  auto compiled = protocol::CompileSubmission(aRequest.text, current + 1);
-  if (!compiled) {
-    aCommands.push_back(
-      FinishApply{ aRequest.id,
-                   ApplyOutcome::Refused,
-                   current,
-                   protocol::FormatErrors("text", compiled.error()),
-                   "" });
-    return;
-  }
-  if (applyCall_ != 0) {
-    aCommands.push_back(FinishApply{ aRequest.id,
-                                     ApplyOutcome::NotApplied,
-                                     current,
-                                     "another apply is in progress",
-                                     "" });
-    return;
-  }
-  pendingApply_ = aRequest;
-  applyCall_ = callNumbers_.Next();
-  wire::StoredConfiguration stored;
-  stored.set_generation(current + 1);
-  stored.set_digest((*compiled)->Digest());
-  stored.set_text(aRequest.text);
-  stored.set_apply_id(aRequest.applyId);
-  aCommands.push_back(CallStore{ applyCall_,
-                                 StoreSwap{ protocol::kConfigurationKey,
-                                            configuration_.Revision(),
-                                            stored.SerializeAsString(),
-                                            0 } });
-}
-
-void
-DirectCore::OnSwapAnswer(const StoreResult& aResult, Commands& aCommands)
-{
-  FinishApply finish{ pendingApply_.id, ApplyOutcome::Unknown, 0, "", "" };
-  if (const auto* swap = std::get_if<protocol::SwapResult>(&aResult)) {
-    wire::StoredConfiguration stored;
-    stored.ParseFromString(swap->current.value);
-    finish.generation = stored.generation();
-    finish.outcome =
-      swap->swapped ? ApplyOutcome::Accepted : ApplyOutcome::Conflict;
-    finish.currentText = swap->swapped ? "" : stored.text();
-    if (swap->swapped) {
-      aCommands.push_back(WriteLog{ LogLevel::Info,
-                                    "apply",
-                                    "Accepted. generation=" +
-                                      std::to_string(stored.generation()) });
-    }
-    configuration_.OnStoredValue(swap->current, aCommands);
-  } else if (const auto* error = std::get_if<protocol::StoreError>(&aResult)) {
-    finish.outcome = error->code == protocol::StoreErrorCode::Unknown
-                       ? ApplyOutcome::Unknown
-                       : ApplyOutcome::NotApplied;
-    finish.message = error->message;
-  }
-  aCommands.push_back(std::move(finish));
-}
-
 void
 DirectCore::Publish(Commands& aCommands)
 {
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -5,6 +5,7 @@
 #include "Coordination/ConfigurationWatch.h"
 #include "Coordination/CrashGuard.h"
 #include "Coordination/DepartureLog.h"
+#include "Coordination/DirectApply.h"
 #include "Coordination/NodeDirectory.h"
 #include "Coordination/NodeRegistration.h"
 #include "Coordination/ReaderMonitor.h"
@@ -48,8 +49,6 @@
   void OnRegistrationAnswer(const StoreAnswered& aAnswer,
                             state::Instant aNow,
                             Commands& aCommands);
-  void OnApply(const ApplyRequested& aRequest, Commands& aCommands);
-  void OnSwapAnswer(const StoreResult& aResult, Commands& aCommands);
   void RestoreDepartures(state::Instant aNow, Commands& aCommands);
   void Register();
   void ReportCrashSuspects(state::Instant aNow);
@@ -67,6 +66,7 @@
   RandomSource random_;
   StoreCircuitBreaker gate_;
   ConfigurationWatch configuration_;
+  DirectApply apply_;
   PeerVersions peerVersions_;
   ChangeFollower follower_;
   ChangePublisher publisher_;
@@ -89,8 +89,6 @@
   bool isFollowing_ = false;
   ReaderRole publishedRole_ = ReaderRole::Unavailable;
   bool isPublishDue_ = true;
-  std::uint64_t applyCall_ = 0;
-  ApplyRequested pendingApply_;
 };
 
 } // namespace teaselhold::coordination
--- a/Tests/Coordination/ConfigurationChangeLogTest.cpp
+++ b/Tests/Coordination/ConfigurationChangeLogTest.cpp
@@ -67,6 +67,7 @@
 MakeManyRoutes(int aCount, int aChanged)
 {
   std::vector<std::pair<std::string, std::string>> routes;
+  routes.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     routes.emplace_back("r" + std::to_string(i), i < aChanged ? "2s" : "1s");
   }
