Daemon: Keep forwarded requests away from the paths of nodes

A node recognised the calls that nodes send for themselves (/.teaselhold/...) by their path alone.

Change: these paths are recognised only without the header that names the service, which every forwarded request carries. A departure that nobody needs any more is forgotten by the node that kept it.

--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -1,6 +1,7 @@
 #include "Services/teaselholdd/DataPlane.h"
 
 #include "Protocol/Headers.h"
+#include "Services/teaselholdd/HttpHeaders.h"
 
 #include <future>
 #include <spdlog/spdlog.h>
@@ -167,8 +168,8 @@
 DataPlane::ServeNode(Request aRequest,
                      transport::CancellationPointer aCancellation)
 {
-  const bool mayWait = aRequest.target() == protocol::headers::kReaderWaitPath;
-  if (mayWait || aRequest.target() == protocol::headers::kReaderPath) {
+  const bool mayWait = IsNodeCall(aRequest, protocol::headers::kReaderWaitPath);
+  if (mayWait || IsNodeCall(aRequest, protocol::headers::kReaderPath)) {
     return readers_.Serve(mayWait, std::move(aCancellation));
   }
   return upstreamSide_.ServeNode(std::move(aRequest), std::move(aCancellation));
--- a/Services/teaselholdd/DepartureReplicator.cpp
+++ b/Services/teaselholdd/DepartureReplicator.cpp
@@ -243,6 +243,7 @@
     boost::system::error_code error;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
   }
+  saver_.OnSaved(aNumber);
 }
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/DepartureSaver.h
+++ b/Services/teaselholdd/DepartureSaver.h
@@ -40,7 +40,8 @@
     return !waiting_.contains(aNumber);
   }
 
-  /// The store holds the departure with this number.
+  /// The store holds the departure with this number, or nobody needs it any
+  /// more.
   void OnSaved(std::uint64_t aNumber);
 
 private:
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -67,6 +67,14 @@
   }
 }
 
+bool
+IsNodeCall(const transport::HttpRequest& aRequest, std::string_view aPath)
+{
+  const auto target = aRequest.target();
+  return std::string_view(target.data(), target.size()) == aPath &&
+         aRequest.count(headers::kService) == 0;
+}
+
 void
 RemoveNodeHeaders(HttpFields& aFields)
 {
--- a/Services/teaselholdd/HttpHeaders.h
+++ b/Services/teaselholdd/HttpHeaders.h
@@ -42,6 +42,13 @@
   return ParseNumber<Number>(ReadHeader(aFields, aName));
 }
 
+/// @return true if the request is one that nodes send for themselves to this
+/// path
+///         of each other. A forwarded request names its service, so that a
+///         caller cannot reach these paths.
+bool
+IsNodeCall(const transport::HttpRequest& aRequest, std::string_view aPath);
+
 /// Removes the headers that concern one connection only.
 void
 RemoveHopHeaders(HttpFields& aFields);
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -201,15 +201,15 @@
 UpstreamSide::ServeNode(Request aRequest,
                         transport::CancellationPointer aCancellation)
 {
-  if (aRequest.target() == headers::kProbePath) {
+  if (IsNodeCall(aRequest, headers::kProbePath)) {
     Response response;
     response.result(http::status::no_content);
     co_return response;
   }
-  if (aRequest.target() == headers::kArrivalPath) {
+  if (IsNodeCall(aRequest, headers::kArrivalPath)) {
     co_return AnswerArrival(aRequest);
   }
-  if (aRequest.target() == headers::kDeparturePath) {
+  if (IsNodeCall(aRequest, headers::kDeparturePath)) {
     co_return co_await AnswerDeparture(aRequest);
   }
   const auto arrived = clock_.Now();
