--- a/Tests/Soak/backend.py
+++ b/Tests/Soak/backend.py
@@ -88,7 +88,9 @@
         return late
 
     async def arrive_late(self, heartbeat):
-        await self._say("instances.heartbeat", heartbeat)
+        # Its acknowledgement says nothing of the departure, which may not have
+        # reached the node.
+        await self._call("instances.heartbeat", heartbeat)
 
     async def end(self):
         await asyncio.sleep(self.ends_at - time.monotonic())
@@ -113,14 +115,17 @@
 
     async def _say(self, name, body):
         is_leaving = self.state == "draining"
-        answer = await call(
-            self.announce_to, "POST", f"/-/rpc?call={name}&of={self.id}",
-            {"Content-Type": "application/json"}, json.dumps(body).encode(),
-            ACKNOWLEDGEMENT_SECONDS)
+        answer = await self._call(name, body)
         acknowledged = answer is not None and answer.status == 200
         if is_leaving and acknowledged and self.leaving_acknowledged is None:
             self.leaving_acknowledged = time.monotonic()
 
+    async def _call(self, name, body):
+        return await call(
+            self.announce_to, "POST", f"/-/rpc?call={name}&of={self.id}",
+            {"Content-Type": "application/json"}, json.dumps(body).encode(),
+            ACKNOWLEDGEMENT_SECONDS)
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
