State: Add client accounts, upstream versions and their bounds to configuration and settings

Cause: the deployments of the two new customers name client accounts with keys, priorities and quotas, and bounds for revoked keys, quotas and roll-outs. None of these was read; announcements' software versions were dropped.

Change: AccountSpec replaces TenantSpec ([account NAME] in the text; [tenant NAME] is still read). Routes have a numeric priority and may be public. Upstream identities carry a version. Nothing uses the new members yet.

Ruled out: a hash of the project's own (not collision-resistant); keys in the text between nodes.

Evidence: state, protocol, platform, settings and coordination tests pass. One expectation of SettingsTest lists the new sections.

--- a/Libraries/Coordination/CallMetrics.cpp
+++ b/Libraries/Coordination/CallMetrics.cpp
@@ -44,7 +44,7 @@
 CallMetrics::SetTenants(const state::Configuration& aConfiguration)
 {
   std::set<std::string, std::less<>> tenants;
-  for (const auto& tenant : aConfiguration.Tenants()) {
+  for (const auto& tenant : aConfiguration.Accounts()) {
     if (tenants.size() == kMaxTenants) {
       break;
     }
--- a/Libraries/Coordination/EndpointCodec.cpp
+++ b/Libraries/Coordination/EndpointCodec.cpp
@@ -21,6 +21,7 @@
   endpoint.set_upstream_id(aRecord.upstream.id);
   endpoint.set_upstream_born_milliseconds(aRecord.upstream.bornMilliseconds);
   endpoint.set_upstream_sequence(aRecord.upstream.sequence);
+  endpoint.set_upstream_version(aRecord.upstream.version);
   endpoint.mutable_crash_suspects()->Add(aRecord.crashSuspects.begin(),
                                          aRecord.crashSuspects.end());
   endpoint.set_capacity(aRecord.capacity);
@@ -83,7 +84,8 @@
     record.upstream = { aEndpoint.upstream_id(),
                         aEndpoint.upstream_born_milliseconds(),
                         aEndpoint.upstream_sequence(),
-                        aEndpoint.slots() };
+                        aEndpoint.slots(),
+                        aEndpoint.upstream_version() };
   }
   record.crashSuspects = { aEndpoint.crash_suspects().begin(),
                            aEndpoint.crash_suspects().end() };
--- a/Libraries/Protocol/ConfigurationText.cpp
+++ b/Libraries/Protocol/ConfigurationText.cpp
@@ -19,8 +19,18 @@
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::uint32_t kMaxAttempts = 16;
 constexpr std::uint32_t kMaxWeight = 1000000;
+constexpr std::uint32_t kMaxPriority = 1000;
+constexpr double kMaxRequestsPerSecond = 1e6;
 constexpr std::chrono::milliseconds kMaxTimeout = std::chrono::minutes(10);
 
+bool
+IsDigest(std::string_view aText)
+{
+  constexpr std::size_t kDigits = 64;
+  return aText.size() == kDigits &&
+         aText.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
 bool
 IsName(std::string_view aText)
 {
@@ -99,15 +109,16 @@
       ReadLimits(aSection);
       return;
     }
-    if (kind != "service" && kind != "route" && kind != "tenant") {
+    const bool isAccount = kind == "account" || kind == "tenant";
+    if (kind != "service" && kind != "route" && !isAccount) {
       Fail(
         ProtocolErrorCode::UnknownName,
         aSection.line,
         "unknown section [" + aSection.name +
-          "]; expected [service NAME], [route NAME], [tenant NAME], [limits] "
+          "]; expected [service NAME], [route NAME], [account NAME], [limits] "
           "or [mesh]" +
           SuggestName(kind,
-                      { "service", "route", "tenant", "limits", "mesh" }));
+                      { "service", "route", "account", "limits", "mesh" }));
       return;
     }
     if (!IsName(name)) {
@@ -123,7 +134,7 @@
     } else if (kind == "route") {
       ReadRoute(aSection, name);
     } else {
-      ReadTenant(aSection, name);
+      ReadAccount(aSection, name);
     }
   }
 
@@ -217,7 +228,9 @@
                 "idempotent",
                 "timeout",
                 "latency_objective",
-                "max_attempts" });
+                "max_attempts",
+                "priority",
+                "public" });
     state::RouteSpec route;
     route.name = aName;
     if (const auto* entry = aSection.Find("host")) {
@@ -251,6 +264,10 @@
     if (const auto* entry = aSection.Find("timeout")) {
       route.timeout = ReadTimeout(*entry);
     }
+    route.priority = ReadPriority(aSection).value_or(state::kDefaultPriority);
+    if (const auto* entry = aSection.Find("public")) {
+      route.isPublic = ReadFlag(*entry);
+    }
     routes_.push_back(std::move(route));
   }
 
@@ -307,19 +324,88 @@
     }
   }
 
-  void ReadTenant(const IniSection& aSection, const std::string& aName)
+  std::optional<std::uint32_t> ReadPriority(const IniSection& aSection)
+  {
+    const auto* entry = aSection.Find("priority");
+    if (entry == nullptr) {
+      return std::nullopt;
+    }
+    const auto value = ReadNumber(entry->value);
+    if (!value || *value > kMaxPriority) {
+      BadValue(*entry, "a whole number from 0 to 1000");
+    }
+    return value;
+  }
+
+  void ReadAccount(const IniSection& aSection, const std::string& aName)
   {
-    CheckKeys(aSection, { "max_in_flight" });
-    state::TenantSpec tenant;
-    tenant.name = aName;
-    if (const auto* entry = Require(aSection, "max_in_flight")) {
+    CheckKeys(aSection,
+              { "max_in_flight", "key_digests", "priority", "rate", "burst" });
+    state::AccountSpec account;
+    account.name = aName;
+    if (const auto* entry = aSection.Find("max_in_flight")) {
       const auto value = ReadNumber(entry->value);
       if (!value || *value == 0 || *value > 100000) {
         BadValue(*entry, "a whole number from 1 to 100000");
       }
-      tenant.maxInFlight = value.value_or(1);
+      account.maxInFlight = value.value_or(1);
     }
-    tenants_.push_back(std::move(tenant));
+    account.priority = ReadPriority(aSection);
+    ReadKeyDigests(aSection, account);
+    ReadQuota(aSection, account);
+    accounts_.push_back(std::move(account));
+  }
+
+  void ReadKeyDigests(const IniSection& aSection, state::AccountSpec& aAccount)
+  {
+    const auto* entry = aSection.Find("key_digests");
+    if (entry == nullptr) {
+      return;
+    }
+    aAccount.keyDigests = SplitList(entry->value);
+    for (const auto& digest : aAccount.keyDigests) {
+      const auto known = keyAccounts_.emplace(digest, aAccount.name);
+      if (!IsDigest(digest)) {
+        // The value is not repeated: it may be a key by mistake.
+        Fail(ProtocolErrorCode::InvalidValue,
+             entry->line,
+             "bad value for \"key_digests\"; expected SHA-256 digests of 64 "
+             "lower-case hexadecimal digits");
+      } else if (!known.second) {
+        Fail(ProtocolErrorCode::InvalidValue,
+             entry->line,
+             "account \"" + aAccount.name + "\" has a key of account \"" +
+               known.first->second + "\"");
+      }
+    }
+  }
+
+  void ReadQuota(const IniSection& aSection, state::AccountSpec& aAccount)
+  {
+    if (const auto* entry = aSection.Find("rate")) {
+      const auto rate = ReadRate(entry->value);
+      if (!rate) {
+        BadValue(*entry, "requests per second from 0 to 1000000");
+      }
+      aAccount.requestsPerSecond = rate.value_or(0);
+    }
+    if (const auto* entry = aSection.Find("burst")) {
+      const auto burst = ReadNumber(entry->value);
+      if (!burst) {
+        BadValue(*entry, "a whole number of requests");
+      }
+      aAccount.burst = burst.value_or(0);
+    }
+  }
+
+  static std::optional<double> ReadRate(const std::string& aText)
+  {
+    double value = 0;
+    const auto* end = aText.data() + aText.size();
+    const auto result = std::from_chars(aText.data(), end, value);
+    const bool isValid = result.ec == std::errc() && result.ptr == end &&
+                         value >= 0 && value <= kMaxRequestsPerSecond;
+    return isValid ? std::optional(value) : std::nullopt;
   }
 
   const IniEntry* Require(const IniSection& aSection, std::string_view aKey)
@@ -533,8 +619,8 @@
     for (auto& route : routes_) {
       builder.AddRoute(std::move(route));
     }
-    for (auto& tenant : tenants_) {
-      builder.AddTenant(std::move(tenant));
+    for (auto& account : accounts_) {
+      builder.AddAccount(std::move(account));
     }
     if (limits_) {
       builder.SetLimits(*limits_);
@@ -549,12 +635,14 @@
   std::vector<ProtocolError> errors_;
   std::vector<state::ServiceSpec> services_;
   std::vector<state::RouteSpec> routes_;
-  std::vector<state::TenantSpec> tenants_;
+  std::vector<state::AccountSpec> accounts_;
   std::optional<state::ClientLimits> limits_;
   std::set<std::string> serviceNames_;
   std::map<std::string, std::size_t> dependencyLines_;
   std::map<std::string, std::size_t> routeLines_;
   std::map<std::string, std::pair<std::string, std::size_t>> matches_;
+  /// The account of each key digest.
+  std::map<std::string, std::string> keyAccounts_;
   bool cyclesAllowed_ = false;
   bool isWhole_ = true;
 };
--- a/Libraries/Protocol/ConfigurationWriter.cpp
+++ b/Libraries/Protocol/ConfigurationWriter.cpp
@@ -2,6 +2,9 @@
 
 #include "State/EnumNames.h"
 
+#include <array>
+#include <charconv>
+
 namespace teaselhold::protocol {
 
 namespace {
@@ -83,6 +86,34 @@
   if (aRoute.maxAttempts > 0) {
     aWriter.Entry("max_attempts", std::to_string(aRoute.maxAttempts));
   }
+  if (aRoute.priority != state::kDefaultPriority) {
+    aWriter.Entry("priority", std::to_string(aRoute.priority));
+  }
+  if (aRoute.isPublic) {
+    aWriter.Entry("public", "yes");
+  }
+}
+
+void
+WriteAccount(const state::AccountSpec& aAccount, Writer& aWriter)
+{
+  aWriter.Section("account " + aAccount.name);
+  if (aAccount.maxInFlight > 0) {
+    aWriter.Entry("max_in_flight", std::to_string(aAccount.maxInFlight));
+  }
+  if (!aAccount.keyDigests.empty()) {
+    aWriter.Entry("key_digests", JoinNames(aAccount.keyDigests));
+  }
+  if (aAccount.priority) {
+    aWriter.Entry("priority", std::to_string(*aAccount.priority));
+  }
+  if (aAccount.requestsPerSecond > 0) {
+    std::array<char, 32> rate{};
+    const auto end = std::to_chars(
+      rate.data(), rate.data() + rate.size(), aAccount.requestsPerSecond);
+    aWriter.Entry("rate", std::string(rate.data(), end.ptr));
+    aWriter.Entry("burst", std::to_string(aAccount.burst));
+  }
 }
 
 } // namespace
@@ -105,6 +136,9 @@
   for (const auto& route : aParts.routes) {
     WriteRoute(route, writer);
   }
+  for (const auto& account : aParts.accounts) {
+    WriteAccount(account, writer);
+  }
   return writer.Take();
 }
 
--- a/Libraries/Protocol/ConfigurationWriter.h
+++ b/Libraries/Protocol/ConfigurationWriter.h
@@ -13,6 +13,7 @@
 {
   std::vector<state::ServiceSpec> services;
   std::vector<state::RouteSpec> routes;
+  std::vector<state::AccountSpec> accounts;
   std::optional<state::ClientLimits> limits;
 };
 
--- a/Libraries/State/Configuration.cpp
+++ b/Libraries/State/Configuration.cpp
@@ -55,11 +55,18 @@
   return found == serviceIndex_.end() ? nullptr : &services_[found->second];
 }
 
-const TenantSpec*
-Configuration::FindTenant(std::string_view aName) const
+const AccountSpec*
+Configuration::FindAccount(std::string_view aName) const
 {
-  const auto found = tenantIndex_.find(aName);
-  return found == tenantIndex_.end() ? nullptr : &tenants_[found->second];
+  const auto found = accountIndex_.find(aName);
+  return found == accountIndex_.end() ? nullptr : &accounts_[found->second];
+}
+
+const AccountSpec*
+Configuration::FindAccountByKey(std::string_view aDigest) const
+{
+  const auto found = keyIndex_.find(aDigest);
+  return found == keyIndex_.end() ? nullptr : &accounts_[found->second];
 }
 
 const RouteSpec*
@@ -156,9 +163,9 @@
 }
 
 ConfigurationBuilder&
-ConfigurationBuilder::AddTenant(TenantSpec aTenant)
+ConfigurationBuilder::AddAccount(AccountSpec aAccount)
 {
-  configuration_->tenants_.push_back(std::move(aTenant));
+  configuration_->accounts_.push_back(std::move(aAccount));
   return *this;
 }
 
@@ -201,11 +208,21 @@
       return Invalid("two routes match \"" + key + "\"");
     }
   }
-  for (std::size_t i = 0; i < built->tenants_.size(); ++i) {
-    const auto& name = built->tenants_[i].name;
-    if (!built->tenantIndex_.emplace(name, i).second) {
-      return Invalid("tenant \"" + name + "\" is defined twice");
+  for (std::size_t i = 0; i < built->accounts_.size(); ++i) {
+    const auto& account = built->accounts_[i];
+    if (!built->accountIndex_.emplace(account.name, i).second) {
+      return Invalid("account \"" + account.name + "\" is defined twice");
+    }
+    for (const auto& digest : account.keyDigests) {
+      if (!built->keyIndex_.emplace(digest, i).second) {
+        return Invalid("account \"" + account.name +
+                       "\" has a key that stands twice");
+      }
     }
+    // An account of which only max_in_flight is known names itself in a header
+    // and holds no keys.
+    built->requiresKeys_ = built->requiresKeys_ || account.maxInFlight == 0 ||
+                           !account.keyDigests.empty();
   }
   return built;
 }
--- a/Libraries/State/Configuration.h
+++ b/Libraries/State/Configuration.h
@@ -35,6 +35,9 @@
   std::uint32_t weight = 1;
 };
 
+/// The priority of a route that names none.
+inline constexpr std::uint32_t kDefaultPriority = 2;
+
 /// The method of a route that takes every method.
 inline constexpr const char* kAnyMethod = "ANY";
 
@@ -64,6 +67,11 @@
   /// The prefix was written with a trailing slash: the path that equals it
   /// without the slash does not match.
   bool isSubtreeOnly = false;
+  /// Rank among the requests that compete for an upstream, 0 first. The
+  /// priority of a client account takes precedence.
+  std::uint32_t priority = kDefaultPriority;
+  /// Requests need no key of a client account.
+  bool isPublic = false;
 };
 
 /// What a client may send, and how long it may take or stay idle. Applies to
@@ -78,11 +86,23 @@
   bool operator==(const ClientLimits&) const = default;
 };
 
-struct TenantSpec
+/// A client account. Its requests carry one of its keys.
+struct AccountSpec
 {
   std::string name;
-  /// Requests in flight beside one upstream.
+  /// Requests in flight beside one upstream; 0 for no limit.
   std::uint32_t maxInFlight = 0;
+  /// SHA-256 digests of the keys, as 64 hexadecimal digits. A key itself is in
+  /// no text, log line or message between nodes.
+  std::vector<std::string> keyDigests = {};
+  /// Replaces the priority of the route; empty leaves it to the route.
+  std::optional<std::uint32_t> priority = std::nullopt;
+  /// Requests that all nodes together let pass: per second, and at once on top.
+  /// A rate of 0 means no limit.
+  double requestsPerSecond = 0;
+  std::uint32_t burst = 0;
+
+  bool operator==(const AccountSpec&) const = default;
 };
 
 /// One compiled operators' text. Immutable, so that it is put in force by
@@ -98,7 +118,10 @@
 
   const std::vector<ServiceSpec>& Services() const { return services_; }
   const std::vector<RouteSpec>& Routes() const { return routes_; }
-  const std::vector<TenantSpec>& Tenants() const { return tenants_; }
+  const std::vector<AccountSpec>& Accounts() const { return accounts_; }
+
+  /// @return true if a request needs a key unless its route is public.
+  bool RequiresKeys() const { return requiresKeys_; }
 
   /// @return nothing if the text names no limits.
   const std::optional<ClientLimits>& Limits() const { return limits_; }
@@ -106,8 +129,12 @@
   /// @return nullptr if there is no such service.
   const ServiceSpec* FindService(std::string_view aName) const;
 
-  /// @return nullptr if the tenant has no limit of its own.
-  const TenantSpec* FindTenant(std::string_view aName) const;
+  /// @return nullptr if there is no such account.
+  const AccountSpec* FindAccount(std::string_view aName) const;
+
+  /// @param aDigest as in AccountSpec::keyDigests.
+  /// @return nullptr if no account holds such a key.
+  const AccountSpec* FindAccountByKey(std::string_view aDigest) const;
 
   /// Returns the route with the longest matching path prefix among the routes
   /// of the host, or among those without a host if the host has none. A prefix
@@ -131,9 +158,11 @@
   std::string text_;
   std::vector<ServiceSpec> services_;
   std::vector<RouteSpec> routes_;
-  std::vector<TenantSpec> tenants_;
+  std::vector<AccountSpec> accounts_;
   std::map<std::string, std::size_t, std::less<>> serviceIndex_;
-  std::map<std::string, std::size_t, std::less<>> tenantIndex_;
+  std::map<std::string, std::size_t, std::less<>> accountIndex_;
+  std::map<std::string, std::size_t, std::less<>> keyIndex_;
+  bool requiresKeys_ = false;
   /// Routes of one host, keyed by "METHOD /prefix".
   using RouteIndex = std::unordered_map<std::string, std::size_t>;
 
@@ -155,11 +184,11 @@
   ConfigurationBuilder& SetText(std::string aText);
   ConfigurationBuilder& AddService(ServiceSpec aService);
   ConfigurationBuilder& AddRoute(RouteSpec aRoute);
-  ConfigurationBuilder& AddTenant(TenantSpec aTenant);
+  ConfigurationBuilder& AddAccount(AccountSpec aAccount);
   ConfigurationBuilder& SetLimits(ClientLimits aLimits);
 
-  /// Fails if a name stands twice or a route or dependency names a service
-  /// that does not exist. Leaves the builder empty.
+  /// Fails if a name or a key stands twice or a route or dependency names a
+  /// service that does not exist. Leaves the builder empty.
   tl::expected<ConfigurationPointer, StateError> Build();
 
 private:
--- a/Libraries/State/EndpointRecord.h
+++ b/Libraries/State/EndpointRecord.h
@@ -35,6 +35,8 @@
   /// Number of the announcement that the state comes from.
   std::uint64_t sequence = 0;
   std::uint32_t slots = 0;
+  /// Version of the upstream's software; empty if it announced none.
+  std::string version = {};
 
   bool IsSameRun(const UpstreamIdentity& aOther) const
   {
--- a/Meta/check_layers.py
+++ b/Meta/check_layers.py
@@ -21,7 +21,8 @@
 PLATFORM_WORDS = re.compile(
     r"heartbeatAddr|virtualHosts|weightedTargets|targetLatency|maxAttempts\"|"
     r"X-Response-Seal|X-Not-Executed|X-Expected-Instance|X-Caller-Service|"
-    r"X-Deadline-Ms|X-Request-Id|kv-(key|range|watch|txn|lease|keep)|"
+    r"X-Deadline-Ms|X-Request-Id|X-Credential|X-Tenant-Name|apiKeys|ratePerS|"
+    r"op/rollout|targetVersion|kv-(key|range|watch|txn|lease|keep)|"
     r"coldLeft\"|op/config|instances\.(heartbeat|deregister)|TEASELHOLD_BOOT")
 
 
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -347,8 +347,8 @@
   if (snapshot_ == nullptr || snapshot_->configuration == nullptr) {
     return 0;
   }
-  const auto* tenant = snapshot_->configuration->FindTenant(aTenant);
-  return tenant == nullptr ? 0 : tenant->maxInFlight;
+  const auto* account = snapshot_->configuration->FindAccount(aTenant);
+  return account == nullptr ? 0 : account->maxInFlight;
 }
 
 asio::awaitable<CallStep>
--- a/Services/teaselholdd/Settings.h
+++ b/Services/teaselholdd/Settings.h
@@ -77,6 +77,26 @@
   double retryRatio = 0.1;
   std::uint32_t retrySlack = 50;
   std::chrono::milliseconds retryWindow{ 10000 };
+  /// Memory that the process may use, in MiB, and its file descriptors; 0 if
+  /// the host does not bound them.
+  std::uint32_t memoryMegabytes = 0;
+  std::uint32_t maxDescriptors = 0;
+  /// A key that was taken from its account opens nothing later than this after
+  /// the acknowledgement; 0 if keys follow the configuration only.
+  std::chrono::milliseconds revokeBound{ 0 };
+  /// The revoke bound also holds while this node cannot reach the store.
+  bool revokesStrictly = false;
+  /// The span over which the quota of an account is measured, and by how much
+  /// all nodes together may exceed it: a share, and requests on top.
+  std::chrono::milliseconds quotaWindow{ 5000 };
+  double quotaOverage = 0.1;
+  std::uint32_t quotaSlack = 20;
+  /// Requests that a new version of a service may get before it is trusted, as
+  /// a share of all requests for the service, and requests on top.
+  double exposureShare = 0.1;
+  std::uint32_t exposureSlack = 50;
+  /// A bad version gets nothing later than this after its bad answers show it.
+  std::chrono::milliseconds rollbackBound{ 5000 };
   std::string logLevel = "info";
 };
 
--- a/Tests/Coordination/CallMetricsTest.cpp
+++ b/Tests/Coordination/CallMetricsTest.cpp
@@ -14,7 +14,7 @@
   state::ConfigurationBuilder builder;
   builder.SetGeneration(1);
   for (std::size_t i = 0; i < aTenants; ++i) {
-    builder.AddTenant({ "tenant-" + std::to_string(i), 1 });
+    builder.AddAccount({ "tenant-" + std::to_string(i), 1 });
   }
   return *builder.Build();
 }
--- a/Tests/Services/Settings/SettingsTest.cpp
+++ b/Tests/Services/Settings/SettingsTest.cpp
@@ -109,7 +109,8 @@
         "did you mean \"seeds\"?\n");
   CHECK(ErrorsOf(kGood + "[logs]\nlevel = info\n") ==
         "node.ini:15: unknown section [logs]; expected the sections node, "
-        "store, upstream, retry, log; did you mean \"log\"?\n");
+        "store, upstream, retry, host, accounts, rollouts, log; did you mean "
+        "\"log\"?\n");
 }
 
 TEST_CASE("a missing settings key is reported with its section's line")
