Rollouts: Bound, judge and end roll-outs of service versions

Cause: the operator's orders to move a service to another version were not read.

Change: Coordination/Rollouts. Orders are seen by the watch of the configuration; any node may write the next state by compare-and-swap; callers give a share of what they brought to the service; nodes beside upstreams report evidence and refuse requests without the order.

--- a/Libraries/Coordination/CallEnvironment.h
+++ b/Libraries/Coordination/CallEnvironment.h
@@ -4,6 +4,7 @@
 #include "Coordination/CallerDeadlines.h"
 #include "Coordination/RetryBudget.h"
 #include "Coordination/RouteAverages.h"
+#include "Coordination/Rollouts/RolloutGate.h"
 #include "Coordination/Router.h"
 #include "Coordination/SharedClaimState.h"
 #include "Coordination/TargetPicker.h"
@@ -39,6 +40,8 @@
   ServiceTimes serviceTimes;
   AnswerSizes answerSizes;
   Router router;
+  /// nullptr if there are no roll-outs.
+  RolloutGate* rollouts = nullptr;
 };
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -127,6 +127,7 @@
                     unsigned aReturnedRetries)
 {
   environment_.router.OnRequestFinished(*currentEndpoint_, aOutcome, aNow);
+  RecordArrival(aOutcome);
   triedEndpoints_.push_back(std::move(currentEndpoint_));
   currentEndpoint_.reset();
   ReclaimRetries(aOutcome, aReturnedRetries);
@@ -290,10 +291,54 @@
 CallSession::PickNext(state::Instant aNow)
 {
   auto& router = environment_.router;
+  if (!keyed_ && environment_.rollouts != nullptr &&
+      !environment_.rollouts->IsEmpty()) {
+    return PickVersion(aNow);
+  }
   return keyed_ ? router.PickExecutor(service_, keyHash_, triedEndpoints_, aNow)
                 : router.Pick(service_, triedEndpoints_, aNow, Sizes());
 }
 
+EndpointPointer
+CallSession::PickVersion(state::Instant aNow)
+{
+  auto& rollouts = *environment_.rollouts;
+  isRolloutShare_ = false;
+  for (const auto choice :
+       rollouts.Choose(service_, triedEndpoints_.empty(), aNow)) {
+    auto picked = environment_.router.Pick(
+      service_,
+      triedEndpoints_,
+      aNow,
+      Sizes(),
+      [&](const state::EndpointRecord& aUpstream) {
+        return rollouts.Allows(choice, aUpstream, aNow);
+      });
+    if (picked != nullptr) {
+      isRolloutShare_ = choice == VersionChoice::Target;
+      return picked;
+    }
+    if (choice == VersionChoice::Target) {
+      rollouts.Return(service_);
+    }
+  }
+  return nullptr;
+}
+
+void
+CallSession::RecordArrival(const Outcome& aOutcome)
+{
+  if (environment_.rollouts == nullptr || environment_.rollouts->IsEmpty()) {
+    return;
+  }
+  if (!std::holds_alternative<NotRun>(aOutcome)) {
+    environment_.rollouts->OnArrival(service_);
+  } else if (isRolloutShare_) {
+    environment_.rollouts->Return(service_);
+  }
+  isRolloutShare_ = false;
+}
+
 CallStep
 CallSession::Retry(state::Instant aNow)
 {
@@ -358,6 +403,9 @@
   Attempt attempt{
     currentEndpoint_, deadline_, carried, retriesPassedDown_, {}
   };
+  if (environment_.rollouts != nullptr) {
+    attempt.rolloutOrder = environment_.rollouts->Permit(service_);
+  }
   attempt.maxWait = MaxWait(aNow);
   attempt.largeAnswer = ExpectedLargeAnswer(aNow);
   attempt.isFinalTry = environment_.policy.boundsWait && isFinalTry_;
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -72,6 +72,9 @@
   bool isFinalTry = false;
   /// Empty if the answer is expected to be small.
   std::optional<LargeAnswer> largeAnswer = std::nullopt;
+  /// The order of the service's roll-out that this node knows; 0 if there is
+  /// none.
+  std::uint64_t rolloutOrder = 0;
 };
 
 /// Send the response to the caller.
@@ -167,6 +170,8 @@
   void SpendRetry(state::Instant aNow);
   TransferSizes Sizes() const;
   EndpointPointer PickNext(state::Instant aNow);
+  EndpointPointer PickVersion(state::Instant aNow);
+  void RecordArrival(const Outcome& aOutcome);
   CallStep Send(state::Instant aNow);
   void ReclaimRetries(const Outcome& aOutcome, unsigned aReturnedRetries);
   void ReleaseEndpoint();
@@ -210,6 +215,8 @@
   ClaimBinding binding_;
   bool mayStart_ = false;
   std::uint64_t keyHash_ = 0;
+  /// The attempt in flight was taken from the share of a roll-out.
+  bool isRolloutShare_ = false;
 };
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -74,6 +74,7 @@
   , directory_(options_.identity.name, callNumbers_, random_)
   , registration_(options_.identity.name, callNumbers_, random_)
   , departures_(callNumbers_, random_)
+  , rollouts_(options_.identity.name, callNumbers_, random_)
 {
   const auto& identity = options_.identity;
   self_.node = identity.name;
@@ -106,6 +107,8 @@
     peerVersions_.OnSeen(seen->generation, aNow);
   } else if (const auto* reader = std::get_if<ReaderAnswered>(&aEvent)) {
     readers_.OnAnswer(*reader, aNow);
+  } else if (const auto* rollouts = std::get_if<RolloutsSeen>(&aEvent)) {
+    rollouts_.OnSeen(*rollouts);
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
     apply_.OnApply(*apply, configuration_, commands);
   }
@@ -122,6 +125,7 @@
   RestoreDepartures(aNow, commands);
   departures_.Tick(aNow, commands);
   registration_.Tick(directory_, aNow, commands);
+  rollouts_.Tick(aNow, commands);
   if (directory_.TakeChanged()) {
     ReportCrashSuspects(aNow);
     isReader_ = IsSelectedReader(directory_.Table(), self_.node);
@@ -333,6 +337,10 @@
   if (apply_.OnStoreAnswer(aAnswer, configuration_, aCommands)) {
     return;
   }
+  if (const auto* entry =
+        std::get_if<protocol::StoreEntry>(&aAnswer.result)) {
+    rollouts_.OnOrdersRevision(entry->ordersRevision);
+  }
   // Keeps the previous version alive, because the answer may replace it.
   auto previous = configuration_.Active();
   if (configuration_.OnStoreAnswer(aAnswer, aNow, aCommands)) {
@@ -348,7 +356,8 @@
   }
   const bool isHandled = follower_.OnStoreAnswer(aAnswer, aNow) ||
                          publisher_.OnStoreAnswer(aAnswer, aNow) ||
-                         departures_.OnStoreAnswer(aAnswer, aNow, aCommands);
+                         departures_.OnStoreAnswer(aAnswer, aNow, aCommands) ||
+                         rollouts_.OnStoreAnswer(aAnswer, aNow, aCommands);
   if (!isHandled) {
     OnRegistrationAnswer(aAnswer, aNow, aCommands);
   }
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -9,6 +9,7 @@
 #include "Coordination/NodeDirectory.h"
 #include "Coordination/NodeRegistration.h"
 #include "Coordination/ReaderMonitor.h"
+#include "Coordination/Rollouts/RolloutKeeper.h"
 #include "Coordination/StoreCircuitBreaker.h"
 #include "Coordination/Versions/PeerVersions.h"
 
@@ -75,6 +76,7 @@
   NodeRegistration registration_;
   DepartureLog departures_;
   CrashGuard crashGuard_;
+  RolloutKeeper rollouts_;
   state::ConfigurationPointer published_;
   std::optional<state::Instant> startTime_;
   bool isRestored_ = false;
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/Rollouts/RolloutBook.h"
 #include "Coordination/RoutingSnapshot.h"
 #include "Protocol/StoreClient.h"
 #include "State/EndpointRecord.h"
@@ -9,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 #include <variant>
@@ -102,6 +104,15 @@
   state::Generation generation;
 };
 
+/// What the data plane knows of roll-outs, learnt from other nodes and judged
+/// from the answers of upstreams.
+struct RolloutsSeen
+{
+  std::vector<Rollout> rollouts;
+  /// The services whose target version this node found good.
+  std::set<std::string> proven;
+};
+
 struct ApplyRequested
 {
   std::uint64_t id;
@@ -125,6 +136,7 @@
                            CrashObserved,
                            PeerVersionSeen,
                            ReaderAnswered,
+                           RolloutsSeen,
                            ApplyRequested,
                            StatusRequested>;
 
@@ -229,6 +241,12 @@
   ReaderRole role;
 };
 
+/// What the control plane knows of roll-outs.
+struct SetRollouts
+{
+  std::vector<Rollout> rollouts;
+};
+
 struct PublishSnapshot
 {
   RoutingSnapshotPointer snapshot;
@@ -287,7 +305,8 @@
                              DepartureSaved,
                              RestoreUpstream,
                              AskReader,
-                             SetReaderRole>;
+                             SetReaderRole,
+                             SetRollouts>;
 using Commands = std::vector<Command>;
 
 /// The name, location and addresses of this node, from its settings.
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -129,6 +129,7 @@
   TransferSizes sizes;
   bool ignoresLoad;
   state::Instant now;
+  const UpstreamFilter& filter;
 };
 
 /// The ready upstreams of one service, nearest first.
@@ -264,15 +265,16 @@
 Router::Pick(std::string_view aService,
              const std::vector<EndpointPointer>& aTried,
              state::Instant aNow,
-             TransferSizes aSizes)
+             TransferSizes aSizes,
+             const UpstreamFilter& aFilter)
 {
   const auto* list = FindServiceList(aService, aNow);
   if (list == nullptr) {
     return nullptr;
   }
-  const auto* candidate = PickFrom(*list, { aTried, aSizes, false, aNow });
+  const auto* candidate = PickFrom(*list, { aTried, aSizes, false, aNow, aFilter });
   if (candidate == nullptr) {
-    candidate = PickFrom(*list, { aTried, aSizes, true, aNow });
+    candidate = PickFrom(*list, { aTried, aSizes, true, aNow, aFilter });
   }
   return candidate == nullptr ? nullptr : StartRequest(*candidate, aNow);
 }
@@ -321,6 +323,7 @@
     return aCandidate.IsAllowed(aList.panic, now) &&
            (!isAnyNear || aCandidate.HasRoomForAnswer(aCriteria.sizes, now)) &&
            (aCriteria.ignoresLoad || aCandidate.HasFreeSlot(now)) &&
+           (!aCriteria.filter || aCriteria.filter(*aCandidate.record)) &&
            !Contains(aCriteria.tried, *aCandidate.record);
   };
   const auto draw = [&](const Candidate* aOther) -> const Candidate* {
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -3,6 +3,7 @@
 #include "Coordination/UpstreamHealth.h"
 #include "State/EndpointTable.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -35,6 +36,9 @@
 using EndpointPointer = std::shared_ptr<const state::EndpointRecord>;
 using EndpointTablePointer = std::shared_ptr<const state::EndpointTable>;
 
+/// Tells whether a request may reach an upstream.
+using UpstreamFilter = std::function<bool(const state::EndpointRecord&)>;
+
 struct RouterOptions
 {
   /// Name of this node. The upstream on the same host is the nearest one.
@@ -76,11 +80,13 @@
   /// expected response time. If it is behind a congested link, farther groups
   /// are considered too. If no upstream appears to have a free slot, a farther
   /// group is taken only if its expected time is clearly lower.
+  /// @param aFilter upstreams that it excludes are not picked; may be empty.
   /// @return nullptr if no ready upstream is left.
   EndpointPointer Pick(std::string_view aService,
                        const std::vector<EndpointPointer>& aTried,
                        state::Instant aNow,
-                       TransferSizes aSizes = {});
+                       TransferSizes aSizes = {},
+                       const UpstreamFilter& aFilter = {});
 
   /// Picks the executor of a request with an idempotency key by rendezvous
   /// hashing. Nodes of one region with the same endpoint table choose the same
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -29,6 +29,14 @@
 inline constexpr const char* kAnswerTime = "Teaselhold-Answer-Ms";
 /// "yes": the caller has no time for another try after a refusal.
 inline constexpr const char* kFinalTry = "Teaselhold-Final-Try";
+/// The order of the service's roll-out that the sender knows.
+inline constexpr const char* kRolloutOrder = "Teaselhold-Rollout-Order";
+/// During a roll-out: the label of the route, by which evidence is kept.
+inline constexpr const char* kRouteLabel = "Teaselhold-Route-Label";
+/// The roll-outs that the sender knows, or a digest of them.
+inline constexpr const char* kRollouts = "Teaselhold-Rollouts";
+/// In an answer during a roll-out: what the upstream did with recent requests.
+inline constexpr const char* kEvidence = "Teaselhold-Evidence";
 /// The load of the upstream beside the answering node.
 inline constexpr const char* kLoad = "Teaselhold-Load";
 /// With not-run: milliseconds after which another try may be accepted.
--- a/Libraries/Protocol/StoreClient.h
+++ b/Libraries/Protocol/StoreClient.h
@@ -52,6 +52,9 @@
 {
   std::string value;
   std::uint64_t revision = 0;
+  /// With the watched configuration only: orders of roll-outs may have changed
+  /// up to this revision of the store; 0 if they are not watched with it.
+  std::uint64_t ordersRevision = 0;
 };
 
 struct SwapResult
--- a/Services/teaselholdd/AnnouncedUpstream.cpp
+++ b/Services/teaselholdd/AnnouncedUpstream.cpp
@@ -112,6 +112,9 @@
   if (const auto* announcement =
         std::get_if<state::UpstreamAnnouncement>(&message)) {
     verdict = registry_.Announce(*announcement, clock_.Now());
+    if (verdict == AnnouncementVerdict::Taken) {
+      warmTime_ = clock_.Now() + announcement->warmUpLeft;
+    }
   } else if (const auto* departure =
                std::get_if<state::UpstreamDeparture>(&message)) {
     verdict = registry_.Depart(*departure, clock_.Now());
--- a/Services/teaselholdd/AnnouncedUpstream.h
+++ b/Services/teaselholdd/AnnouncedUpstream.h
@@ -53,6 +53,10 @@
     return registry_.Upstream();
   }
 
+  /// Returns false while the upstream says that it is still slow after its
+  /// start.
+  bool IsWarm() const { return clock_.Now() >= warmTime_; }
+
   /// The node ends: its upstream gets no new work from now on.
   void Close();
 
@@ -78,6 +82,7 @@
   /// saver's numbers.
   std::map<std::uint64_t, state::UpstreamIdentity> unsecured_;
   bool isClosed_ = false;
+  state::Instant warmTime_{ 0 };
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -145,6 +145,7 @@
 {
   if (aAdapters.IsAnnounced()) {
     environment_.policy = CallPolicy::WithLoadReports();
+    environment_.rollouts = &aVersions.Rollouts().Gate();
   }
 }
 
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -87,6 +87,10 @@
   {
     plane.sinks_.setReaderRole(aCommand.role);
   }
+  void operator()(const SetRollouts& aCommand) const
+  {
+    plane.sinks_.setRollouts(aCommand);
+  }
   void operator()(const FinishApply& aCommand) const
   {
     const std::lock_guard lock(plane.appliesMutex_);
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -48,6 +48,7 @@
                      CrashSink aCrashSink,
                      VersionExchange::Sink aVersionSink,
                      ReaderExchange::Sink aReaderSink,
+                     RolloutExchange::Sink aRolloutSink,
                      coordination::CallMetrics& aCallMetrics)
   : settings_(aSettings)
   , adapters_(aAdapters)
@@ -56,7 +57,10 @@
   , link_(std::make_shared<OutgoingLink>(context_,
                                          aClock,
                                          LinkBytesPerSecond(settings_)))
-  , versions_(aClock, std::move(aVersionSink))
+  , versions_(aClock,
+              std::move(aVersionSink),
+              { settings_.exposureShare },
+              std::move(aRolloutSink))
   , departures_(context_, std::move(aDepartureSink))
   , replicator_(context_, settings_, aIncarnation, departures_)
   , readers_(context_, std::move(aReaderSink))
@@ -200,6 +204,8 @@
     if (snapshot->configuration != nullptr) {
       versions_.SetOwn(snapshot->configuration->GetGeneration());
     }
+    versions_.Rollouts().Gate().SetEndpoints(snapshot->endpoints,
+                                             clock_.Now());
     replicator_.SetSnapshot(snapshot);
     callerSide_.SetSnapshot(std::move(snapshot));
   });
@@ -268,6 +274,14 @@
   });
 }
 
+void
+DataPlane::SetRollouts(coordination::SetRollouts aRollouts)
+{
+  asio::post(context_, [this, rollouts = std::move(aRollouts)] {
+    versions_.Rollouts().Set(rollouts.rollouts);
+  });
+}
+
 template<typename Function>
 auto
 DataPlane::OnDataThread(Function aFunction)
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -27,6 +27,7 @@
             CrashSink aCrashSink,
             VersionExchange::Sink aVersionSink,
             ReaderExchange::Sink aReaderSink,
+            RolloutExchange::Sink aRolloutSink,
             coordination::CallMetrics& aCallMetrics);
   ~DataPlane();
 
@@ -43,6 +44,9 @@
   void AskReader(coordination::AskReader aQuestion);
   void SetReaderRole(coordination::ReaderRole aRole);
 
+  /// Takes what the control plane knows of roll-outs. Safe on any thread.
+  void SetRollouts(coordination::SetRollouts aRollouts);
+
   /// Takes the settings that a running process can take. Must be called on the
   /// thread that calls DrainAndStop.
   void TakeSettings(const Settings& aSettings);
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -91,7 +91,10 @@
                             headers::kMaxWait,
                             headers::kAnswerBytes,
                             headers::kAnswerTime,
-                            headers::kFinalTry }) {
+                            headers::kFinalTry,
+                            headers::kRolloutOrder,
+                            headers::kRouteLabel,
+                            headers::kRollouts }) {
     aFields.erase(name);
   }
 }
@@ -104,7 +107,9 @@
                             headers::kGeneration,
                             headers::kRequestId,
                             headers::kLoad,
-                            headers::kRetryAfter }) {
+                            headers::kRetryAfter,
+                            headers::kRollouts,
+                            headers::kEvidence }) {
     aFields.erase(name);
   }
 }
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -81,6 +81,7 @@
     exchange =
       co_await SendRemote(aRequest, aLoad, aAttempt, std::move(aCancellation));
   }
+  versions_.Rollouts().LearnEvidence(endpoint, exchange.response);
   exchange.retriesLeft =
     ReadNumber<unsigned>(exchange.response, headers::kRetriesLeft).value_or(0);
   co_return exchange;
@@ -155,6 +156,8 @@
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
     aAttempt.carriedDeadline - clock_.Now());
   SetHeader(aRequest, headers::kService, aLoad.service);
+  versions_.Rollouts().MarkRequest(
+    aRequest, aLoad.service, route.name, aAttempt.rolloutOrder);
   SetHeader(aRequest,
             headers::kClass,
             state::FindEnumName(state::kRequestClassNames, route.requestClass));
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -310,6 +310,11 @@
   if (ReadHeader(aRequest, headers::kService) != settings_.service) {
     co_return Refuse(NotRunReason::WrongService);
   }
+  if (announced_ != nullptr &&
+      versions_.Rollouts().IsRefused(
+        aRequest, settings_.service, announced_->Upstream().version)) {
+    co_return Refuse(NotRunReason::NotReady);
+  }
   if (!aAdmission) {
     co_return Refuse(NotRunReason::BadRequest);
   }
@@ -405,6 +410,7 @@
     co_return MakeExchange(*refused);
   }
   const AdmissionQueue::Slot slot(admission_, aAdmission.id);
+  const std::string routeLabel(ReadHeader(aRequest, headers::kRouteLabel));
   const auto start = clock_.Now();
   auto exchange =
     co_await upstream_.Deliver(aRequest, aAdmission.deadline, aCancellation);
@@ -419,6 +425,11 @@
   exchange.serviceTime = clock_.Now() - start;
   if (!transport::IsCancelled(aCancellation)) {
     Learn(exchange.outcome, exchange.serviceTime);
+    const bool isWarm = announced_ == nullptr || announced_->IsWarm();
+    versions_.Rollouts().RecordRun(
+      routeLabel,
+      exchange.outcome,
+      isWarm ? std::optional(exchange.serviceTime) : std::nullopt);
   }
   co_return exchange;
 }
@@ -435,6 +446,7 @@
   }
   SetHeader(aExchange.response, headers::kLoad, FormatLoadReport(report));
   versions_.Tell(aExchange.response);
+  versions_.Rollouts().Report(aExchange.response, settings_.service);
 }
 
 void
--- a/Services/teaselholdd/VersionExchange.cpp
+++ b/Services/teaselholdd/VersionExchange.cpp
@@ -24,11 +24,13 @@
 VersionExchange::Tell(HttpFields& aMessage) const
 {
   SetHeader(aMessage, headers::kGeneration, std::to_string(newest_));
+  rollouts_.Tell(aMessage);
 }
 
 void
 VersionExchange::Learn(const HttpFields& aMessage)
 {
+  rollouts_.Learn(aMessage);
   const auto generation =
     ReadNumber<state::Generation>(aMessage, headers::kGeneration);
   if (!generation) {
--- a/Services/teaselholdd/VersionExchange.h
+++ b/Services/teaselholdd/VersionExchange.h
@@ -2,6 +2,7 @@
 
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/HttpHeaders.h"
+#include "Services/teaselholdd/RolloutExchange.h"
 #include "State/Configuration.h"
 
 #include <functional>
@@ -19,12 +20,19 @@
   /// rises, and otherwise about once a second while messages arrive.
   using Sink = std::function<void(state::Generation)>;
 
-  VersionExchange(const Clock& aClock, Sink aSink)
+  VersionExchange(const Clock& aClock,
+                  Sink aSink,
+                  coordination::RolloutGateOptions aRollouts,
+                  RolloutExchange::Sink aRolloutSink)
     : clock_(aClock)
     , sink_(std::move(aSink))
+    , rollouts_(aClock, aRollouts, std::move(aRolloutSink))
   {
   }
 
+  /// The software versions that services move to, told in the same messages.
+  RolloutExchange& Rollouts() { return rollouts_; }
+
   /// Sets the generation in force here.
   void SetOwn(state::Generation aGeneration);
 
@@ -37,6 +45,7 @@
 private:
   const Clock& clock_;
   Sink sink_;
+  RolloutExchange rollouts_;
   state::Generation newest_ = 0;
   state::Instant nextReport_{ 0 };
 };
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -165,6 +165,9 @@
       controlPlane->Post(coordination::PeerVersionSeen{ aGeneration });
     },
     [&](coordination::ReaderAnswered aAnswer) { controlPlane->Post(aAnswer); },
+    [&](coordination::RolloutsSeen aSeen) {
+      controlPlane->Post(std::move(aSeen));
+    },
     callMetrics);
   controlPlane = std::make_unique<daemon::ControlPlane>(
     settings,
@@ -187,6 +190,9 @@
       },
       [&](coordination::ReaderRole aRole) {
         dataPlane.SetReaderRole(aRole);
+      },
+      [&](const coordination::SetRollouts& aRollouts) {
+        dataPlane.SetRollouts(aRollouts);
       } });
   for (const auto& started : { dataPlane.Start(), controlPlane->Start() }) {
     if (!started) {
