--- a/Libraries/Coordination/Rollouts/RolloutBook.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutBook.cpp
@@ -123,8 +123,8 @@
   }
   auto& known = found->second;
   known.storedRevision = aRevision;
-  const bool isOwn = aStatus && aStatus->order == known.order &&
-                     aStatus->target == known.target;
+  const bool isOwn =
+    aStatus && aStatus->order == known.order && aStatus->target == known.target;
   known.stored = isOwn ? std::optional(aStatus->state) : std::nullopt;
   return true;
 }
@@ -166,11 +166,10 @@
   constexpr std::uint32_t kPrime = 0x01000193U;
   std::uint32_t hash = kOffset;
   for (const auto& [service, rollout] : rollouts_) {
-    const auto text = service + ';' + rollout.target + ';' +
-                      std::to_string(rollout.order) + ';' +
-                      std::string(StateName(rollout.stored)) + ';' +
-                      std::to_string(rollout.storedRevision) +
-                      (rollout.isBad ? ";bad" : ";");
+    const auto text =
+      service + ';' + rollout.target + ';' + std::to_string(rollout.order) +
+      ';' + std::string(StateName(rollout.stored)) + ';' +
+      std::to_string(rollout.storedRevision) + (rollout.isBad ? ";bad" : ";");
     for (const auto byte : text) {
       hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
     }
--- a/Libraries/Coordination/Rollouts/RolloutGate.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutGate.cpp
@@ -225,8 +225,7 @@
   const auto service = services_.find(aService);
   if (service != services_.end()) {
     auto& credit = service->second.credit;
-    credit =
-      std::min(credit + options_.exposureShare * kUsedShare, kMaxCredit);
+    credit = std::min(credit + options_.exposureShare * kUsedShare, kMaxCredit);
   }
 }
 
@@ -277,7 +276,9 @@
   }
   if (opinion.finding != aService.finding) {
     aService.finding = opinion.finding;
-    static constexpr std::array kNames{ "unclear", "good", "suspicious", "bad" };
+    static constexpr std::array kNames{
+      "unclear", "good", "suspicious", "bad"
+    };
     notes_.push_back("Version judged. service=" + aRollout.service +
                      " version=" + aRollout.target + " finding=" +
                      kNames[static_cast<std::size_t>(opinion.finding)] + " " +
--- a/Libraries/Coordination/Rollouts/RolloutKeeper.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutKeeper.cpp
@@ -75,17 +75,16 @@
   }
   if (aRollout.stored == RolloutState::Promoting) {
     const auto since = promotingSince_.find(aRollout.service);
-    const bool isDue = since != promotingSince_.end() &&
-                       aNow - since->second >= kHandoverTime;
+    const bool isDue =
+      since != promotingSince_.end() && aNow - since->second >= kHandoverTime;
     return isDue ? std::optional(RolloutState::Completed) : std::nullopt;
   }
   const auto age = aNow - aRollout.begin;
   if (age >= aRollout.duration - kGiveUpTime) {
     return RolloutState::RolledBack;
   }
-  const auto proof =
-    std::min(aRollout.duration * kProofPercent / kAllPercent,
-             aRollout.duration - kPromotionTime);
+  const auto proof = std::min(aRollout.duration * kProofPercent / kAllPercent,
+                              aRollout.duration - kPromotionTime);
   const bool isProven = proven_.contains(aRollout.service) && age >= proof;
   return isProven ? std::optional(RolloutState::Promoting) : std::nullopt;
 }
@@ -219,16 +218,16 @@
     const auto* rollout = book_.Find(pendingService_);
     if (swap->swapped && rollout != nullptr) {
       const auto status = protocol::ParseRolloutStatus(swap->current.value);
-      aCommands.push_back(WriteLog{
-        LogLevel::Info,
-        "rollout",
-        "State written. service=" + pendingService_ +
-          " version=" + rollout->target +
-          " order=" + std::to_string(rollout->order) + " state=" +
-          (status ? std::string(state::FindEnumName(
-                      protocol::kRolloutStateNames, status->state))
-                  : std::string("unreadable")) +
-          " revision=" + std::to_string(swap->current.revision) });
+      aCommands.push_back(
+        WriteLog{ LogLevel::Info,
+                  "rollout",
+                  "State written. service=" + pendingService_ +
+                    " version=" + rollout->target +
+                    " order=" + std::to_string(rollout->order) + " state=" +
+                    (status ? std::string(state::FindEnumName(
+                                protocol::kRolloutStateNames, status->state))
+                            : std::string("unreadable")) +
+                    " revision=" + std::to_string(swap->current.revision) });
     }
   }
   return true;
@@ -276,9 +275,9 @@
 {
   for (const auto& item : aListing.items) {
     const auto service = ServiceOf(item.key, protocol::kRolloutStatePrefix);
-    if (service &&
-        book_.MergeStored(
-          *service, protocol::ParseRolloutStatus(item.value), item.revision)) {
+    if (service && book_.MergeStored(*service,
+                                     protocol::ParseRolloutStatus(item.value),
+                                     item.revision)) {
       isPublishDue_ = true;
     }
   }
--- a/Libraries/Coordination/Rollouts/VersionEvidence.cpp
+++ b/Libraries/Coordination/Rollouts/VersionEvidence.cpp
@@ -58,9 +58,8 @@
     route.timedRuns *= rest;
     route.milliseconds *= rest;
   }
-  std::erase_if(byRoute_, [](const auto& aEntry) {
-    return aEntry.second.runs < kMinRuns;
-  });
+  std::erase_if(
+    byRoute_, [](const auto& aEntry) { return aEntry.second.runs < kMinRuns; });
 }
 
 void
--- a/Libraries/Coordination/Rollouts/VersionJudge.cpp
+++ b/Libraries/Coordination/Rollouts/VersionJudge.cpp
@@ -190,8 +190,7 @@
   const auto& fresh = aGroup.newUpstreams;
   const auto& old = aGroup.oldUpstreams;
   const bool isEnough =
-    !fresh.empty() &&
-    fresh.size() >= std::min(kMinUpstreams, newUpstreams_) &&
+    !fresh.empty() && fresh.size() >= std::min(kMinUpstreams, newUpstreams_) &&
     !old.empty() && old.size() >= std::min(kMinUpstreams, oldUpstreams_);
   if (!isEnough) {
     return {};
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -272,7 +272,8 @@
   if (list == nullptr) {
     return nullptr;
   }
-  const auto* candidate = PickFrom(*list, { aTried, aSizes, false, aNow, aFilter });
+  const auto* candidate =
+    PickFrom(*list, { aTried, aSizes, false, aNow, aFilter });
   if (candidate == nullptr) {
     candidate = PickFrom(*list, { aTried, aSizes, true, aNow, aFilter });
   }
--- a/Libraries/Protocol/RolloutText.cpp
+++ b/Libraries/Protocol/RolloutText.cpp
@@ -45,8 +45,7 @@
 std::string
 FormatRolloutStatus(const RolloutStatus& aStatus)
 {
-  return std::string(
-           state::FindEnumName(kRolloutStateNames, aStatus.state)) +
+  return std::string(state::FindEnumName(kRolloutStateNames, aStatus.state)) +
          " " + aStatus.target + " " + std::to_string(aStatus.order);
 }
 
@@ -87,8 +86,7 @@
 {
   return !aName.empty() && aName.size() <= kMaxNameBytes &&
          std::ranges::all_of(aName, [](char aByte) {
-           return aByte > ' ' && aByte < '\x7f' && aByte != ',' &&
-                  aByte != ';';
+           return aByte > ' ' && aByte < '\x7f' && aByte != ',' && aByte != ';';
          });
 }
 
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -204,8 +204,7 @@
     if (snapshot->configuration != nullptr) {
       versions_.SetOwn(snapshot->configuration->GetGeneration());
     }
-    versions_.Rollouts().Gate().SetEndpoints(snapshot->endpoints,
-                                             clock_.Now());
+    versions_.Rollouts().Gate().SetEndpoints(snapshot->endpoints, clock_.Now());
     replicator_.SetSnapshot(snapshot);
     callerSide_.SetSnapshot(std::move(snapshot));
   });
--- a/Services/teaselholdd/RolloutExchange.cpp
+++ b/Services/teaselholdd/RolloutExchange.cpp
@@ -62,9 +62,8 @@
   }
   SetHeader(aMessage,
             headers::kRollouts,
-            now < tellAllUntil_
-              ? FormatRollouts(live, now)
-              : kDigestMark + std::to_string(gate_.Digest()));
+            now < tellAllUntil_ ? FormatRollouts(live, now)
+                                : kDigestMark + std::to_string(gate_.Digest()));
 }
 
 void
@@ -109,13 +108,12 @@
                            const std::string& aService,
                            const std::string& aVersion) const
 {
-  return !gate_.IsEmpty() &&
-         gate_.IsRefused(
-           aService,
-           aVersion,
-           ReadNumber<std::uint64_t>(aRequest, headers::kRolloutOrder)
-             .value_or(0),
-           clock_.Now());
+  return !gate_.IsEmpty() && gate_.IsRefused(aService,
+                                             aVersion,
+                                             ReadNumber<std::uint64_t>(
+                                               aRequest, headers::kRolloutOrder)
+                                               .value_or(0),
+                                             clock_.Now());
 }
 
 void
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -426,10 +426,10 @@
   if (!transport::IsCancelled(aCancellation)) {
     Learn(exchange.outcome, exchange.serviceTime);
     const bool isWarm = announced_ == nullptr || announced_->IsWarm();
-    versions_.Rollouts().RecordRun(
-      routeLabel,
-      exchange.outcome,
-      isWarm ? std::optional(exchange.serviceTime) : std::nullopt);
+    versions_.Rollouts().RecordRun(routeLabel,
+                                   exchange.outcome,
+                                   isWarm ? std::optional(exchange.serviceTime)
+                                          : std::nullopt);
   }
   co_return exchange;
 }
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -188,9 +188,7 @@
       [&](const coordination::AskReader& aQuestion) {
         dataPlane.AskReader(aQuestion);
       },
-      [&](coordination::ReaderRole aRole) {
-        dataPlane.SetReaderRole(aRole);
-      },
+      [&](coordination::ReaderRole aRole) { dataPlane.SetReaderRole(aRole); },
       [&](const coordination::SetRollouts& aRollouts) {
         dataPlane.SetRollouts(aRollouts);
       } });
