--- a/Tests/Coordination/Rollouts/VersionJudgeTest.cpp
+++ b/Tests/Coordination/Rollouts/VersionJudgeTest.cpp
@@ -33,11 +33,11 @@
   void Report(bool aIsNew, std::size_t aIndex, Reported aFirst, Reported aOther)
   {
     const auto node = (aIsNew ? "new" : "old") + std::to_string(aIndex);
-    judge_.OnReport(node,
-                    aIsNew,
-                    { { "first", aFirst.ToEvidence() },
-                      { "other", aOther.ToEvidence() } },
-                    now_);
+    judge_.OnReport(
+      node,
+      aIsNew,
+      { { "first", aFirst.ToEvidence() }, { "other", aOther.ToEvidence() } },
+      now_);
   }
 
   /// All upstreams of a version report the same.
