Accounts: Check keys at the caller's node and tell upstreams the account

Change: CheckKey decides from the configuration, the route and the request. The caller's node removes the key, sets or clears the account's name, refuses unknown keys with 401, and sends the priority on. CallParameters and AdmissionRequest carry account and priority.

Ruled out: checking at the node beside the upstream, which would send keys between nodes.

--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/CallTypes.h"
 #include "Coordination/LoadReport.h"
+#include "State/Configuration.h"
 
 #include <array>
 #include <boost/intrusive/list.hpp>
@@ -31,6 +32,11 @@
   /// Refuse the request immediately if its predicted wait is longer. If empty,
   /// the request class determines the longest wait.
   std::optional<state::Duration> maxWait = std::nullopt;
+  /// The client account whose key the request carried; empty if it had none.
+  std::string account = {};
+  /// Rank among the requests that compete for the upstream, 0 first: the
+  /// account's, or the route's if the account has none.
+  std::uint32_t priority = state::kDefaultPriority;
 };
 
 /// Deliver the request now.
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -28,6 +28,10 @@
   /// Retries that this call and all calls below it in the chain may still make
   /// in total.
   unsigned retriesLeft = 2;
+  /// The client account whose key the request carried; empty if it had none.
+  std::string account = {};
+  /// The account's; empty leaves it to the route.
+  std::optional<std::uint32_t> priority = std::nullopt;
 };
 
 /// The part of a claim that an attempt sends to the executor of a keyed
@@ -138,6 +142,13 @@
   /// found.
   const std::string& Service() const { return service_; }
 
+  /// Returns the rank of the call among those that compete for an upstream, 0
+  /// first. Must not be called before a route was found.
+  std::uint32_t Priority() const
+  {
+    return facts_.priority.value_or(route_->priority);
+  }
+
   unsigned Attempts() const { return attempts_; }
   unsigned Placements() const { return placements_; }
 
--- a/Libraries/Coordination/CallTypes.h
+++ b/Libraries/Coordination/CallTypes.h
@@ -43,9 +43,17 @@
   /// The outgoing link of the upstream's host could not send the large answer
   /// in time.
   LinkBusy,
+  /// The route needs the key of a client account.
+  AccountKeyMissing,
+  /// No client account holds the key, or the header that carries it is
+  /// malformed.
+  AccountKeyUnknown,
+  /// This node has not heard recently enough that its configuration is the
+  /// newest, so the key may have been withdrawn.
+  AccountsUnverified,
 };
 
-inline constexpr std::array<state::EnumName<NotRunReason>, 21>
+inline constexpr std::array<state::EnumName<NotRunReason>, 24>
   kNotRunReasonNames{ {
     { NotRunReason::NotReady, "not-ready" },
     { NotRunReason::NoRoute, "no-route" },
@@ -68,6 +76,9 @@
     { NotRunReason::KeyRefused, "key-refused" },
     { NotRunReason::KeyMismatch, "key-mismatch" },
     { NotRunReason::LinkBusy, "link-busy" },
+    { NotRunReason::AccountKeyMissing, "account-key-missing" },
+    { NotRunReason::AccountKeyUnknown, "account-key-unknown" },
+    { NotRunReason::AccountsUnverified, "accounts-unverified" },
   } };
 
 /// Reason why the outcome of a request is unknown.
--- a/Libraries/Coordination/RetryPolicy.cpp
+++ b/Libraries/Coordination/RetryPolicy.cpp
@@ -40,6 +40,9 @@
     case NotRunReason::ClaimUnavailable:
     case NotRunReason::BadRequest:
     case NotRunReason::KeyMismatch:
+    case NotRunReason::AccountKeyMissing:
+    case NotRunReason::AccountKeyUnknown:
+    case NotRunReason::AccountsUnverified:
       return false;
     case NotRunReason::NotReady:
     case NotRunReason::Starting:
--- a/Libraries/Protocol/CallHeaders.h
+++ b/Libraries/Protocol/CallHeaders.h
@@ -20,11 +20,11 @@
   std::string upstreamId;
   /// In an answer: the upstream did not run the request.
   std::string notRunMark = headers::kShed;
-  /// Carries the key of the caller's account; empty if callers have no keys.
-  /// It is never sent on.
-  std::string accountKey;
-  /// Tells the upstream which account the key belongs to.
-  std::string accountName;
+  /// Carries the key of the caller's client account. It is never sent on.
+  std::string accountKey = headers::kAccountKey;
+  /// Tells the next node and the upstream which client account the key belongs
+  /// to. Callers cannot set it where requests need keys.
+  std::string accountName = headers::kTenant;
   /// Answers without a length are whole if their connection ends cleanly.
   bool acceptsUnframed = false;
 };
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -10,6 +10,8 @@
 /// The configuration generation that routed the request.
 inline constexpr const char* kGeneration = "Teaselhold-Generation";
 inline constexpr const char* kTenant = "Teaselhold-Tenant";
+/// The key of the caller's client account, where callers need one.
+inline constexpr const char* kAccountKey = "Teaselhold-Key";
 /// Remaining time in milliseconds.
 inline constexpr const char* kDeadline = "Teaselhold-Deadline-Ms";
 inline constexpr const char* kRetriesLeft = "Teaselhold-Retries-Left";
@@ -21,6 +23,9 @@
 inline constexpr const char* kClass = "Teaselhold-Class";
 inline constexpr const char* kTenantLimit = "Teaselhold-Tenant-Limit";
 inline constexpr const char* kIdempotent = "Teaselhold-Idempotent";
+/// Rank among the requests that compete for an upstream, 0 first; left out if
+/// it is state::kDefaultPriority.
+inline constexpr const char* kPriority = "Teaselhold-Priority";
 /// Milliseconds that a request may wait for a slot beside the upstream.
 inline constexpr const char* kMaxWait = "Teaselhold-Max-Wait-Ms";
 /// Expected size of the answer's body, if it is large.
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -1,5 +1,6 @@
 #include "Services/teaselholdd/CallerSide.h"
 
+#include "Coordination/Accounts/KeyCheck.h"
 #include "Coordination/RetryDelay.h"
 #include "Protocol/Headers.h"
 #include "Services/teaselholdd/HttpHeaders.h"
@@ -198,6 +199,8 @@
     refused = NotRunReason::BadRequest;
   } else if (IsRefusedForDraining(*facts)) {
     refused = NotRunReason::Draining;
+  } else {
+    refused = TakeAccount(aRequest, *facts);
   }
   if (refused) {
     co_return Refuse(aRequest, *refused, clock_.Now() - now);
@@ -341,6 +344,46 @@
   return facts;
 }
 
+std::optional<NotRunReason>
+CallerSide::TakeAccount(Request& aRequest, CallParameters& aFacts) const
+{
+  const auto& names = adapters_.headers;
+  const std::string key(ReadHeader(aRequest, names.accountKey));
+  KeyFacts keyFacts;
+  keyFacts.key = key;
+  keyFacts.count = aRequest.count(names.accountKey);
+  aRequest.erase(names.accountKey);
+  const bool isKnown =
+    snapshot_ != nullptr && snapshot_->configuration != nullptr;
+  if (!isKnown || !snapshot_->configuration->RequiresKeys()) {
+    // Without keys, the product's own header is the caller's claim.
+    if (names.accountName != headers::kTenant) {
+      aRequest.erase(names.accountName);
+    }
+    return std::nullopt;
+  }
+  aRequest.erase(names.accountName);
+  aFacts.tenant.clear();
+  const auto& configuration = *snapshot_->configuration;
+  const auto* route =
+    configuration.FindRoute(aFacts.method, aFacts.target, aFacts.host);
+  if (route == nullptr) {
+    return NotRunReason::NoRoute;
+  }
+  keyFacts.mayBeNested = upstreamSide_.InFlight() > 0;
+  const auto account = CheckKey(configuration, *route, keyFacts);
+  if (!account) {
+    return account.error();
+  }
+  if (*account != nullptr) {
+    aFacts.account = (*account)->name;
+    aFacts.tenant = aFacts.account;
+    aFacts.priority = (*account)->priority;
+    SetHeader(aRequest, names.accountName, aFacts.account);
+  }
+  return std::nullopt;
+}
+
 std::uint32_t
 CallerSide::TenantLimit(const std::string& aTenant) const
 {
@@ -360,7 +403,8 @@
     const NodeHop::Load load{ *aCall.session.Route(),
                               aCall.session.Service(),
                               aCall.tenantLimit,
-                              aCall.depth };
+                              aCall.depth,
+                              aCall.session.Priority() };
     const auto endpoint = attempt->endpoint;
     aCall.node = endpoint->node;
     const auto sent = clock_.Now();
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -69,6 +69,11 @@
   std::optional<coordination::CallParameters> ReadFacts(
     const Request& aRequest,
     state::Instant aNow) const;
+  /// Replaces the key in a request by its client account.
+  /// @return why the request must not run, if it must not.
+  std::optional<coordination::NotRunReason> TakeAccount(
+    Request& aRequest,
+    coordination::CallParameters& aFacts) const;
   Awaitable<coordination::CallStep> TakeStep(
     Call& aCall,
     const coordination::CallStep& aStep,
--- a/Services/teaselholdd/Exchange.cpp
+++ b/Services/teaselholdd/Exchange.cpp
@@ -56,6 +56,9 @@
         return http::status::too_many_requests;
       case NotRunReason::BadRequest:
         return http::status::bad_request;
+      case NotRunReason::AccountKeyMissing:
+      case NotRunReason::AccountKeyUnknown:
+        return http::status::unauthorized;
       default:
         return http::status::service_unavailable;
     }
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -81,6 +81,7 @@
   for (const auto* name : { headers::kService,
                             headers::kClass,
                             headers::kIdempotent,
+                            headers::kPriority,
                             headers::kTenantLimit,
                             headers::kExecutor,
                             headers::kClaim,
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -159,6 +159,9 @@
             headers::kClass,
             state::FindEnumName(state::kRequestClassNames, route.requestClass));
   SetHeader(aRequest, headers::kIdempotent, route.isIdempotent ? "yes" : "no");
+  if (aLoad.priority != state::kDefaultPriority) {
+    SetHeader(aRequest, headers::kPriority, std::to_string(aLoad.priority));
+  }
   SetHeader(aRequest, headers::kDeadline, std::to_string(remaining.count()));
   SetHeader(
     aRequest, headers::kRetriesLeft, std::to_string(aAttempt.retriesLeft));
--- a/Services/teaselholdd/NodeHop.h
+++ b/Services/teaselholdd/NodeHop.h
@@ -32,6 +32,7 @@
     const std::string& service;
     std::uint32_t tenantLimit = 0;
     unsigned depth = 0;
+    std::uint32_t priority = state::kDefaultPriority;
   };
 
   /// Sends the request; its headers between nodes are replaced. The request
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -465,6 +465,9 @@
   admission.tenant = ReadHeader(aRequest, headers::kTenant);
   admission.tenantLimit =
     ReadNumber<std::uint32_t>(aRequest, headers::kTenantLimit).value_or(0);
+  admission.account = ReadHeader(aRequest, adapters_.headers.accountName);
+  admission.priority = ReadNumber<std::uint32_t>(aRequest, headers::kPriority)
+                         .value_or(state::kDefaultPriority);
   admission.deadline = clock_.Now() + std::chrono::milliseconds(*remaining);
   admission.isFinalTry = ReadHeader(aRequest, headers::kFinalTry) == "yes";
   if (const auto wait =
