--- a/Tests/Services/Process.h
+++ b/Tests/Services/Process.h
@@ -26,6 +26,8 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  pid_t Id() const { return process_; }
+
   void Signal(int aSignal) const;
 
   /// Kills the process and waits for its end.
