Transport: Hold what peers send to one budget of the process

Beast's parser takes a chunk's line and all trailers from the read buffer in one piece and asks for more until the end is there; a server's connection had no bound on that buffer, so it kept all that came (24 MB of trailers took 24 MB). The other limits counted one request or one server each: 96 MiB of bodies for each server, 24 MiB of answers for each pool, nothing for heads, for answers that wait for their reader, or for descriptors. The reader and the writer of a connection shared one deadline, so the end of an answer cleared the limit of the request behind it, and a stuck answer lost its limit to the next request. A cancelled wait that missed a read which had just ended was not tried again.

Ruled out: a fixed part of the budget for each connection. It refuses the single body of 64 MiB that the limits allow, or protects nobody.

Transport/Limits holds one budget of memory (half of memory_megabytes) and one of descriptors (max_descriptors less 248). Bytes are taken before they are stored; a connection and an address hold at most a multiple of what is free; idle connections make way before one is refused; requests in progress and requests read ahead are bound by the descriptors. The buffer holds a head or trailers and 4 KiB. Extensions of chunks count against max_header_bytes. Reads and writes have limits of their own that stay until the wait ends. Bodies have 1 s more for each MiB, paced answers for each 64 KiB. The node port takes what the text lets callers send, with room for the headers between nodes; before, it refused bodies over 16 MiB that callers were allowed. Readiness, announcements, metrics, administration and the store's connection have small bounds of their own. Counters by reason: teaselhold_peer_refusals_total.

Changed test: "Bodies above the bound of the whole server" used the option maxBufferedBytes, which the process's budget replaces. It sets a budget of 100 KB and sends 200 KB; it also checks that a body inside it is served.

--- a/Libraries/Transport/HttpClientConnection.cpp
+++ b/Libraries/Transport/HttpClientConnection.cpp
@@ -62,10 +62,27 @@
   return status / 100 == 1 && status != kSwitchingProtocols;
 }
 
+/// @return what the body of an answer holds after the next part. One of known
+/// length is reserved, and takes memory only as it is filled; others double.
+std::uint64_t
+NextAnswerBytes(const http::response_parser<http::string_body>& aParser)
+{
+  constexpr std::uint64_t kPartBytes = 4UL * kMaxHeaderBytes;
+  const auto& body = aParser.get().body();
+  const auto needed = body.size() + kPartBytes;
+  if (const auto length = aParser.content_length()) {
+    return std::min<std::uint64_t>(needed, *length);
+  }
+  const std::uint64_t capacity = body.capacity();
+  return needed <= capacity ? capacity : std::max(2 * capacity, needed);
+}
+
 } // namespace
 
-HttpClientConnection::HttpClientConnection(asio::io_context& aContext)
+HttpClientConnection::HttpClientConnection(asio::io_context& aContext,
+                                           std::shared_ptr<PeerLimits> aLimits)
   : stream_(aContext)
+  , limits_(aLimits == nullptr ? PeerLimits::OfProcess() : std::move(aLimits))
 {
 }
 
@@ -79,13 +96,20 @@
   if (!address) {
     co_return tl::make_unexpected(address.error());
   }
+  lease_ = limits_->descriptors->Connect();
+  if (lease_ == nullptr) {
+    limits_->Count(PeerRefusal::Connections);
+    co_return tl::make_unexpected(TransportError{
+      TransportErrorCode::ConnectFailed, "no descriptor is free" });
+  }
+  const auto peer = asio::ip::make_address(address->host);
+  memory_ = std::make_shared<MemoryBudget::Holder>(limits_->memory, peer);
   const Cancellation::Scope scope(aCancellation, [this] { stream_.close(); });
   stream_.expires_at(
     std::min(aDeadline, std::chrono::steady_clock::now() + kConnectTimeout));
   boost::system::error_code error;
   co_await stream_.async_connect(
-    asio::ip::tcp::endpoint(asio::ip::make_address(address->host),
-                            address->port),
+    asio::ip::tcp::endpoint(peer, address->port),
     asio::redirect_error(asio::use_awaitable, error));
   if (error) {
     co_return tl::make_unexpected(
@@ -255,7 +279,7 @@
       parser,
       asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-      co_return tl::make_unexpected(ToTransportError(error, nullptr));
+      co_return tl::make_unexpected(FailRead(error));
     }
     const bool isInvitation =
       aStopsAtInvitation && parser.get().result() == http::status::continue_;
@@ -276,7 +300,7 @@
       answer.keep_alive(answer.keep_alive() && !parser.need_eof());
       co_return answer;
     }
-    auto failure = ToTransportError(error, nullptr);
+    auto failure = FailRead(error);
     if (failure.code == TransportErrorCode::ConnectionLost) {
       failure.code = TransportErrorCode::PartialAnswer;
     }
@@ -286,15 +310,31 @@
     TransportErrorCode::PartialAnswer, "interim answers without an answer" });
 }
 
+TransportError
+HttpClientConnection::FailRead(const boost::system::error_code& aError)
+{
+  if (aError == http::error::buffer_overflow ||
+      aError == http::error::header_limit) {
+    limits_->Count(PeerRefusal::AnswerFraming);
+  }
+  return ToTransportError(aError, nullptr);
+}
+
 asio::awaitable<boost::system::error_code>
 HttpClientConnection::ReadBody(
   http::response_parser<http::string_body>& aParser,
   std::shared_ptr<AnswerMemory> aMemory)
 {
   AnswerMemory::Share share(std::move(aMemory));
+  MemoryShare processShare(memory_);
   boost::system::error_code error;
   aParser.eager(true);
   while (!aParser.is_done()) {
+    const auto next = NextAnswerBytes(aParser) + buffer_.capacity();
+    if (!processShare.TryResize(MemoryUse::Answer, next)) {
+      limits_->Count(PeerRefusal::AnswerMemory);
+      co_return make_error_code(http::error::body_limit);
+    }
     co_await http::async_read_some(
       stream_,
       buffer_,
@@ -304,6 +344,7 @@
       co_return error;
     }
     if (!share.GrowTo(aParser.get().body().size())) {
+      limits_->Count(PeerRefusal::AnswerMemory);
       co_return make_error_code(http::error::body_limit);
     }
   }
--- a/Libraries/Transport/HttpClientConnection.h
+++ b/Libraries/Transport/HttpClientConnection.h
@@ -3,6 +3,7 @@
 #include "Transport/AnswerMemory.h"
 #include "Transport/Cancellation.h"
 #include "Transport/HttpMessages.h"
+#include "Transport/Limits/PeerLimits.h"
 #include "Transport/TransportError.h"
 
 #include <chrono>
@@ -33,7 +34,9 @@
 public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  explicit HttpClientConnection(boost::asio::io_context& aContext);
+  /// @param aLimits nullptr takes those of the process.
+  explicit HttpClientConnection(boost::asio::io_context& aContext,
+                                std::shared_ptr<PeerLimits> aLimits = nullptr);
 
   /// Every failure is ConnectFailed: nothing was sent.
   /// @param aSilenceLimit time after which bytes that the peer's host has not
@@ -83,6 +86,7 @@
   boost::asio::awaitable<Result> ReadMessage(bool aIsHead,
                                              const AnswerRules& aRules,
                                              bool aStopsAtInvitation);
+  TransportError FailRead(const boost::system::error_code& aError);
   /// @return the error that ended the body early.
   boost::asio::awaitable<boost::system::error_code> ReadBody(
     boost::beast::http::response_parser<boost::beast::http::string_body>&
@@ -95,6 +99,10 @@
   static constexpr std::size_t kMaxReadAhead = 4UL * kMaxHeaderBytes;
 
   boost::beast::tcp_stream stream_;
+  std::shared_ptr<PeerLimits> limits_;
+  DescriptorBudget::LeasePointer lease_;
+  /// Of the answer that is being read; set once there is a peer.
+  MemoryBudget::HolderPointer memory_;
   boost::beast::flat_buffer buffer_{ kMaxReadAhead };
   std::string address_;
   TimePoint lastAnswer_{};
--- a/Libraries/Transport/HttpClientPool.cpp
+++ b/Libraries/Transport/HttpClientPool.cpp
@@ -46,6 +46,8 @@
     }
   }
 
+  /// Lets idle connections make way for others of the process.
+  static void AddCloser(const std::shared_ptr<Shared>& aPool);
   static asio::awaitable<void> Sweep(asio::io_context& aContext,
                                      std::weak_ptr<Shared> aPool);
   static void SweepOnce(const std::shared_ptr<Shared>& aPool);
@@ -55,6 +57,20 @@
     std::string aPath);
 };
 
+void
+HttpClientPool::Shared::AddCloser(const std::shared_ptr<Shared>& aPool)
+{
+  auto& limits = aPool->options.limits;
+  if (limits == nullptr) {
+    limits = PeerLimits::OfProcess();
+  }
+  limits->descriptors->AddCloser([weak = std::weak_ptr(aPool)](IdleKind aKind) {
+    const auto pool = weak.lock();
+    return aKind == IdleKind::Pooled && pool != nullptr &&
+           pool->idle.CloseOldest();
+  });
+}
+
 asio::awaitable<void>
 HttpClientPool::Shared::Probe(std::weak_ptr<Shared> aPool,
                               std::unique_ptr<HttpClientConnection> aConnection,
@@ -112,6 +128,7 @@
   : shared_(new Shared{ aContext, std::move(aOptions), {} })
 {
   shared_->BoundAnswers();
+  Shared::AddCloser(shared_);
   asio::co_spawn(aContext, Shared::Sweep(aContext, shared_), asio::detached);
 }
 
@@ -121,6 +138,7 @@
 {
   shared_->options.maxIdleConnections = aMaxIdleConnections;
   shared_->BoundAnswers();
+  Shared::AddCloser(shared_);
 }
 
 HttpClientPool::~HttpClientPool() = default;
@@ -143,7 +161,8 @@
       shared->idle.Take(aAddress, Steady::now() - shared->options.maxIdleTime);
   }
   if (connection == nullptr) {
-    connection = std::make_unique<HttpClientConnection>(shared->context);
+    connection = std::make_unique<HttpClientConnection>(shared->context,
+                                                        shared->options.limits);
     auto connected = co_await connection->Connect(std::move(aAddress),
                                                   aDeadline,
                                                   aCancellation,
--- a/Libraries/Transport/HttpClientPool.h
+++ b/Libraries/Transport/HttpClientPool.h
@@ -23,6 +23,8 @@
   /// a few seconds.
   std::chrono::milliseconds silenceLimit{ 0 };
   AnswerRules rules;
+  /// Shared with all other connections; nullptr takes those of the process.
+  std::shared_ptr<PeerLimits> limits;
   /// Connections that were opened, counted for the metrics; may be nullptr.
   std::shared_ptr<std::atomic<std::uint64_t>> opened;
 };
--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -3,6 +3,8 @@
 #include "Transport/HttpServerConnection.h"
 #include "Transport/SocketAddress.h"
 
+#include <algorithm>
+
 namespace teaselhold::transport {
 
 namespace {
@@ -30,6 +32,25 @@
 {
   shared_->handler = std::move(aHandler);
   shared_->options = aOptions;
+  if (shared_->options.limits == nullptr) {
+    shared_->options.limits = PeerLimits::OfProcess();
+  }
+  shared_->options.limits->descriptors->AddCloser(
+    [weak = std::weak_ptr(shared_)](IdleKind aKind) {
+      const auto shared = weak.lock();
+      return shared != nullptr && shared->CloseIdle(aKind);
+    });
+}
+
+bool
+HttpServer::Shared::CloseIdle(IdleKind aKind)
+{
+  // A connection goes to the end of the list when it becomes idle.
+  const auto found = std::ranges::find_if(
+    connections, [aKind](HttpServerConnection& aCandidate) {
+      return aCandidate.MakeWay(aKind);
+    });
+  return found != connections.end();
 }
 
 tl::expected<std::unique_ptr<HttpServer>, TransportError>
@@ -96,8 +117,9 @@
       co_return;
     }
     const auto now = std::chrono::steady_clock::now();
+    const bool isTight = shared->options.limits->memory->IsTight();
     for (auto& connection : shared->connections) {
-      connection.EndIfOverdue(now);
+      connection.EndIfOverdue(now, isTight);
     }
   }
 }
@@ -164,16 +186,27 @@
 void
 HttpServer::Serve(asio::ip::tcp::socket aSocket)
 {
-  if (shared_->open >= shared_->options.maxConnections + kMaxRefusing) {
+  boost::system::error_code error;
+  const auto peer = aSocket.remote_endpoint(error).address();
+  auto& descriptors = *shared_->options.limits->descriptors;
+  DescriptorBudget::LeasePointer lease;
+  if (shared_->open < shared_->options.maxConnections) {
+    lease = descriptors.Accept();
+  }
+  const bool isRefused = lease == nullptr;
+  if (isRefused) {
+    shared_->options.limits->Count(PeerRefusal::Connections);
+  }
+  const auto maxRefusing = std::min(kMaxRefusing, descriptors.MaxRefusing());
+  if (isRefused && shared_->refusing >= maxRefusing) {
     return;
   }
-  const bool refused = shared_->open >= shared_->options.maxConnections;
-  auto connection =
-    std::make_shared<HttpServerConnection>(std::move(aSocket), shared_);
+  auto connection = std::make_shared<HttpServerConnection>(
+    std::move(aSocket), peer, std::move(lease), shared_);
   asio::co_spawn(
     context_,
-    [connection, refused]() -> asio::awaitable<void> {
-      if (refused) {
+    [connection, isRefused]() -> asio::awaitable<void> {
+      if (isRefused) {
         co_await connection->Refuse();
       } else {
         co_await connection->Run();
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "Transport/Cancellation.h"
 #include "Transport/HttpMessages.h"
+#include "Transport/Limits/PeerLimits.h"
 #include "Transport/TransportError.h"
 
 #include <chrono>
@@ -52,18 +53,22 @@
   /// Asked before a body is invited; empty invites at once.
   BodyAdmitter admitBody;
   std::size_t maxConnections = 4096;
+  /// False for calls of the host, which need no descriptor of their own.
+  bool countsRequests = true;
   std::uint32_t maxHeaderBytes = kMaxHeaderBytes;
   std::uint64_t maxBodyBytes = kMaxBodyBytes;
-  /// Bodies of all requests that are read or handled at the same time.
-  std::uint64_t maxBufferedBytes = 96ULL * 1024 * 1024;
+  /// Shared with all other connections; nullptr takes those of the process.
+  std::shared_ptr<PeerLimits> limits;
   /// From the first byte of a request to the end of its head.
   std::chrono::milliseconds headerTimeout{ 5000 };
-  /// From the end of the head to the end of the body.
+  /// From the end of the head to the end of the body, and 1 s more for each
+  /// MiB that has arrived.
   std::chrono::milliseconds bodyTimeout{ 20000 };
   /// Longer than the client pool keeps idle connections, so that the client
   /// closes them and no request crosses with the close.
   std::chrono::milliseconds idleTimeout{ 60000 };
-  /// For an answer, or for each piece of a paced one.
+  /// For an answer, or for each piece of a paced one. The pieces together have
+  /// 1 s more for each 64 KiB.
   std::chrono::milliseconds writeTimeout{ 20000 };
 };
 
--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -25,6 +25,56 @@
 constexpr std::chrono::seconds kLingerTime{ 2 };
 constexpr std::size_t kMaxLingerBytes = 1024 * 1024;
 
+/// What a connection reads ahead of its parser besides a head: the start of a
+/// body, and the last chunk before trailers.
+constexpr std::size_t kFramingBytes = 4096;
+
+/// An open connection without a request: its socket, buffer and coroutines.
+constexpr std::uint64_t kConnectionBytes = 8192;
+
+/// A field takes this besides its bytes.
+constexpr std::uint64_t kFieldBytes = 96;
+
+/// The rates below which a peer is too slow.
+constexpr std::uint64_t kBodyBytesPerSecond = 1024 * 1024;
+constexpr std::size_t kPacedBytesPerSecond = 64UL * 1024;
+
+/// Reading or writing one message, while little memory is left.
+constexpr std::chrono::seconds kTightTime{ 2 };
+
+template<typename Fields>
+std::uint64_t
+HeadBytes(const Fields& aFields)
+{
+  std::uint64_t bytes = 0;
+  for (const auto& field : aFields) {
+    bytes += kFieldBytes + field.name_string().size() + field.value().size();
+  }
+  return bytes;
+}
+
+/// @return the first capacity of a body of unknown length. A string doubles
+/// when it grows, and from here a body of the limit ends without spare room.
+std::uint64_t
+FirstBodyBytes(std::uint64_t aLimit)
+{
+  constexpr std::uint64_t kMostBytes = 16384;
+  while (aLimit > kMostBytes) {
+    aLimit = (aLimit + 1) / 2;
+  }
+  return aLimit;
+}
+
+/// @return the capacity of a body after the next part.
+/// @param aPart largest part.
+std::uint64_t
+NextBodyBytes(const std::string& aBody, std::size_t aPart, std::uint64_t aLimit)
+{
+  const std::uint64_t capacity = aBody.capacity();
+  const auto needed = std::min<std::uint64_t>(aBody.size() + aPart, aLimit);
+  return needed <= capacity ? capacity : std::max(2 * capacity, needed);
+}
+
 bool
 HasNoBody(const HttpResponse& aResponse)
 {
@@ -60,50 +110,25 @@
 
 } // namespace
 
-class HttpServerConnection::Reservation
-{
-public:
-  explicit Reservation(std::shared_ptr<HttpServer::Shared> aShared)
-    : shared_(std::move(aShared))
-  {
-    ++shared_->inFlight;
-  }
-  ~Reservation()
-  {
-    --shared_->inFlight;
-    shared_->bufferedBytes -= bytes_;
-  }
-  Reservation(const Reservation&) = delete;
-  Reservation& operator=(const Reservation&) = delete;
-
-  /// @return false if all bodies together would exceed their bound.
-  bool GrowTo(std::uint64_t aBytes)
-  {
-    if (aBytes <= bytes_) {
-      return true;
-    }
-    const auto more = aBytes - bytes_;
-    if (shared_->bufferedBytes + more > shared_->options.maxBufferedBytes) {
-      return false;
-    }
-    shared_->bufferedBytes += more;
-    bytes_ = aBytes;
-    return true;
-  }
-
-private:
-  std::shared_ptr<HttpServer::Shared> shared_;
-  std::uint64_t bytes_ = 0;
-};
-
 struct HttpServerConnection::Exchange
 {
-  explicit Exchange(std::shared_ptr<HttpServer::Shared> aShared)
-    : reservation(std::move(aShared))
+  Exchange(std::shared_ptr<HttpServer::Shared> aShared,
+           MemoryBudget::HolderPointer aMemory,
+           DescriptorBudget::LeasePointer aLease)
+    : shared(std::move(aShared))
+    , memory(std::move(aMemory))
+    , lease(std::move(aLease))
   {
+    ++shared->inFlight;
   }
+  ~Exchange() { --shared->inFlight; }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
 
-  Reservation reservation;
+  std::shared_ptr<HttpServer::Shared> shared;
+  /// Of the request, and of the answer once it is there.
+  MemoryShare memory;
+  DescriptorBudget::LeasePointer lease;
   HttpRequest request;
   CancellationPointer cancellation = std::make_shared<Cancellation>();
   bool keepAlive = true;
@@ -114,37 +139,94 @@
 
 HttpServerConnection::HttpServerConnection(
   asio::ip::tcp::socket aSocket,
+  const asio::ip::address& aPeer,
+  DescriptorBudget::LeasePointer aLease,
   std::shared_ptr<HttpServer::Shared> aShared)
   : socket_(std::move(aSocket))
+  , lease_(std::move(aLease))
   , shared_(std::move(aShared))
   , wake_(socket_.get_executor())
+  , memory_(
+      std::make_shared<MemoryBudget::Holder>(shared_->options.limits->memory,
+                                             aPeer))
+  , ownMemory_(memory_)
 {
   SetRequestOptions(socket_);
   shared_->connections.push_back(*this);
 }
 
 void
-HttpServerConnection::SetDeadline(std::chrono::milliseconds aTime)
+HttpServerConnection::SetReadLimit(std::chrono::milliseconds aTime)
 {
-  deadline_ = Steady::now() + aTime;
+  const auto now = Steady::now();
+  reading_ = { now, now + aTime };
 }
 
 void
-HttpServerConnection::EndIfOverdue(Steady::time_point aNow)
+HttpServerConnection::SetWriteLimit(std::chrono::milliseconds aTime)
 {
-  if (aNow >= deadline_) {
-    deadline_ = Steady::time_point::max();
-    boost::system::error_code error;
+  const auto now = Steady::now();
+  writing_ = { now, now + aTime };
+}
+
+void
+HttpServerConnection::EndIfOverdue(TimePoint aNow, bool aIsTight)
+{
+  const auto isOver = [&](const Limit& aLimit) {
+    const bool isWaiting = aLimit.until != TimePoint::max();
+    return aNow >= aLimit.until ||
+           (isWaiting && aIsTight && aNow >= aLimit.since + kTightTime);
+  };
+  boost::system::error_code error;
+  if (isOver(writing_)) {
+    writing_ = {};
+    shared_->options.limits->Count(PeerRefusal::SlowReader);
+    // Ends handlers, which may change the list that is swept.
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()] { self->Break(); });
+  } else if (idle_ ? aNow >= reading_.until : isOver(reading_)) {
+    // A read that has just ended misses it, so the limit stays for the next.
     socket_.cancel(error);
   }
 }
 
+bool
+HttpServerConnection::MakeWay(IdleKind aKind)
+{
+  const auto kind =
+    hasServed_ && !isLingering_ ? IdleKind::Answered : IdleKind::Silent;
+  const bool isIdle = idle_ && exchanges_.empty() && !HasMoreToRead();
+  if (aKind != kind || lease_ == nullptr || !(isIdle || isLingering_)) {
+    return false;
+  }
+  shared_->options.limits->Count(PeerRefusal::Idle);
+  isBroken_ = true;
+  // The descriptor is free before the next connection is accepted.
+  lease_.reset();
+  boost::system::error_code error;
+  socket_.cancel(error);
+  return true;
+}
+
+void
+HttpServerConnection::Break()
+{
+  isBroken_ = true;
+  CancelExchanges();
+  boost::system::error_code error;
+  socket_.close(error);
+  WakeReader();
+}
+
 asio::awaitable<void>
 HttpServerConnection::Run()
 {
   const auto self = shared_from_this();
   ++shared_->open;
   bool open = true;
+  if (!ownMemory_.TryResize(MemoryUse::Request, kConnectionBytes)) {
+    co_await Turn(PeerRefusal::Memory);
+  }
   while (open) {
     co_await WaitForRoom();
     if (isClosing_ || isBroken_) {
@@ -184,6 +266,8 @@
   }
   boost::system::error_code error;
   socket_.close(error);
+  lease_.reset();
+  ownMemory_.Resize(0);
   --shared_->open;
 }
 
@@ -192,8 +276,10 @@
 {
   const auto self = shared_from_this();
   ++shared_->open;
+  ++shared_->refusing;
   co_await WriteError(http::status::service_unavailable, "full");
   co_await LingeringClose();
+  --shared_->refusing;
   --shared_->open;
 }
 
@@ -213,7 +299,8 @@
   if (exchanges_.empty()) {
     return true;
   }
-  return exchanges_.size() < kMaxExchanges && !shared_->closeAfterAnswers;
+  return exchanges_.size() < kMaxExchanges && !shared_->closeAfterAnswers &&
+         shared_->options.limits->descriptors->MayReadAhead();
 }
 
 asio::awaitable<void>
@@ -282,10 +369,15 @@
     co_return true;
   }
   // A connection from the backlog of a draining server is still answered.
+  reading_ = {};
   if (exchanges_.empty()) {
-    SetDeadline(shared_->draining ? shared_->options.headerTimeout
-                                  : shared_->options.idleTimeout);
+    SetReadLimit(shared_->draining ? shared_->options.headerTimeout
+                                   : shared_->options.idleTimeout);
+    buffer_.shrink_to_fit();
   }
+  // Idle connections are in the order in which they became idle.
+  unlink();
+  shared_->connections.push_back(*this);
   boost::system::error_code error;
   idle_ = true;
   do {
@@ -308,23 +400,19 @@
 asio::awaitable<HttpServerConnection::ExchangePointer>
 HttpServerConnection::ReadExchange()
 {
-  auto exchange = std::make_shared<Exchange>(shared_);
-  Parser parser;
-  parser.header_limit(shared_->options.maxHeaderBytes);
-  parser.body_limit(shared_->options.maxBodyBytes);
-  boost::system::error_code error;
-  SetDeadline(shared_->options.headerTimeout);
-  co_await http::async_read_header(
-    socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
-  if (error) {
-    co_await WaitForAnswers();
-    co_await Reject(error);
-    co_return nullptr;
+  DescriptorBudget::LeasePointer lease;
+  if (shared_->options.countsRequests) {
+    lease = shared_->options.limits->descriptors->BeginRequest();
+    if (lease == nullptr) {
+      co_await Turn(PeerRefusal::Requests);
+      co_return nullptr;
+    }
   }
-  if (parser.content_length() &&
-      !exchange->reservation.GrowTo(*parser.content_length())) {
-    co_await WaitForAnswers();
-    co_await WriteError(http::status::service_unavailable, "full");
+  auto exchange =
+    std::make_shared<Exchange>(shared_, memory_, std::move(lease));
+  Parser parser;
+  const bool hasHead = co_await ReadHead(parser, *exchange);
+  if (!hasHead) {
     co_return nullptr;
   }
   const bool isOffered =
@@ -332,16 +420,13 @@
     boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
   BodyAdmission admission;
   if (isOffered) {
-    deadline_ = Steady::time_point::max();
     admission = co_await InviteBody(parser.get());
     if (admission.refusal) {
       exchange->response = std::move(admission.refusal);
       co_return exchange;
     }
   }
-  SetDeadline(shared_->options.bodyTimeout);
   const bool complete = co_await ReadBody(parser, *exchange, admission);
-  deadline_ = Steady::time_point::max();
   if (!complete) {
     co_return nullptr;
   }
@@ -352,6 +437,49 @@
   co_return exchange;
 }
 
+asio::awaitable<bool>
+HttpServerConnection::ReadHead(Parser& aParser, Exchange& aExchange)
+{
+  const auto& options = shared_->options;
+  buffer_.max_size(std::max<std::size_t>(options.maxHeaderBytes + kFramingBytes,
+                                         buffer_.size()));
+  if (!aExchange.memory.TryResize(MemoryUse::Request, buffer_.max_size())) {
+    co_await Turn(PeerRefusal::Memory);
+    co_return false;
+  }
+  aParser.header_limit(options.maxHeaderBytes);
+  aParser.body_limit(options.maxBodyBytes);
+  boost::system::error_code error;
+  SetReadLimit(options.headerTimeout);
+  co_await http::async_read_header(
+    socket_,
+    buffer_,
+    aParser,
+    asio::redirect_error(asio::use_awaitable, error));
+  reading_ = {};
+  if (error) {
+    co_await WaitForAnswers();
+    co_await Reject(error);
+    co_return false;
+  }
+  // The parser reserves a body of known length when it reads the first part.
+  const auto bytes = HeadBytes(aParser.get()) + buffer_.capacity() +
+                     aParser.content_length().value_or(0);
+  if (!aExchange.memory.TryResize(MemoryUse::Request, bytes)) {
+    co_await Turn(PeerRefusal::Memory);
+    co_return false;
+  }
+  co_return true;
+}
+
+asio::awaitable<void>
+HttpServerConnection::Turn(PeerRefusal aRefusal)
+{
+  shared_->options.limits->Count(aRefusal);
+  co_await WaitForAnswers();
+  co_await WriteError(http::status::service_unavailable, "full");
+}
+
 asio::awaitable<BodyAdmission>
 HttpServerConnection::InviteBody(const HttpRequest& aHead)
 {
@@ -365,13 +493,14 @@
   static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n"
                                                 "\r\n";
   co_await WaitForAnswers();
-  SetDeadline(shared_->options.writeTimeout);
+  SetWriteLimit(shared_->options.writeTimeout);
   // A client that is gone is noticed when its body is read.
   boost::system::error_code ignored;
   co_await asio::async_write(
     socket_,
     asio::buffer(kContinue.data(), kContinue.size()),
     asio::redirect_error(asio::use_awaitable, ignored));
+  writing_ = {};
   co_return admission;
 }
 
@@ -380,25 +509,61 @@
                                Exchange& aExchange,
                                const BodyAdmission& aAdmission)
 {
+  const auto& options = shared_->options;
+  const auto& body = aParser.get().body();
+  std::size_t extensions = 0;
+  auto onChunk = [&](std::uint64_t /*aSize*/,
+                     boost::string_view aExtensions,
+                     boost::system::error_code& aError) {
+    extensions += aExtensions.size();
+    if (extensions > options.maxHeaderBytes) {
+      aError = http::error::header_limit;
+    }
+  };
+  aParser.on_chunk_header(onChunk);
+  const auto head = HeadBytes(aParser.get()) + buffer_.max_size();
+  const auto bodyLimit = options.maxBodyBytes;
+  if (aParser.chunked()) {
+    aParser.get().body().reserve(FirstBodyBytes(bodyLimit));
+  }
+  SetReadLimit(options.bodyTimeout);
   boost::system::error_code error;
   while (!aParser.is_done()) {
-    const auto before = aParser.get().body().size();
+    const auto before = body.size();
+    if (aParser.chunked() &&
+        !aExchange.memory.TryResize(
+          MemoryUse::Request,
+          head + NextBodyBytes(body, buffer_.max_size(), bodyLimit))) {
+      co_await Turn(PeerRefusal::Memory);
+      co_return false;
+    }
     co_await http::async_read_some(
       socket_,
       buffer_,
       aParser,
       asio::redirect_error(asio::use_awaitable, error));
     if (aAdmission.onReceived) {
-      aAdmission.onReceived(aParser.get().body().size() - before);
+      aAdmission.onReceived(body.size() - before);
+    }
+    // A sender whose bytes are always there is never cancelled in a wait.
+    if (!error && !aParser.is_done() && Steady::now() >= reading_.until) {
+      error = asio::error::operation_aborted;
     }
     if (error) {
+      reading_ = {};
       co_await WaitForAnswers();
       co_await Reject(error);
       co_return false;
     }
-    if (!aExchange.reservation.GrowTo(aParser.get().body().size())) {
-      co_await WaitForAnswers();
-      co_await WriteError(http::status::service_unavailable, "full");
+    reading_.until = reading_.since + options.bodyTimeout +
+                     std::chrono::seconds(body.size() / kBodyBytesPerSecond);
+  }
+  reading_ = {};
+  if (aParser.chunked()) {
+    // Trailers are fields too.
+    const auto bytes = HeadBytes(aParser.get()) + body.capacity();
+    if (!aExchange.memory.TryResize(MemoryUse::Request, bytes)) {
+      co_await Turn(PeerRefusal::Memory);
       co_return false;
     }
   }
@@ -427,6 +592,7 @@
     response.set(headers::kOutcome, "unknown");
     response.keep_alive(false);
   }
+  aExchange->memory.Resize(HeadBytes(response) + response.body().capacity());
   aExchange->response = std::move(response);
   if (!isWriting_ && !isBroken_) {
     co_await WriteAnswers();
@@ -468,8 +634,8 @@
   if (isClosing_ || isBroken_) {
     // Ends the reader's wait for the next request.
     socket_.cancel(error);
-  } else if (exchanges_.empty()) {
-    SetDeadline(shared_->options.idleTimeout);
+  } else if (exchanges_.empty() && idle_) {
+    SetReadLimit(shared_->options.idleTimeout);
   }
   WakeReader();
 }
@@ -502,11 +668,11 @@
   if (pacing) {
     pacing->onSmallAnswer(aResponse.body().size());
   }
-  SetDeadline(shared_->options.writeTimeout);
+  SetWriteLimit(shared_->options.writeTimeout);
   boost::system::error_code error;
   co_await http::async_write(
     socket_, aResponse, asio::redirect_error(asio::use_awaitable, error));
-  deadline_ = Steady::time_point::max();
+  writing_ = {};
   co_return !error;
 }
 
@@ -516,27 +682,34 @@
   const auto nextPiece =
     shared_->options.pacing->begin(aResponse.body().size());
   http::response_serializer<http::string_body> serializer(aResponse);
-  SetDeadline(shared_->options.writeTimeout);
+  SetWriteLimit(shared_->options.writeTimeout);
   boost::system::error_code error;
   co_await http::async_write_header(
     socket_, serializer, asio::redirect_error(asio::use_awaitable, error));
   auto left = asio::buffer(aResponse.body());
+  // Only the client's time counts, not the waits for the link.
+  Steady::duration timeLeft =
+    shared_->options.writeTimeout +
+    std::chrono::seconds(left.size() / kPacedBytesPerSecond);
   while (!error && left.size() > 0) {
-    deadline_ = Steady::time_point::max();
+    writing_ = {};
     const auto granted = co_await nextPiece();
     if (isBroken_) {
       // The client closed the connection during the wait.
       co_return false;
     }
     const auto size = std::min(granted, left.size());
-    SetDeadline(shared_->options.writeTimeout);
+    SetWriteLimit(std::min(
+      shared_->options.writeTimeout,
+      std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft)));
     co_await asio::async_write(
       socket_,
       asio::buffer(left, size),
       asio::redirect_error(asio::use_awaitable, error));
+    timeLeft -= Steady::now() - writing_.since;
     left += size;
   }
-  deadline_ = Steady::time_point::max();
+  writing_ = {};
   co_return !error;
 }
 
@@ -563,17 +736,23 @@
   if (isClosing_) {
     co_return;
   }
-  if (aError == http::error::header_limit) {
+  auto& limits = *shared_->options.limits;
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    limits.Count(PeerRefusal::Header);
     co_await WriteError(http::status::request_header_fields_too_large,
                         "bad-request");
   } else if (aError == http::error::body_limit) {
+    limits.Count(PeerRefusal::Body);
     co_await WriteError(http::status::payload_too_large, "bad-request");
   } else if (aError == asio::error::operation_aborted) {
+    limits.Count(PeerRefusal::SlowSender);
     co_await WriteError(http::status::request_timeout, "timeout");
   } else if (aError.category() ==
                make_error_code(http::error::bad_method).category() &&
              aError != http::error::end_of_stream &&
              aError != http::error::partial_message) {
+    limits.Count(PeerRefusal::Malformed);
     co_await WriteError(http::status::bad_request, "bad-request");
   }
 }
@@ -583,7 +762,8 @@
 {
   boost::system::error_code error;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
-  SetDeadline(kLingerTime);
+  SetReadLimit(kLingerTime);
+  isLingering_ = true;
   std::size_t total = 0;
   while (!error && total < kMaxLingerBytes) {
     buffer_.clear();
--- a/Libraries/Transport/IdleConnections.cpp
+++ b/Libraries/Transport/IdleConnections.cpp
@@ -67,6 +67,25 @@
   byAddress_.erase(aAddress);
 }
 
+bool
+IdleConnections::CloseOldest()
+{
+  auto oldest = byAddress_.end();
+  for (auto place = byAddress_.begin(); place != byAddress_.end(); ++place) {
+    const auto& idle = place->second;
+    if (!idle.empty() &&
+        (oldest == byAddress_.end() ||
+         idle.front()->LastUse() < oldest->second.front()->LastUse())) {
+      oldest = place;
+    }
+  }
+  if (oldest == byAddress_.end()) {
+    return false;
+  }
+  oldest->second.pop_front();
+  return true;
+}
+
 std::size_t
 IdleConnections::Size() const
 {
--- a/Libraries/Transport/IdleConnections.h
+++ b/Libraries/Transport/IdleConnections.h
@@ -30,6 +30,11 @@
   std::vector<Connection> TakeUnverified(TimePoint aTime);
 
   void Close(const std::string& aAddress);
+
+  /// Closes the least recently used connection.
+  /// @return false if there is none.
+  bool CloseOldest();
+
   std::size_t Size() const;
 
 private:
--- a/Services/teaselholdd/AdminServer.cpp
+++ b/Services/teaselholdd/AdminServer.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::chrono::milliseconds kFindTimeout{ 1500 };
 
+/// Some calls of the largest text at the same time.
+constexpr std::size_t kMaxMemoryBytes = std::size_t{ 16 } * 1024 * 1024;
+
 std::string
 ToText(std::string_view aName)
 {
@@ -96,7 +99,8 @@
       aAddress, grpc::InsecureServerCredentials(), &port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.SetMaxReceiveMessageSize(2 * 1024 * 1024);
-    builder.SetResourceQuota(grpc::ResourceQuota("admin").SetMaxThreads(4));
+    builder.SetResourceQuota(
+      grpc::ResourceQuota("admin").SetMaxThreads(4).Resize(kMaxMemoryBytes));
     builder.RegisterService(this);
     server_ = builder.BuildAndStart();
     return server_ != nullptr && port != 0;
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -37,6 +37,23 @@
 /// A node has thousands of peers, but few of them send at the same time.
 constexpr std::size_t kMaxConnections = 4096;
 
+/// The head of a request grows by this between nodes.
+constexpr std::uint32_t kNodeHeaderBytes = 4096;
+
+/// Readiness and announcements come from this host, one call at a time.
+constexpr std::size_t kMaxHostConnections = 64;
+constexpr std::uint64_t kMaxHostBodyBytes = 64ULL * 1024;
+
+transport::HttpServerOptions
+HostCallOptions()
+{
+  transport::HttpServerOptions options;
+  options.countsRequests = false;
+  options.maxConnections = kMaxHostConnections;
+  options.maxBodyBytes = kMaxHostBodyBytes;
+  return options;
+}
+
 } // namespace
 
 DataPlane::DataPlane(const Settings& aSettings,
@@ -113,6 +130,7 @@
     return tl::make_unexpected(callerServer.error());
   }
   auto nodeOptions = options;
+  nodeOptions.maxHeaderBytes += kNodeHeaderBytes;
   nodeOptions.pacing = link_->Pacing();
   nodeOptions.admitBody = [this](const Request& aHead) {
     return upstreamSide_.AdmitBody(aHead);
@@ -143,9 +161,10 @@
 {
   if (!settings_.readyAddress.empty()) {
     auto server = transport::HttpServer::Listen(
-      context_, settings_.readyAddress, [this](Request aRequest) {
-        return AnswerReady(std::move(aRequest));
-      });
+      context_,
+      settings_.readyAddress,
+      [this](Request aRequest) { return AnswerReady(std::move(aRequest)); },
+      HostCallOptions());
     if (!server) {
       return tl::make_unexpected(server.error());
     }
@@ -153,9 +172,12 @@
   }
   if (upstreamSide_.Announced() != nullptr) {
     auto server = transport::HttpServer::Listen(
-      context_, settings_.announcementAddress, [this](Request aRequest) {
+      context_,
+      settings_.announcementAddress,
+      [this](Request aRequest) {
         return upstreamSide_.Announced()->Serve(std::move(aRequest));
-      });
+      },
+      HostCallOptions());
     if (!server) {
       return tl::make_unexpected(server.error());
     }
@@ -218,6 +240,13 @@
                            limits_->maxBodyBytes,
                            limits_->headerTimeout,
                            limits_->idleTimeout);
+  // Nodes pass on what callers may send, and use kept connections as they like.
+  const transport::HttpServerOptions usual;
+  nodeServer_->SetLimits(
+    std::max(usual.maxHeaderBytes, limits_->maxHeaderBytes) + kNodeHeaderBytes,
+    std::max(usual.maxBodyBytes, limits_->maxBodyBytes),
+    usual.headerTimeout,
+    usual.idleTimeout);
 }
 
 void
--- a/Services/teaselholdd/MetricsServer.cpp
+++ b/Services/teaselholdd/MetricsServer.cpp
@@ -4,6 +4,26 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+/// Some collectors at the same time.
+constexpr std::size_t kMaxConnections = 16;
+/// The server has limits of its own, because it runs on another thread than the
+/// connections that could make way for its own.
+constexpr std::uint64_t kMemoryBytes = 1024ULL * 1024;
+
+transport::HttpServerOptions
+MakeOptions()
+{
+  transport::HttpServerOptions options;
+  options.limits = std::make_shared<transport::PeerLimits>(kMemoryBytes, 0);
+  options.maxConnections = kMaxConnections;
+  options.maxBodyBytes = 0;
+  return options;
+}
+
+} // namespace
+
 tl::expected<std::unique_ptr<MetricsServer>, transport::TransportError>
 MetricsServer::Listen(const std::string& aAddress, const MetricsSource& aSource)
 {
@@ -13,7 +33,8 @@
     aAddress,
     [self = metrics.get()](transport::HttpRequest aRequest) {
       return self->Serve(std::move(aRequest));
-    });
+    },
+    MakeOptions());
   if (!server) {
     return tl::make_unexpected(server.error());
   }
--- a/Services/teaselholdd/MetricsSource.cpp
+++ b/Services/teaselholdd/MetricsSource.cpp
@@ -14,6 +14,10 @@
   copy.control = controlPlane_.Counters();
   copy.store = controlPlane_.StoreCalls();
   copy.fleet = controlPlane_.LocalStatus();
+  const auto& limits = *transport::PeerLimits::OfProcess();
+  copy.peerRefusals = limits.Counts();
+  copy.peerMemoryBytes = limits.memory->Used();
+  copy.peerConnections = limits.descriptors->Connections();
   const auto snapshot = controlPlane_.Snapshot();
   if (snapshot != nullptr && snapshot->configuration != nullptr) {
     copy.activeGeneration = snapshot->configuration->GetGeneration();
--- a/Services/teaselholdd/MetricsText.cpp
+++ b/Services/teaselholdd/MetricsText.cpp
@@ -44,6 +44,7 @@
                  "Requests of other nodes refused beside the upstream.",
                  metrics_.calls.refused,
                  kNotRunReasonNames);
+    WritePeers();
     WriteControl();
     WriteStore();
     WriteVersions();
@@ -161,6 +162,30 @@
     }
   }
 
+  void WritePeers()
+  {
+    constexpr std::string_view kName = "teaselhold_peer_refusals_total";
+    writer_.Family(kName,
+                   "counter",
+                   "Requests, answers and connections of peers refused or "
+                   "ended by a limit, by reason.");
+    for (const auto& reason : transport::kPeerRefusalNames) {
+      const auto count =
+        metrics_.peerRefusals[static_cast<std::size_t>(reason.value)];
+      if (count > 0) {
+        Sample(kName, { { "reason", std::string(reason.name) } }, count);
+      }
+    }
+    writer_.Family("teaselhold_peer_memory_bytes",
+                   "gauge",
+                   "Memory taken for what peers send.");
+    Sample("teaselhold_peer_memory_bytes", {}, metrics_.peerMemoryBytes);
+    writer_.Family("teaselhold_peer_connections",
+                   "gauge",
+                   "Open connections with callers, nodes and the upstream.");
+    Sample("teaselhold_peer_connections", {}, metrics_.peerConnections);
+  }
+
   void WriteControl()
   {
     const auto& control = metrics_.control;
--- a/Services/teaselholdd/MetricsText.h
+++ b/Services/teaselholdd/MetricsText.h
@@ -4,6 +4,7 @@
 #include "Coordination/NodeEvents.h"
 #include "Services/teaselholdd/StoreWorker.h"
 #include "Transport/ControlChannel.h"
+#include "Transport/Limits/PeerLimits.h"
 
 #include <string>
 
@@ -21,6 +22,9 @@
   StoreCounters store;
   coordination::FleetStatus fleet;
   state::Generation activeGeneration = 0;
+  transport::PeerRefusalCounts peerRefusals{};
+  std::uint64_t peerMemoryBytes = 0;
+  std::uint64_t peerConnections = 0;
 };
 
 /// Formats metrics in the Prometheus text exposition format, version 0.0.4.
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -4,6 +4,7 @@
 #include "Services/teaselholdd/Logs.h"
 #include "Services/teaselholdd/MetricsServer.h"
 #include "Services/teaselholdd/SettingsReload.h"
+#include "Transport/Limits/PeerLimits.h"
 
 #include <csignal>
 #include <gflags/gflags.h>
@@ -143,6 +144,8 @@
   const auto& settings = aLoaded.settings;
   const daemon::Clock clock;
   const auto incarnation = MakeIncarnation();
+  transport::PeerLimits::OfProcess()->SetHost(settings.memoryMegabytes,
+                                              settings.maxDescriptors);
   const auto adapters = daemon::MakeAdapters(settings);
   coordination::CallMetrics callMetrics;
   TenantNamer tenantNamer(callMetrics);
--- a/Tests/Transport/HttpServerTest.cpp
+++ b/Tests/Transport/HttpServerTest.cpp
@@ -122,10 +122,16 @@
 TEST_CASE("Bodies above the bound of the whole server are refused as not run")
 {
   HttpServerOptions options;
-  options.maxBufferedBytes = 1000;
+  options.limits = std::make_shared<PeerLimits>(100000, 0);
   RunningServer server(Echo, options);
-  const auto answer = server.Exchange(
-    "PUT / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'x'));
+  CHECK(server
+          .Exchange("PUT / HTTP/1.1\r\nContent-Length: 2000\r\n"
+                    "Connection: close\r\n\r\n" +
+                    std::string(2000, 'x'))
+          .starts_with("HTTP/1.1 200"));
+  const auto answer =
+    server.Exchange("PUT / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" +
+                    std::string(200000, 'x'));
   CHECK(answer.starts_with("HTTP/1.1 503"));
   CHECK(answer.find("Teaselhold-Outcome: not-run") != std::string::npos);
 }
