--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -392,6 +392,19 @@
   return next;
 }
 
+std::optional<state::Instant>
+Admission::LatestRunningDeadline() const
+{
+  std::optional<state::Instant> latest;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.isRunning) {
+      latest = std::max(latest.value_or(entry.request.deadline),
+                        entry.request.deadline);
+    }
+  }
+  return latest;
+}
+
 Outcome
 Admission::ClassifyAnswer(unsigned aStatus, bool aSaysShed) const
 {
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -144,6 +144,9 @@
   /// @param aSaysShed the upstream marked the response as shed.
   Outcome ClassifyAnswer(unsigned aStatus, bool aSaysShed) const;
 
+  /// @return the latest deadline of a running request, if any runs.
+  std::optional<state::Instant> LatestRunningDeadline() const;
+
   std::size_t InFlight() const { return running_; }
   std::size_t Waiting() const { return waiting_; }
 
--- a/Libraries/Coordination/CallEnvironment.h
+++ b/Libraries/Coordination/CallEnvironment.h
@@ -3,6 +3,7 @@
 #include "Coordination/CallPolicy.h"
 #include "Coordination/CallerDeadlines.h"
 #include "Coordination/RetryBudget.h"
+#include "Coordination/Room/NestedRoutes.h"
 #include "Coordination/RouteAverages.h"
 #include "Coordination/Router.h"
 #include "Coordination/SharedClaimState.h"
@@ -38,6 +39,7 @@
   CallerDeadlines callerDeadlines;
   ServiceTimes serviceTimes;
   AnswerSizes answerSizes;
+  NestedRoutes nestedRoutes;
   Router router;
 };
 
--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -105,12 +105,14 @@
     std::min(facts_.deadline, aNow + state::Duration(route_->timeout));
   answerBytes_ =
     static_cast<std::uint64_t>(environment_.answerSizes.Get(route_->name, 0));
+  const bool isNested =
+    environment_.nestedRoutes.Record(route_->name, facts_.mayBeNested);
   if (route_->latencyObjective.count() > 0 &&
       facts_.deadline != state::Instant::max()) {
     const auto& deadlines =
       environment_.callerDeadlines.Record(route_->name, facts_.deadline - aNow);
     objective_ = aNow + route_->latencyObjective - deadlines.elapsed;
-    isFinalTry_ = deadlines.callerTimeout <= route_->timeout;
+    isFinalTry_ = isNested && deadlines.callerTimeout <= route_->timeout;
   }
   environment_.router.SetEndpoints(snapshot_->endpoints, aNow);
   environment_.budget.OnCall(service_, aNow);
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -25,6 +25,9 @@
   state::Instant deadline = state::Instant::max();
   unsigned depth = 0;
   BodySize bodySize = BodySize::Small;
+  /// A request that the upstream beside this node runs expires no earlier, so
+  /// that this one may be a call of it.
+  bool mayBeNested = true;
   /// Retries that this call and all calls below it in the chain may still make
   /// in total.
   unsigned retriesLeft = 2;
--- /dev/null
+++ b/Libraries/Coordination/Room/NestedRoutes.cpp
@@ -0,0 +1,37 @@
+#include "Coordination/Room/NestedRoutes.h"
+
+namespace teaselhold::coordination {
+
+namespace {
+
+constexpr std::size_t kMaxRoutes = 1024;
+/// A single request may belong to a run that ended while it was on its way.
+constexpr std::uint32_t kMinClientRequests = 2;
+/// Requests after which the evidence counts half.
+constexpr std::uint32_t kMemoryRequests = 512;
+
+} // namespace
+
+bool
+NestedRoutes::Record(std::string_view aRoute, bool aMayBeNested)
+{
+  auto found = routes_.find(aRoute);
+  if (found == routes_.end()) {
+    if (routes_.size() >= kMaxRoutes) {
+      routes_.clear();
+    }
+    found = routes_.try_emplace(std::string(aRoute)).first;
+  }
+  auto& evidence = found->second;
+  ++evidence.requests;
+  evidence.clientRequests += aMayBeNested ? 0 : 1;
+  if (evidence.requests >= kMemoryRequests) {
+    evidence.requests /= 2;
+    // Clients that were seen often stay known through a busy period, in which
+    // their requests cannot be told from nested calls.
+    evidence.clientRequests -= evidence.clientRequests / 2;
+  }
+  return aMayBeNested && evidence.clientRequests < kMinClientRequests;
+}
+
+} // namespace teaselhold::coordination
--- a/Services/teaselholdd/AdmissionQueue.cpp
+++ b/Services/teaselholdd/AdmissionQueue.cpp
@@ -12,6 +12,10 @@
 constexpr std::chrono::milliseconds kMinExpireInterval{ 5 };
 constexpr std::chrono::milliseconds kMaxExpireInterval{ 100 };
 
+/// Deadlines travel as remaining whole milliseconds, which do not include the
+/// time that a busy host takes to read a request.
+constexpr std::chrono::milliseconds kDeadlineTolerance{ 50 };
+
 } // namespace
 
 AdmissionQueue::AdmissionQueue(asio::io_context& aContext,
@@ -110,6 +114,13 @@
   }
 }
 
+bool
+AdmissionQueue::MayHaveMade(state::Instant aDeadline) const
+{
+  const auto latest = admission_.LatestRunningDeadline();
+  return latest && aDeadline <= *latest + kDeadlineTolerance;
+}
+
 void
 AdmissionQueue::SetSlots(std::uint32_t aSlots)
 {
--- a/Services/teaselholdd/AdmissionQueue.h
+++ b/Services/teaselholdd/AdmissionQueue.h
@@ -79,6 +79,10 @@
     return admission_.InFlight() + admission_.Waiting();
   }
 
+  /// @return true if a running request expires at or after this time. The call
+  ///         of a request expires no later than the request itself.
+  bool MayHaveMade(state::Instant aDeadline) const;
+
   /// Tells what an answer of the upstream means.
   coordination::Outcome Classify(unsigned aStatus, bool aSaysShed) const
   {
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -331,6 +331,7 @@
   // A process that ends answers before it does.
   facts.deadline = std::min(
     aNow + state::Duration(std::chrono::milliseconds(remaining)), stopTime_);
+  facts.mayBeNested = upstreamSide_.MayHaveMade(facts.deadline);
   facts.bodySize = aRequest.body().size() >= NodeHop::kOfferedBytes
                      ? BodySize::Large
                      : BodySize::Small;
