--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -89,11 +89,35 @@
            : 1 + static_cast<std::size_t>(aRequest.requestClass);
 }
 
+bool
+Admission::IsInTime(const AdmissionRequest& aRequest)
+{
+  return !aRequest.usefulWait || aRequest.usefulWait->count() > 0;
+}
+
+std::size_t
+Admission::CountInTime(const Queue& aQueue, state::Instant aNow)
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    aQueue, [aNow](const Entry& aEntry) { return aNow < aEntry.usefulUntil; }));
+}
+
+Admission::Entry&
+Admission::NextOf(Queue& aQueue, state::Instant aNow)
+{
+  const auto inTime = std::ranges::find_if(
+    aQueue, [aNow](const Entry& aEntry) { return aNow < aEntry.usefulUntil; });
+  return inTime == aQueue.end() ? aQueue.front() : *inTime;
+}
+
 state::Duration
-Admission::PredictedWait(std::size_t aQueue, state::Instant aNow) const
+Admission::PredictedWait(const AdmissionRequest& aRequest,
+                         state::Instant aNow) const
 {
-  std::size_t ahead = 0;
-  for (std::size_t queue = 0; queue <= aQueue; ++queue) {
+  const auto own = QueueIndex(aRequest);
+  std::size_t ahead =
+    IsInTime(aRequest) ? CountInTime(queues_[own], aNow) : queues_[own].size();
+  for (std::size_t queue = 0; queue < own; ++queue) {
     ahead += queues_[queue].size();
   }
   const auto service =
@@ -150,7 +174,7 @@
   if (const auto reason = RefusalReason(aRequest, aNow)) {
     return NotRun{ *reason };
   }
-  const auto predicted = PredictedWait(QueueIndex(aRequest), aNow);
+  const auto predicted = PredictedWait(aRequest, aNow);
   const bool isTooLong = !HasRoom(aRequest, aNow) && aRequest.maxWait &&
                          predicted > *aRequest.maxWait;
   return isTooLong ? std::optional(NotRun{ NotRunReason::Full, predicted })
@@ -161,10 +185,8 @@
 Admission::DecisionInputs(const AdmissionRequest& aRequest,
                           state::Instant aNow) const
 {
-  return {
-    state_,   aNow - stateSince_, running_,
-    waiting_, UsableSlots(aNow),  PredictedWait(QueueIndex(aRequest), aNow)
-  };
+  return { state_,   aNow - stateSince_, running_,
+           waiting_, UsableSlots(aNow),  PredictedWait(aRequest, aNow) };
 }
 
 AdmissionDecision
@@ -184,7 +206,7 @@
 Admission::Enqueue(const AdmissionRequest& aRequest, state::Instant aNow)
 {
   const auto until = LatestStart(aRequest, aNow);
-  const auto predicted = PredictedWait(QueueIndex(aRequest), aNow);
+  const auto predicted = PredictedWait(aRequest, aNow);
   if (until <= aNow || (aRequest.maxWait && predicted > *aRequest.maxWait)) {
     return NotRun{ NotRunReason::Full, predicted };
   }
@@ -197,6 +219,9 @@
   }
   auto& entry = Add(aRequest);
   entry.until = until;
+  if (aRequest.usefulWait) {
+    entry.usefulUntil = aNow + *aRequest.usefulWait;
+  }
   queues_[QueueIndex(aRequest)].push_back(entry);
   ++waiting_;
   return decision;
@@ -305,7 +330,7 @@
 {
   for (auto& queue : queues_) {
     while (!queue.empty() && HasRoom(queue.front().request, aNow)) {
-      auto& entry = queue.front();
+      auto& entry = NextOf(queue, aNow);
       Dequeue(entry);
       MarkRunning(entry);
       aReleases.push_back({ entry.request.id, std::nullopt });
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -31,6 +31,10 @@
   /// Refuse the request immediately if its predicted wait is longer. If empty,
   /// the request class determines the longest wait.
   std::optional<state::Duration> maxWait = std::nullopt;
+  /// If the request starts after this wait, its answer misses the latency
+  /// objective of its route. Within a class, requests that can still meet
+  /// theirs go before those that cannot.
+  std::optional<state::Duration> usefulWait = std::nullopt;
 };
 
 /// Deliver the request now.
@@ -159,13 +163,19 @@
   {
     AdmissionRequest request;
     state::Instant until{ 0 };
+    /// Latest start with which the answer meets the latency objective.
+    state::Instant usefulUntil = state::Instant::max();
     bool isRunning = false;
   };
   using Queue = boost::intrusive::list<Entry>;
   using Releases = std::vector<AdmissionRelease>;
 
   static std::size_t QueueIndex(const AdmissionRequest& aRequest);
-  state::Duration PredictedWait(std::size_t aQueue, state::Instant aNow) const;
+  static bool IsInTime(const AdmissionRequest& aRequest);
+  static std::size_t CountInTime(const Queue& aQueue, state::Instant aNow);
+  static Entry& NextOf(Queue& aQueue, state::Instant aNow);
+  state::Duration PredictedWait(const AdmissionRequest& aRequest,
+                                state::Instant aNow) const;
   std::optional<NotRunReason> RefusalReason(const AdmissionRequest& aRequest,
                                             state::Instant aNow) const;
   bool HasRoom(const AdmissionRequest& aRequest, state::Instant aNow) const;
--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -228,17 +228,26 @@
     // and on a saturated link a long queue would make all of them late.
     return std::max(left, state::Duration{ 0 });
   }
-  if (objective_ != state::Instant::max()) {
-    const auto wait = objective_ - aNow - service - service / 4;
-    if (wait > kMissedObjectiveMaxWait) {
-      return wait;
-    }
+  const auto useful = UsefulWait(aNow);
+  if (useful && *useful > kMissedObjectiveMaxWait) {
+    return useful;
   }
   // There is no objective or it cannot be met, so a short wait leaves the
   // slots to requests that can still meet theirs.
   return std::clamp(left, state::Duration{ 0 }, kMissedObjectiveMaxWait);
 }
 
+std::optional<state::Duration>
+CallSession::UsefulWait(state::Instant aNow)
+{
+  if (!environment_.policy.boundsWait || objective_ == state::Instant::max()) {
+    return std::nullopt;
+  }
+  const auto service = ServiceTime();
+  return std::max(objective_ - aNow - service - service / 4,
+                  state::Duration{ 0 });
+}
+
 std::optional<LargeAnswer>
 CallSession::ExpectedLargeAnswer(state::Instant aNow)
 {
@@ -361,6 +370,7 @@
     currentEndpoint_, deadline_, carried, retriesPassedDown_, {}
   };
   attempt.maxWait = MaxWait(aNow);
+  attempt.usefulWait = UsefulWait(aNow);
   attempt.largeAnswer = ExpectedLargeAnswer(aNow);
   attempt.isFinalTry = environment_.policy.boundsWait && isFinalTry_;
   if (keyed_) {
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -70,6 +70,9 @@
   std::optional<ClaimTicket> claim;
   /// Longest wait for a slot; if empty, the node beside the upstream decides.
   std::optional<state::Duration> maxWait = std::nullopt;
+  /// The wait after which the answer misses its latency objective; empty if
+  /// there is none.
+  std::optional<state::Duration> usefulWait = std::nullopt;
   /// The caller's deadline leaves no time for another retry, so the request is
   /// served before others.
   bool isFinalTry = false;
@@ -164,6 +167,7 @@
   bool ShouldRetryAnswer(const Answered& aAnswer) const;
   unsigned MaxAttempts() const;
   std::optional<state::Duration> MaxWait(state::Instant aNow);
+  std::optional<state::Duration> UsefulWait(state::Instant aNow);
   std::optional<LargeAnswer> ExpectedLargeAnswer(state::Instant aNow);
   state::Duration ServiceTime();
   void RecordRefusal(const Outcome& aOutcome);
--- a/Libraries/Coordination/Room/NestedRoutes.cpp
+++ b/Libraries/Coordination/Room/NestedRoutes.cpp
@@ -7,8 +7,9 @@
 constexpr std::size_t kMaxRoutes = 1024;
 /// A single request may belong to a run that ended while it was on its way.
 constexpr std::uint32_t kMinClientRequests = 2;
-/// Requests after which the evidence counts half.
-constexpr std::uint32_t kMemoryRequests = 512;
+/// Requests after which the evidence counts half. In a busy period few requests
+/// of clients can be told from nested calls, so it must outlast such a period.
+constexpr std::uint32_t kMemoryRequests = 4096;
 
 } // namespace
 
@@ -27,9 +28,7 @@
   evidence.clientRequests += aMayBeNested ? 0 : 1;
   if (evidence.requests >= kMemoryRequests) {
     evidence.requests /= 2;
-    // Clients that were seen often stay known through a busy period, in which
-    // their requests cannot be told from nested calls.
-    evidence.clientRequests -= evidence.clientRequests / 2;
+    evidence.clientRequests /= 2;
   }
   return aMayBeNested && evidence.clientRequests < kMinClientRequests;
 }
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -23,6 +23,8 @@
 inline constexpr const char* kIdempotent = "Teaselhold-Idempotent";
 /// Milliseconds that a request may wait for a slot beside the upstream.
 inline constexpr const char* kMaxWait = "Teaselhold-Max-Wait-Ms";
+/// Milliseconds of wait after which the answer misses its latency objective.
+inline constexpr const char* kUsefulWait = "Teaselhold-Useful-Wait-Ms";
 /// Expected size of the answer's body, if it is large.
 inline constexpr const char* kAnswerBytes = "Teaselhold-Answer-Bytes";
 /// With the above: milliseconds until the answer must be sent to be useful.
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -89,6 +89,7 @@
                             headers::kOutcome,
                             headers::kReason,
                             headers::kMaxWait,
+                            headers::kUsefulWait,
                             headers::kAnswerBytes,
                             headers::kAnswerTime,
                             headers::kFinalTry }) {
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -168,6 +168,11 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(*aAttempt.maxWait);
     SetHeader(aRequest, headers::kMaxWait, std::to_string(wait.count()));
   }
+  if (aAttempt.usefulWait) {
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+      *aAttempt.usefulWait);
+    SetHeader(aRequest, headers::kUsefulWait, std::to_string(wait.count()));
+  }
   if (aAttempt.largeAnswer) {
     const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
       aAttempt.largeAnswer->maxTime);
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -471,6 +471,10 @@
         ReadNumber<std::uint32_t>(aRequest, headers::kMaxWait)) {
     admission.maxWait = std::chrono::milliseconds(*wait);
   }
+  if (const auto wait =
+        ReadNumber<std::uint32_t>(aRequest, headers::kUsefulWait)) {
+    admission.usefulWait = std::chrono::milliseconds(*wait);
+  }
   return admission;
 }
 
