--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -37,6 +37,10 @@
   /// Rank among the requests that compete for the upstream, 0 first: the
   /// account's, or the route's if the account has none.
   std::uint32_t priority = state::kDefaultPriority;
+  /// If the request starts after this wait, its answer misses the latency
+  /// objective of its route. Within a class, requests that can still meet
+  /// theirs go before those that cannot.
+  std::optional<state::Duration> usefulWait = std::nullopt;
 };
 
 /// Deliver the request now.
@@ -150,6 +154,9 @@
   /// @param aSaysShed the upstream marked the response as shed.
   Outcome ClassifyAnswer(unsigned aStatus, bool aSaysShed) const;
 
+  /// @return the latest deadline of a running request, if any runs.
+  std::optional<state::Instant> LatestRunningDeadline() const;
+
   std::size_t InFlight() const { return running_; }
   std::size_t Waiting() const { return waiting_; }
 
@@ -162,13 +169,19 @@
   {
     AdmissionRequest request;
     state::Instant until{ 0 };
+    /// Latest start with which the answer meets the latency objective.
+    state::Instant usefulUntil = state::Instant::max();
     bool isRunning = false;
   };
   using Queue = boost::intrusive::list<Entry>;
   using Releases = std::vector<AdmissionRelease>;
 
   static std::size_t QueueIndex(const AdmissionRequest& aRequest);
-  state::Duration PredictedWait(std::size_t aQueue, state::Instant aNow) const;
+  static bool IsInTime(const AdmissionRequest& aRequest);
+  static std::size_t CountInTime(const Queue& aQueue, state::Instant aNow);
+  static Entry& NextOf(Queue& aQueue, state::Instant aNow);
+  state::Duration PredictedWait(const AdmissionRequest& aRequest,
+                                state::Instant aNow) const;
   std::optional<NotRunReason> RefusalReason(const AdmissionRequest& aRequest,
                                             state::Instant aNow) const;
   bool HasRoom(const AdmissionRequest& aRequest, state::Instant aNow) const;
--- a/Libraries/Coordination/CallEnvironment.h
+++ b/Libraries/Coordination/CallEnvironment.h
@@ -4,6 +4,7 @@
 #include "Coordination/CallerDeadlines.h"
 #include "Coordination/RetryBudget.h"
 #include "Coordination/Rollouts/RolloutGate.h"
+#include "Coordination/Room/NestedRoutes.h"
 #include "Coordination/RouteAverages.h"
 #include "Coordination/Router.h"
 #include "Coordination/SharedClaimState.h"
@@ -39,6 +40,7 @@
   CallerDeadlines callerDeadlines;
   ServiceTimes serviceTimes;
   AnswerSizes answerSizes;
+  NestedRoutes nestedRoutes;
   Router router;
   /// nullptr if there are no roll-outs.
   RolloutGate* rollouts = nullptr;
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -25,6 +25,9 @@
   state::Instant deadline = state::Instant::max();
   unsigned depth = 0;
   BodySize bodySize = BodySize::Small;
+  /// A request that the upstream beside this node runs expires no earlier, so
+  /// that this one may be a call of it.
+  bool mayBeNested = true;
   /// Retries that this call and all calls below it in the chain may still make
   /// in total.
   unsigned retriesLeft = 2;
@@ -71,6 +74,9 @@
   std::optional<ClaimTicket> claim;
   /// Longest wait for a slot; if empty, the node beside the upstream decides.
   std::optional<state::Duration> maxWait = std::nullopt;
+  /// The wait after which the answer misses its latency objective; empty if
+  /// there is none.
+  std::optional<state::Duration> usefulWait = std::nullopt;
   /// The caller's deadline leaves no time for another retry, so the request is
   /// served before others.
   bool isFinalTry = false;
@@ -175,6 +181,7 @@
   bool ShouldRetryAnswer(const Answered& aAnswer) const;
   unsigned MaxAttempts() const;
   std::optional<state::Duration> MaxWait(state::Instant aNow);
+  std::optional<state::Duration> UsefulWait(state::Instant aNow);
   std::optional<LargeAnswer> ExpectedLargeAnswer(state::Instant aNow);
   state::Duration ServiceTime();
   void RecordRefusal(const Outcome& aOutcome);
