--- a/Tests/Coordination/Quotas/QuotaFleet.cpp
+++ b/Tests/Coordination/Quotas/QuotaFleet.cpp
@@ -102,6 +102,7 @@
 QuotaFleet::List(state::Duration aSpread)
 {
   state::EndpointTable table;
+  const auto listing = ++listing_;
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     if (nodes_[i].quotas != nullptr) {
       state::EndpointRecord record;
@@ -114,8 +115,12 @@
     }
   }
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    OnNode(i, now_ + random_.Between({}, aSpread), [this, i, table] {
-      nodes_[i].quotas->SetNodes(table, now_);
+    const auto taken = now_ + random_.Between({}, aSpread);
+    OnNode(i, taken, [this, i, table, listing] {
+      if (nodes_[i].listing < listing) {
+        nodes_[i].listing = listing;
+        nodes_[i].quotas->SetNodes(table, now_);
+      }
     });
   }
 }
@@ -125,6 +130,7 @@
 {
   auto& node = nodes_[aNode];
   ++node.incarnation;
+  node.listing = 0;
   node.isPaused = false;
   node.held.clear();
   node.quotas = std::make_unique<Quotas>(
--- a/Tests/Coordination/Quotas/QuotaFleet.h
+++ b/Tests/Coordination/Quotas/QuotaFleet.h
@@ -98,6 +98,8 @@
     std::string name;
     std::unique_ptr<coordination::quotas::Quotas> quotas;
     std::uint64_t incarnation = 0;
+    /// The newest listing that it took.
+    std::uint64_t listing = 0;
     bool isPaused = false;
     int group = 0;
     std::map<std::string, std::deque<Instant>> waiters;
@@ -131,6 +133,7 @@
   Network network_;
   state::ConfigurationPointer configuration_;
   std::uint64_t generation_ = 0;
+  std::uint64_t listing_ = 0;
   double notRunShare_ = 0;
   std::map<std::string, Count> counts_;
   std::map<std::string, std::vector<Instant>> runs_;
