--- a/Libraries/Coordination/CallTypes.h
+++ b/Libraries/Coordination/CallTypes.h
@@ -45,9 +45,17 @@
   LinkBusy,
   /// The client account's limit over all nodes is used up.
   QuotaExceeded,
+  /// The route needs the key of a client account.
+  AccountKeyMissing,
+  /// No client account holds the key, or the header that carries it is
+  /// malformed.
+  AccountKeyUnknown,
+  /// This node has not heard recently enough that its configuration is the
+  /// newest, so the key may have been withdrawn.
+  AccountsUnverified,
 };
 
-inline constexpr std::array<state::EnumName<NotRunReason>, 22>
+inline constexpr std::array<state::EnumName<NotRunReason>, 25>
   kNotRunReasonNames{ {
     { NotRunReason::NotReady, "not-ready" },
     { NotRunReason::NoRoute, "no-route" },
@@ -71,6 +79,9 @@
     { NotRunReason::KeyMismatch, "key-mismatch" },
     { NotRunReason::LinkBusy, "link-busy" },
     { NotRunReason::QuotaExceeded, "quota-exceeded" },
+    { NotRunReason::AccountKeyMissing, "account-key-missing" },
+    { NotRunReason::AccountKeyUnknown, "account-key-unknown" },
+    { NotRunReason::AccountsUnverified, "accounts-unverified" },
   } };
 
 /// Reason why the outcome of a request is unknown.
