--- a/Tests/Coordination/Quotas/QuotasLoadTest.cpp
+++ b/Tests/Coordination/Quotas/QuotasLoadTest.cpp
@@ -130,3 +130,182 @@
   CHECK(refused * 1000 <= asked);
   CHECK(messagesPerSecond <= 0.55 * perSecond);
 }
+
+// Guards against credit of the old limit that nodes still use: a limit far
+// below what the account sends binds one window after all nodes know it.
+TEST_CASE("A lowered limit binds after one window", "[quotas]")
+{
+  QuotaFleet fleet(9, 5);
+  fleet.Configure({ Account("account", 300, 300) });
+  fleet.Run(kStartTime);
+  fleet.SpreadLoad("account", 250);
+  fleet.Run(10s);
+  const auto lower = Account("account", 20, 20);
+  fleet.Configure({ lower }, 1s);
+  fleet.Run(1s);
+  const auto known = fleet.Now();
+  fleet.Run(5s);
+  fleet.Take("account");
+  fleet.Run(10s);
+  CHECK(fleet.Excess(lower, known + 5s) <= 0);
+  // The lowered limit is served whole.
+  CHECK(fleet.Take("account").ran >= 190);
+}
+
+TEST_CASE("A raised limit and a removed one take effect at once", "[quotas]")
+{
+  QuotaFleet fleet(9, 6);
+  fleet.Configure({ Account("account", 20, 20) });
+  fleet.Run(kStartTime);
+  fleet.SpreadLoad("account", 200);
+  fleet.Run(10s);
+  CHECK(fleet.Take("account").refused > 1000);
+  fleet.Configure({ Account("account", 400, 400) }, 1s);
+  fleet.Run(3s);
+  fleet.Take("account");
+  fleet.Run(10s);
+  CHECK(fleet.Take("account").refused == 0);
+  auto free = Account("account", 0, 0);
+  fleet.Configure({ free }, 1s);
+  fleet.SpreadLoad("account", 1000);
+  fleet.Run(1s);
+  fleet.Take("account");
+  fleet.Run(5s);
+  CHECK(fleet.Take("account").refused == 0);
+}
+
+// Guards against a gap in which an account within its limit is refused while
+// lenders change: with one lender for an account, its end stopped the account
+// until another lent.
+TEST_CASE("The end of a lender refuses nothing within the limit", "[quotas]")
+{
+  const auto spec = Account("account", 100, 100);
+  for (const bool isInOrder : { false, true }) {
+    QuotaFleet fleet(9, 7);
+    fleet.Configure({ spec });
+    fleet.Run(kStartTime);
+    fleet.SpreadLoad("account", 60);
+    fleet.Run(5s);
+    fleet.Take("account");
+    const auto lender = fleet.Lender("account", 0);
+    REQUIRE(lender);
+    // Its own requests end with it.
+    fleet.SetLoad(*lender, "account", 0);
+    if (isInOrder) {
+      fleet.Leave(*lender);
+    } else {
+      fleet.Kill(*lender);
+    }
+    fleet.Run(1s);
+    fleet.List(500ms);
+    fleet.Run(10s);
+    const auto count = fleet.Take("account");
+    INFO("in order " << isInOrder << " asked " << count.asked << " refused "
+                     << count.refused);
+    CHECK(count.refused * 100 <= count.asked);
+    CHECK(fleet.Excess(spec) <= 0);
+    const auto next = fleet.Lender("account", 0);
+    REQUIRE(next);
+    CHECK(*next != *lender);
+  }
+}
+
+// Guards against a lender that was suspended and goes on lending credit that
+// its successor lends too.
+TEST_CASE("A paused lender does not lend when it goes on", "[quotas]")
+{
+  const auto spec = Account("account", 100, 100);
+  QuotaFleet fleet(9, 8);
+  fleet.Configure({ spec });
+  fleet.Run(kStartTime);
+  const auto lender = fleet.Lender("account", 1);
+  REQUIRE(lender);
+  fleet.Pause(*lender);
+  fleet.SpreadLoad("account", 750);
+  fleet.Run(6s);
+  const auto next = fleet.Lender("account", 1);
+  fleet.Resume(*lender);
+  CHECK(fleet.DoubleLent() == 0);
+  fleet.Run(10s);
+  REQUIRE(next);
+  CHECK(fleet.DoubleLent() == 0);
+  CHECK(fleet.Excess(spec) <= 0);
+}
+
+// Guards against nodes that serve an account on both sides of a cut.
+TEST_CASE("A cut does not raise the limit", "[quotas]")
+{
+  const auto spec = Account("account", 100, 100);
+  QuotaFleet fleet(9, 9);
+  fleet.Configure({ spec });
+  fleet.Run(kStartTime);
+  fleet.SpreadLoad("account", 750);
+  fleet.Run(3s);
+  for (std::size_t node = 0; node < 4; ++node) {
+    fleet.SetGroup(node, 1);
+  }
+  fleet.Run(10s);
+  CHECK(fleet.Excess(spec) <= 0);
+  for (std::size_t node = 0; node < 4; ++node) {
+    fleet.SetGroup(node, 0);
+  }
+  fleet.Take("account");
+  fleet.Run(10s);
+  CHECK(fleet.Excess(spec) <= 0);
+  CHECK(fleet.Take("account").ran >= 950);
+}
+
+// Guards against a fleet that refuses accounts within their limits for long
+// after all of its nodes were restarted.
+TEST_CASE("Credit is lent again within seconds of a restart of all nodes",
+          "[quotas]")
+{
+  const auto specs = ManyAccounts(30);
+  QuotaFleet fleet(30, 10);
+  fleet.Configure(specs);
+  fleet.Run(kStartTime);
+  for (const auto& spec : specs) {
+    fleet.SpreadLoad(spec.name, spec.requestsPerSecond * 0.6);
+  }
+  fleet.Run(5s);
+  for (std::size_t node = 0; node < 30; ++node) {
+    fleet.Kill(node);
+  }
+  fleet.Run(1s);
+  for (std::size_t node = 0; node < 30; ++node) {
+    fleet.Start(node);
+  }
+  fleet.List(300ms);
+  fleet.Run(4s);
+  for (const auto& spec : specs) {
+    fleet.Take(spec.name);
+  }
+  fleet.Run(5s);
+  std::uint64_t asked = 0;
+  std::uint64_t refused = 0;
+  for (const auto& spec : specs) {
+    const auto count = fleet.Take(spec.name);
+    asked += count.asked;
+    refused += count.refused;
+    CHECK(fleet.Excess(spec) <= 0);
+  }
+  INFO("asked " << asked << " refused " << refused);
+  CHECK(refused * 50 <= asked);
+}
+
+// Guards against credit that is used up by requests that never ran.
+TEST_CASE("Requests that did not run give their credit back", "[quotas]")
+{
+  const auto spec = Account("account", 50, 50);
+  QuotaFleet fleet(9, 11);
+  fleet.Configure({ spec });
+  fleet.SetNotRunShare(0.6);
+  fleet.Run(kStartTime);
+  fleet.SpreadLoad("account", 110);
+  fleet.Run(20s);
+  const auto count = fleet.Take("account");
+  INFO("asked " << count.asked << " refused " << count.refused);
+  // 44 of the 110 run each second.
+  CHECK(count.refused * 100 <= count.asked);
+  CHECK(fleet.Excess(spec) <= 0);
+}
