--- a/Services/teaselholdd/MetricsSource.cpp
+++ b/Services/teaselholdd/MetricsSource.cpp
@@ -11,6 +11,7 @@
   copy.dataCentre = settings_.dataCentre;
   copy.region = settings_.region;
   copy.calls = callMetrics_.Snapshot();
+  copy.quotas = dataPlane_.Quotas();
   copy.control = controlPlane_.Counters();
   copy.store = controlPlane_.StoreCalls();
   copy.fleet = controlPlane_.LocalStatus();
--- a/Services/teaselholdd/MetricsSource.h
+++ b/Services/teaselholdd/MetricsSource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Services/teaselholdd/ControlPlane.h"
+#include "Services/teaselholdd/DataPlane.h"
 #include "Services/teaselholdd/MetricsText.h"
 
 namespace teaselhold::daemon {
@@ -12,9 +13,11 @@
   /// All arguments must outlive this object.
   MetricsSource(const Settings& aSettings,
                 ControlPlane& aControlPlane,
+                const DataPlane& aDataPlane,
                 const coordination::CallMetrics& aCallMetrics)
     : settings_(aSettings)
     , controlPlane_(aControlPlane)
+    , dataPlane_(aDataPlane)
     , callMetrics_(aCallMetrics)
   {
   }
@@ -25,6 +28,7 @@
 private:
   const Settings& settings_;
   ControlPlane& controlPlane_;
+  const DataPlane& dataPlane_;
   const coordination::CallMetrics& callMetrics_;
 };
 
--- a/Services/teaselholdd/MetricsText.cpp
+++ b/Services/teaselholdd/MetricsText.cpp
@@ -44,6 +44,7 @@
                  "Requests of other nodes refused beside the upstream.",
                  metrics_.calls.refused,
                  kNotRunReasonNames);
+    WriteQuotas();
     WriteControl();
     WriteStore();
     WriteVersions();
@@ -161,6 +162,37 @@
     }
   }
 
+  void WriteQuotas()
+  {
+    constexpr std::string_view kName = "teaselhold_quota_requests_total";
+    const auto& quotas = metrics_.quotas;
+    writer_.Family(kName,
+                   "counter",
+                   "Requests of limited client accounts at this node, by what "
+                   "the limit over all nodes decided.");
+    for (const auto& [account, counts] : quotas.accounts) {
+      const auto sample = [&](const char* aDecision, std::uint64_t aCount) {
+        Sample(
+          kName, { { "account", account }, { "decision", aDecision } }, aCount);
+      };
+      // An account that was not seen gets no row.
+      if (counts.granted + counts.refused > 0) {
+        sample("granted", counts.granted);
+        sample("refused", counts.refused);
+      }
+    }
+    writer_.Family("teaselhold_quota_positions_lent",
+                   "gauge",
+                   "Positions for which this node lends credit.");
+    Sample("teaselhold_quota_positions_lent", {}, quotas.positionsLent);
+    Counter("teaselhold_quota_messages_total",
+            "Messages about quotas sent to other nodes.",
+            quotas.messages);
+    Counter("teaselhold_quota_failed_messages_total",
+            "Messages about quotas that got no answer.",
+            quotas.failedMessages);
+  }
+
   void WriteControl()
   {
     const auto& control = metrics_.control;
--- a/Services/teaselholdd/MetricsText.h
+++ b/Services/teaselholdd/MetricsText.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/CallMetrics.h"
 #include "Coordination/NodeEvents.h"
+#include "Services/teaselholdd/QuotaExchange.h"
 #include "Services/teaselholdd/StoreWorker.h"
 #include "Transport/ControlChannel.h"
 
@@ -17,6 +18,7 @@
   std::string dataCentre;
   std::string region;
   coordination::CallMetricsSnapshot calls;
+  QuotaMetrics quotas;
   transport::ControlCounters control;
   StoreCounters store;
   coordination::FleetStatus fleet;
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -193,7 +193,8 @@
       return FailStart(started.error());
     }
   }
-  const daemon::MetricsSource metrics(settings, *controlPlane, callMetrics);
+  const daemon::MetricsSource metrics(
+    settings, *controlPlane, dataPlane, callMetrics);
   std::unique_ptr<daemon::AdminServer> admin;
   if (!settings.adminAddress.empty()) {
     auto server = daemon::AdminServer::Listen(
--- a/Tests/Services/teaselholdd/MetricsTextTest.cpp
+++ b/Tests/Services/teaselholdd/MetricsTextTest.cpp
@@ -61,6 +61,21 @@
   CHECK(HasLine(text, name + "_sum{" + labels + "} 0.0023"));
 }
 
+TEST_CASE("an account's quota decisions are told by account")
+{
+  auto metrics = MakeMetrics();
+  metrics.quotas.accounts["account-1"] = { 12, 3 };
+  metrics.quotas.accounts["unseen"] = {};
+  metrics.quotas.positionsLent = 2;
+  const auto text = FormatMetrics(metrics);
+  CAPTURE(text);
+  const std::string name = "teaselhold_quota_requests_total";
+  CHECK(HasLine(text, name + R"({account="account-1",decision="granted"} 12)"));
+  CHECK(HasLine(text, name + R"({account="account-1",decision="refused"} 3)"));
+  CHECK(text.find("unseen") == std::string::npos);
+  CHECK(HasLine(text, "teaselhold_quota_positions_lent 2"));
+}
+
 TEST_CASE("outcomes, reasons and refusals are not lost from the exposition")
 {
   const auto text = FormatMetrics(MakeMetrics());
