--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -76,6 +76,9 @@
   bool isFinalTry = false;
   /// Empty if the answer is expected to be small.
   std::optional<LargeAnswer> largeAnswer = std::nullopt;
+  /// The order of the service's roll-out that this node knows; 0 if there is
+  /// none.
+  std::uint64_t rolloutOrder = 0;
 };
 
 /// Send the response to the caller.
@@ -178,6 +181,8 @@
   void SpendRetry(state::Instant aNow);
   TransferSizes Sizes() const;
   EndpointPointer PickNext(state::Instant aNow);
+  EndpointPointer PickVersion(state::Instant aNow);
+  void RecordArrival(const Outcome& aOutcome);
   CallStep Send(state::Instant aNow);
   void ReclaimRetries(const Outcome& aOutcome, unsigned aReturnedRetries);
   void ReleaseEndpoint();
@@ -221,6 +226,8 @@
   ClaimBinding binding_;
   bool mayStart_ = false;
   std::uint64_t keyHash_ = 0;
+  /// The attempt in flight was taken from the share of a roll-out.
+  bool isRolloutShare_ = false;
 };
 
 } // namespace teaselhold::coordination
