Accounts: Verify keys by attestations that the configuration is the newest

Change: each linearizable read of the store attests, as of its sending, that the version it saw is the newest.

Ruled out: watches (they can miss changes while the store drops its history), stale reads, one-way messages (they can be delayed).

--- a/Libraries/Coordination/ConfigurationWatch.cpp
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -54,6 +54,9 @@
                                       checkInterval_ + checkInterval_ / 4);
   readCall_ = numbers_.Next();
   isVersionCheck_ = true;
+  readSent_ = aNow;
+  checkedRevision_ = revision_;
+  checkedGeneration_ = InForceAt(revision_);
   aCommands.push_back(CallStore{
     readCall_, StoreGetIfChanged{ protocol::kConfigurationKey, revision_ } });
 }
@@ -65,6 +68,7 @@
   if (isFullReadDue_ && readCall_ == 0 && aNow >= nextRead_) {
     readCall_ = numbers_.Next();
     isVersionCheck_ = false;
+    readSent_ = aNow;
     aCommands.push_back(
       CallStore{ readCall_, StoreGet{ protocol::kConfigurationKey } });
   }
@@ -72,6 +76,7 @@
     return;
   }
   watchCall_ = numbers_.Next();
+  watchSent_ = aNow;
   aCommands.push_back(CallStore{
     watchCall_,
     StoreWatch{ protocol::kConfigurationKey, revision_, kMaxWatchWait } });
@@ -106,6 +111,10 @@
     aNow + (isChanged && !isFirst ? pauseAfterChange_ : state::Duration{ 0 });
   if (isChanged) {
     OnStoredValue(*entry, aCommands);
+    if (isFirst) {
+      // It was read; a watch may miss changes, and attests nothing.
+      Attest(InForceAt(entry->revision), watchSent_);
+    }
   } else if (entry->revision == 0) {
     nextWatch_ = aNow + kInitialStoreRetryDelay;
   }
@@ -130,6 +139,26 @@
     isFullReadDue_ && entry->revision <= revision_ && isVersionCheck_;
   if (entry->revision > revision_) {
     OnStoredValue(*entry, aCommands);
+    Attest(InForceAt(entry->revision), readSent_);
+  } else if (!isVersionCheck_) {
+    Attest(InForceAt(entry->revision), readSent_);
+  } else if (entry->revision == checkedRevision_) {
+    Attest(checkedGeneration_, readSent_);
+  }
+}
+
+state::Generation
+ConfigurationWatch::InForceAt(std::uint64_t aRevision) const
+{
+  const bool isInForce = active_ != nullptr && activeRevision_ == aRevision;
+  return isInForce ? active_->GetGeneration() : 0;
+}
+
+void
+ConfigurationWatch::Attest(state::Generation aGeneration, state::Instant aSent)
+{
+  if (aGeneration != 0) {
+    attestation_ = Attestation{ aGeneration, aSent };
   }
 }
 
@@ -147,6 +176,9 @@
   }
   revision_ = std::max(revision_, newest->storeRevision);
   Activate(newest->text, newest->generation, aCommands);
+  if (active_->GetGeneration() == newest->generation) {
+    activeRevision_ = newest->storeRevision;
+  }
 }
 
 void
@@ -170,6 +202,8 @@
   if (active_ != nullptr && generation <= active_->GetGeneration()) {
     if (generation < active_->GetGeneration()) {
       Refuse(generation, "older than the version in force", aCommands);
+    } else if (stored.text() == active_->Text()) {
+      activeRevision_ = aEntry.revision;
     }
     return;
   }
@@ -177,6 +211,7 @@
   if (active_ == nullptr || active_->GetGeneration() != generation) {
     return;
   }
+  activeRevision_ = aEntry.revision;
   for (const auto& note : stored.notes()) {
     aCommands.push_back(WriteLog{
       LogLevel::Warning,
--- a/Libraries/Coordination/ConfigurationWatch.h
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -54,6 +54,12 @@
   /// Processes a value of the configuration's key.
   void OnStoredValue(const protocol::StoreEntry& aEntry, Commands& aCommands);
 
+  /// Returns what the last linearizable read said of the newest version, once.
+  std::optional<Attestation> TakeAttestation()
+  {
+    return std::exchange(attestation_, std::nullopt);
+  }
+
   /// @return nullptr until a version is in force.
   const state::ConfigurationPointer& Active() const { return active_; }
 
@@ -67,6 +73,11 @@
               std::string aReason,
               Commands& aCommands);
 
+  /// The generation of the stored value that has this revision, if it is in
+  /// force; a refused value may withdraw keys and attests nothing.
+  state::Generation InForceAt(std::uint64_t aRevision) const;
+  void Attest(state::Generation aGeneration, state::Instant aSent);
+
   void OnRead(const StoreResult& aResult,
               state::Instant aNow,
               Commands& aCommands);
@@ -87,6 +98,11 @@
   /// The pending read is a check for a newer version rather than a full read.
   bool isVersionCheck_ = false;
   bool isFullReadDue_ = false;
+  /// When the pending read and watch were sent, and what the read knew then.
+  state::Instant readSent_{ 0 };
+  state::Instant watchSent_{ 0 };
+  std::uint64_t checkedRevision_ = 0;
+  state::Generation checkedGeneration_ = 0;
   state::Instant nextRead_{ 0 };
   Backoff readBackoff_{ kInitialStoreRetryDelay, kMaxStoreRetryDelay };
   RandomSource& random_;
@@ -95,6 +111,9 @@
   std::uint64_t revision_ = 0;
   bool isStoreReachable_ = false;
   state::ConfigurationPointer active_;
+  /// The revision of the stored value that is in force.
+  std::uint64_t activeRevision_ = 0;
+  std::optional<Attestation> attestation_;
   state::Generation refusedGeneration_ = 0;
   std::string refusedReason_;
 };
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -67,6 +67,7 @@
   , gate_(callNumbers_, random_)
   , configuration_(callNumbers_, random_)
   , apply_(callNumbers_)
+  , keyVerification_(options_.strictRevokeBound, random_)
   , follower_(callNumbers_,
               random_,
               PercentOf(options_.applyBound, kFollowerPausePercent))
@@ -104,6 +105,9 @@
     OnCrash(crash->fingerprint);
   } else if (const auto* seen = std::get_if<PeerVersionSeen>(&aEvent)) {
     peerVersions_.OnSeen(seen->generation, aNow);
+    if (seen->attestation) {
+      keyVerification_.Add(*seen->attestation);
+    }
   } else if (const auto* reader = std::get_if<ReaderAnswered>(&aEvent)) {
     readers_.OnAnswer(*reader, aNow);
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
@@ -116,6 +120,7 @@
   SelectConfigurationSource(aNow, commands);
   CheckAfterPeers(aNow);
   FollowChanges(aNow, commands);
+  VerifyKeys(aNow, commands);
   configuration_.Tick(aNow, commands);
   publisher_.Tick(aNow, commands);
   directory_.Tick(aNow, commands);
@@ -214,6 +219,21 @@
   }
 }
 
+void
+DirectCore::VerifyKeys(state::Instant aNow, Commands& aCommands)
+{
+  if (options_.strictRevokeBound == state::Duration{ 0 }) {
+    return;
+  }
+  if (const auto attestation = configuration_.TakeAttestation()) {
+    keyVerification_.Add(*attestation);
+    aCommands.push_back(ShareAttestation{ *attestation });
+  }
+  if (keyVerification_.Tick(configuration_.Active(), aNow, aCommands)) {
+    configuration_.CheckNow(aNow);
+  }
+}
+
 void
 DirectCore::FollowChanges(state::Instant aNow, Commands& aCommands)
 {
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/Accounts/KeyVerification.h"
 #include "Coordination/ChangeFollower.h"
 #include "Coordination/ChangePublisher.h"
 #include "Coordination/ConfigurationWatch.h"
@@ -56,6 +57,7 @@
   void SelectConfigurationSource(state::Instant aNow, Commands& aCommands);
   state::Duration PollInterval(state::Instant aNow) const;
   void CheckAfterPeers(state::Instant aNow);
+  void VerifyKeys(state::Instant aNow, Commands& aCommands);
   void PublishChange(state::ConfigurationPointer aPrevious);
   void FollowChanges(state::Instant aNow, Commands& aCommands);
   void Publish(Commands& aCommands);
@@ -68,6 +70,7 @@
   ConfigurationWatch configuration_;
   DirectApply apply_;
   PeerVersions peerVersions_;
+  KeyVerification keyVerification_;
   ChangeFollower follower_;
   ChangePublisher publisher_;
   ReaderMonitor readers_;
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/Accounts/Attestations.h"
 #include "Coordination/RoutingSnapshot.h"
 #include "Protocol/StoreClient.h"
 #include "State/EndpointRecord.h"
@@ -100,6 +101,8 @@
 struct PeerVersionSeen
 {
   state::Generation generation;
+  /// The latest that was heard of a newest version, if nodes tell it.
+  std::optional<Attestation> attestation = std::nullopt;
 };
 
 struct ApplyRequested
@@ -229,6 +232,13 @@
   ReaderRole role;
 };
 
+/// A read of the store showed which version is the newest, for requests with
+/// keys and for other nodes.
+struct ShareAttestation
+{
+  Attestation attestation;
+};
+
 struct PublishSnapshot
 {
   RoutingSnapshotPointer snapshot;
@@ -287,7 +297,8 @@
                              DepartureSaved,
                              RestoreUpstream,
                              AskReader,
-                             SetReaderRole>;
+                             SetReaderRole,
+                             ShareAttestation>;
 using Commands = std::vector<Command>;
 
 /// The name, location and addresses of this node, from its settings.
@@ -315,6 +326,9 @@
   /// Every node must have a configuration version in force within this time of
   /// its acknowledgement.
   state::Duration applyBound{ std::chrono::seconds(2) };
+  /// A withdrawn key opens nothing later than this after the acknowledgement,
+  /// also while this node cannot reach the store; 0 if applyBound is enough.
+  state::Duration strictRevokeBound{ 0 };
 };
 
 /// The state of one node as `teaselctl status` shows it.
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -9,6 +9,10 @@
 inline constexpr const char* kReason = "Teaselhold-Reason";
 /// The configuration generation that routed the request.
 inline constexpr const char* kGeneration = "Teaselhold-Generation";
+/// In answers between nodes, where keys have to be verified: a generation, ";"
+/// and the milliseconds from the time at which it was the newest to the arrival
+/// of the request, negative if that arrived first.
+inline constexpr const char* kNewest = "Teaselhold-Newest";
 inline constexpr const char* kTenant = "Teaselhold-Tenant";
 /// The key of the caller's client account, where callers need one.
 inline constexpr const char* kAccountKey = "Teaselhold-Key";
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -132,6 +132,7 @@
   , adapters_(aAdapters)
   , clock_(aClock)
   , upstreamSide_(aUpstreamSide)
+  , versions_(aVersions)
   , callMetrics_(aCallMetrics)
   , hop_(aContext, aSettings, aClock, aIncarnation, aUpstreamSide, aVersions)
   , store_(aContext, aAdapters.store)
@@ -371,6 +372,8 @@
     return NotRunReason::NoRoute;
   }
   keyFacts.mayBeNested = upstreamSide_.InFlight() > 0;
+  keyFacts.isVerified =
+    versions_.MayUseKeys(configuration.GetGeneration(), clock_.Now());
   const auto account = CheckKey(configuration, *route, keyFacts);
   if (!account) {
     return account.error();
@@ -513,6 +516,7 @@
   }
   RemoveHopHeaders(response);
   response.erase(headers::kRequestId);
+  response.erase(headers::kNewest);
   FinishAnswer(response, aRespond.outcome);
   SetHeader(
     response, headers::kRetriesLeft, std::to_string(aRespond.retriesLeft));
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -89,6 +89,7 @@
   const Adapters& adapters_;
   const Clock& clock_;
   UpstreamSide& upstreamSide_;
+  const VersionExchange& versions_;
   coordination::CallMetrics& callMetrics_;
   NodeHop hop_;
   StoreCalls store_;
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -32,6 +32,9 @@
                        CapacityOf(aSettings) };
   options.seeds = aSettings.seeds;
   options.applyBound = aSettings.applyBound;
+  if (aSettings.revokesStrictly) {
+    options.strictRevokeBound = aSettings.revokeBound;
+  }
   options.randomSeed =
     aIncarnation ^ std::hash<std::string>()(aSettings.nodeName);
   return options;
@@ -87,6 +90,10 @@
   {
     plane.sinks_.setReaderRole(aCommand.role);
   }
+  void operator()(const ShareAttestation& aCommand) const
+  {
+    plane.sinks_.attested(aCommand.attestation);
+  }
   void operator()(const FinishApply& aCommand) const
   {
     const std::lock_guard lock(plane.appliesMutex_);
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -32,6 +32,7 @@
     std::function<void(const coordination::RestoreUpstream&)> restoreUpstream;
     std::function<void(const coordination::AskReader&)> askReader;
     std::function<void(coordination::ReaderRole)> setReaderRole;
+    std::function<void(const coordination::Attestation&)> attested;
   };
 
   ControlPlane(const Settings& aSettings,
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -37,6 +37,13 @@
 /// A node has thousands of peers, but few of them send at the same time.
 constexpr std::size_t kMaxConnections = 4096;
 
+KeyRule
+MakeKeyRule(const Settings& aSettings)
+{
+  return { aSettings.revokesStrictly ? state::Duration(aSettings.revokeBound)
+                                     : state::Duration{ 0 } };
+}
+
 } // namespace
 
 DataPlane::DataPlane(const Settings& aSettings,
@@ -56,7 +63,7 @@
   , link_(std::make_shared<OutgoingLink>(context_,
                                          aClock,
                                          LinkBytesPerSecond(settings_)))
-  , versions_(aClock, std::move(aVersionSink))
+  , versions_(aClock, MakeKeyRule(settings_), std::move(aVersionSink))
   , departures_(context_, std::move(aDepartureSink))
   , replicator_(context_, settings_, aIncarnation, departures_)
   , readers_(context_, std::move(aReaderSink))
@@ -251,6 +258,12 @@
   asio::post(context_, [this, aRole] { readers_.SetRole(aRole); });
 }
 
+void
+DataPlane::OnAttested(const Attestation& aAttestation)
+{
+  asio::post(context_, [this, aAttestation] { versions_.Add(aAttestation); });
+}
+
 void
 DataPlane::TakeSettings(const Settings& aSettings)
 {
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -43,6 +43,9 @@
   void AskReader(coordination::AskReader aQuestion);
   void SetReaderRole(coordination::ReaderRole aRole);
 
+  /// Takes what a read of the store said. Safe on any thread.
+  void OnAttested(const coordination::Attestation& aAttestation);
+
   /// Takes the settings that a running process can take. Must be called on the
   /// thread that calls DrainAndStop.
   void TakeSettings(const Settings& aSettings);
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -103,6 +103,7 @@
   for (const auto* name : { headers::kOutcome,
                             headers::kReason,
                             headers::kGeneration,
+                            headers::kNewest,
                             headers::kRequestId,
                             headers::kLoad,
                             headers::kRetryAfter }) {
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -95,6 +95,7 @@
   const auto id = idPrefix_ + std::to_string(nextRequest_++);
   SetHeader(aRequest, headers::kRequestId, id);
   versions_.Tell(aRequest);
+  const auto sent = clock_.Now();
   local_.RecordSent(aRequest.body().size());
   if (aRequest.body().size() >= kOfferedBytes) {
     // A refusal then costs none of the body's bytes.
@@ -123,6 +124,7 @@
     pool_.CloseIdle(aAttempt.endpoint->dataAddress);
     co_return Exchange{ Unknown{ UnknownReason::CrossedAnswer }, {}, 0 };
   }
+  versions_.LearnAttested(*answer, sent);
   versions_.Learn(*answer);
   const auto outcome = ReadOutcome(*answer);
   co_return Exchange{ outcome, std::move(*answer), 0 };
--- a/Services/teaselholdd/SettingsCheck.cpp
+++ b/Services/teaselholdd/SettingsCheck.cpp
@@ -81,6 +81,9 @@
       CheckAdmin();
     }
     CheckRelay();
+    if (settings_.revokesStrictly) {
+      CheckStrictRevocation();
+    }
     return std::move(findings_);
   }
 
@@ -178,6 +181,24 @@
     }
   }
 
+  void CheckStrictRevocation()
+  {
+    const auto line = LineOf("accounts", "revoke_strictly");
+    if (settings_.revokeBound.count() == 0) {
+      findings_.errors.push_back(
+        { ProtocolErrorCode::InvalidValue,
+          line,
+          "\"revoke_strictly = yes\" needs \"revoke_bound\"" });
+    }
+    // Only there do nodes tell each other how recent their configuration is.
+    if (settings_.distribution == DistributionMode::Relay) {
+      findings_.errors.push_back(
+        { ProtocolErrorCode::InvalidValue,
+          line,
+          "\"revoke_strictly = yes\" needs \"distribution = direct\"" });
+    }
+  }
+
   void CheckAdmin()
   {
     if (!IsLoopback(
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -435,6 +435,7 @@
   }
   SetHeader(aExchange.response, headers::kLoad, FormatLoadReport(report));
   versions_.Tell(aExchange.response);
+  versions_.TellAttested(aExchange.response, aArrived);
 }
 
 void
--- a/Services/teaselholdd/VersionExchange.cpp
+++ b/Services/teaselholdd/VersionExchange.cpp
@@ -12,6 +12,22 @@
 
 constexpr state::Duration kReportInterval = std::chrono::seconds(1);
 
+/// Reads milliseconds, which may be negative. Longer ages than a day, in either
+/// direction, are no ages.
+std::optional<std::chrono::milliseconds>
+ParseAge(std::string_view aText)
+{
+  constexpr std::chrono::milliseconds kMaxAge = std::chrono::hours(24);
+  const bool isNegative = aText.starts_with('-');
+  const auto number =
+    ParseNumber<std::uint32_t>(aText.substr(isNegative ? 1 : 0));
+  if (!number || *number > kMaxAge.count()) {
+    return std::nullopt;
+  }
+  const std::chrono::milliseconds age(*number);
+  return isNegative ? -age : age;
+}
+
 } // namespace
 
 void
@@ -40,7 +56,36 @@
   }
   newest_ = std::max(newest_, *generation);
   nextReport_ = now + kReportInterval;
-  sink_(newest_);
+  sink_({ newest_, attestations_.Latest() });
+}
+
+void
+VersionExchange::TellAttested(HttpFields& aAnswer,
+                              state::Instant aArrived) const
+{
+  const auto report = attestations_.Report(aArrived);
+  if (keyRule_.IsStrict() && report) {
+    SetHeader(aAnswer,
+              headers::kNewest,
+              std::to_string(report->generation) + ";" +
+                std::to_string(report->age.count()));
+  }
+}
+
+void
+VersionExchange::LearnAttested(const HttpFields& aAnswer, state::Instant aSent)
+{
+  const auto text = ReadHeader(aAnswer, headers::kNewest);
+  const auto separator = text.find(';');
+  if (!keyRule_.IsStrict() || separator == std::string_view::npos) {
+    return;
+  }
+  const auto generation =
+    ParseNumber<state::Generation>(text.substr(0, separator));
+  const auto age = ParseAge(text.substr(separator + 1));
+  if (generation && age) {
+    attestations_.Learn({ *generation, *age }, aSent);
+  }
 }
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/VersionExchange.h
+++ b/Services/teaselholdd/VersionExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/NodeEvents.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/HttpHeaders.h"
 #include "State/Configuration.h"
@@ -11,16 +12,21 @@
 
 /// Tells other nodes in each message the newest configuration generation that
 /// this node knows, in force here or learnt from them, so that the number
-/// spreads faster than the version itself. Used on the data thread.
+/// spreads faster than the version itself. Where keys have to be verified,
+/// answers also tell how long ago which version was the newest, so that few
+/// reads of the store serve all nodes. Used on the data thread.
 class VersionExchange
 {
 public:
-  /// Called with the newest generation that other nodes know: at once when it
-  /// rises, and otherwise about once a second while messages arrive.
-  using Sink = std::function<void(state::Generation)>;
+  /// Called with what other nodes know: at once when the generation rises, and
+  /// otherwise about once a second while messages arrive.
+  using Sink = std::function<void(const coordination::PeerVersionSeen&)>;
 
-  VersionExchange(const Clock& aClock, Sink aSink)
+  VersionExchange(const Clock& aClock,
+                  coordination::KeyRule aKeyRule,
+                  Sink aSink)
     : clock_(aClock)
+    , keyRule_(aKeyRule)
     , sink_(std::move(aSink))
   {
   }
@@ -34,8 +40,30 @@
   /// Takes what a message from another node says.
   void Learn(const HttpFields& aMessage);
 
+  /// Takes what a read of this node said of the newest version.
+  void Add(const coordination::Attestation& aAttestation)
+  {
+    attestations_.Add(aAttestation);
+  }
+
+  /// Writes into an answer which version was the newest.
+  void TellAttested(HttpFields& aAnswer, state::Instant aArrived) const;
+
+  /// Takes what another node's answer says of it. One-way messages may have
+  /// been delayed and say nothing about it.
+  /// @param aSent when the request was sent.
+  void LearnAttested(const HttpFields& aAnswer, state::Instant aSent);
+
+  /// @param aActive the generation in force.
+  bool MayUseKeys(state::Generation aActive, state::Instant aNow) const
+  {
+    return keyRule_.MayUseKeys(attestations_, aActive, aNow);
+  }
+
 private:
   const Clock& clock_;
+  coordination::KeyRule keyRule_;
+  coordination::Attestations attestations_;
   Sink sink_;
   state::Generation newest_ = 0;
   state::Instant nextReport_{ 0 };
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -161,8 +161,8 @@
     [&](std::uint64_t aFingerprint) {
       controlPlane->Post(coordination::CrashObserved{ aFingerprint });
     },
-    [&](state::Generation aGeneration) {
-      controlPlane->Post(coordination::PeerVersionSeen{ aGeneration });
+    [&](const coordination::PeerVersionSeen& aSeen) {
+      controlPlane->Post(aSeen);
     },
     [&](coordination::ReaderAnswered aAnswer) { controlPlane->Post(aAnswer); },
     callMetrics);
@@ -185,8 +185,9 @@
       [&](const coordination::AskReader& aQuestion) {
         dataPlane.AskReader(aQuestion);
       },
-      [&](coordination::ReaderRole aRole) {
-        dataPlane.SetReaderRole(aRole);
+      [&](coordination::ReaderRole aRole) { dataPlane.SetReaderRole(aRole); },
+      [&](const coordination::Attestation& aAttestation) {
+        dataPlane.OnAttested(aAttestation);
       } });
   for (const auto& started : { dataPlane.Start(), controlPlane->Start() }) {
     if (!started) {
