--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -10,6 +10,7 @@
 #include "Coordination/NodeDirectory.h"
 #include "Coordination/NodeRegistration.h"
 #include "Coordination/ReaderMonitor.h"
+#include "Coordination/Rollouts/RolloutKeeper.h"
 #include "Coordination/StoreCircuitBreaker.h"
 #include "Coordination/Versions/PeerVersions.h"
 
@@ -78,6 +79,7 @@
   NodeRegistration registration_;
   DepartureLog departures_;
   CrashGuard crashGuard_;
+  RolloutKeeper rollouts_;
   state::ConfigurationPointer published_;
   std::optional<state::Instant> startTime_;
   bool isRestored_ = false;
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/Accounts/Attestations.h"
+#include "Coordination/Rollouts/RolloutBook.h"
 #include "Coordination/RoutingSnapshot.h"
 #include "Protocol/StoreClient.h"
 #include "State/EndpointRecord.h"
@@ -10,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 #include <variant>
@@ -105,6 +107,15 @@
   std::optional<Attestation> attestation = std::nullopt;
 };
 
+/// What the data plane knows of roll-outs, learnt from other nodes and judged
+/// from the answers of upstreams.
+struct RolloutsSeen
+{
+  std::vector<Rollout> rollouts;
+  /// The services whose target version this node found good.
+  std::set<std::string> proven;
+};
+
 struct ApplyRequested
 {
   std::uint64_t id;
@@ -128,6 +139,7 @@
                            CrashObserved,
                            PeerVersionSeen,
                            ReaderAnswered,
+                           RolloutsSeen,
                            ApplyRequested,
                            StatusRequested>;
 
@@ -239,6 +251,12 @@
   Attestation attestation;
 };
 
+/// What the control plane knows of roll-outs.
+struct SetRollouts
+{
+  std::vector<Rollout> rollouts;
+};
+
 struct PublishSnapshot
 {
   RoutingSnapshotPointer snapshot;
@@ -298,7 +316,8 @@
                              RestoreUpstream,
                              AskReader,
                              SetReaderRole,
-                             ShareAttestation>;
+                             ShareAttestation,
+                             SetRollouts>;
 using Commands = std::vector<Command>;
 
 /// The name, location and addresses of this node, from its settings.
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -94,6 +94,10 @@
   {
     plane.sinks_.attested(aCommand.attestation);
   }
+  void operator()(const SetRollouts& aCommand) const
+  {
+    plane.sinks_.setRollouts(aCommand);
+  }
   void operator()(const FinishApply& aCommand) const
   {
     const std::lock_guard lock(plane.appliesMutex_);
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -92,7 +92,10 @@
                             headers::kMaxWait,
                             headers::kAnswerBytes,
                             headers::kAnswerTime,
-                            headers::kFinalTry }) {
+                            headers::kFinalTry,
+                            headers::kRolloutOrder,
+                            headers::kRouteLabel,
+                            headers::kRollouts }) {
     aFields.erase(name);
   }
 }
@@ -106,7 +109,9 @@
                             headers::kNewest,
                             headers::kRequestId,
                             headers::kLoad,
-                            headers::kRetryAfter }) {
+                            headers::kRetryAfter,
+                            headers::kRollouts,
+                            headers::kEvidence }) {
     aFields.erase(name);
   }
 }
--- a/Services/teaselholdd/VersionExchange.h
+++ b/Services/teaselholdd/VersionExchange.h
@@ -3,6 +3,7 @@
 #include "Coordination/NodeEvents.h"
 #include "Services/teaselholdd/Clock.h"
 #include "Services/teaselholdd/HttpHeaders.h"
+#include "Services/teaselholdd/RolloutExchange.h"
 #include "State/Configuration.h"
 
 #include <functional>
@@ -25,13 +26,19 @@
 
   VersionExchange(const Clock& aClock,
                   coordination::KeyRule aKeyRule,
-                  Sink aSink)
+                  Sink aSink,
+                  coordination::RolloutGateOptions aRollouts,
+                  RolloutExchange::Sink aRolloutSink)
     : clock_(aClock)
     , keyRule_(aKeyRule)
     , sink_(std::move(aSink))
+    , rollouts_(aClock, aRollouts, std::move(aRolloutSink))
   {
   }
 
+  /// The software versions that services move to, told in the same messages.
+  RolloutExchange& Rollouts() { return rollouts_; }
+
   /// Sets the generation in force here.
   void SetOwn(state::Generation aGeneration);
 
@@ -66,6 +73,7 @@
   coordination::KeyRule keyRule_;
   coordination::Attestations attestations_;
   Sink sink_;
+  RolloutExchange rollouts_;
   state::Generation newest_ = 0;
   state::Instant nextReport_{ 0 };
   /// The time of the last attestation that was reported.
