--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/Accounts/Attestations.h"
 #include "Coordination/Rollouts/RolloutBook.h"
 #include "Coordination/RoutingSnapshot.h"
 #include "Protocol/StoreClient.h"
@@ -102,6 +103,8 @@
 struct PeerVersionSeen
 {
   state::Generation generation;
+  /// The latest that was heard of a newest version, if nodes tell it.
+  std::optional<Attestation> attestation = std::nullopt;
 };
 
 /// What the data plane knows of roll-outs, learnt from other nodes and judged
@@ -241,6 +244,13 @@
   ReaderRole role;
 };
 
+/// A read of the store showed which version is the newest, for requests with
+/// keys and for other nodes.
+struct ShareAttestation
+{
+  Attestation attestation;
+};
+
 /// What the control plane knows of roll-outs.
 struct SetRollouts
 {
@@ -306,6 +316,7 @@
                              RestoreUpstream,
                              AskReader,
                              SetReaderRole,
+                             ShareAttestation,
                              SetRollouts>;
 using Commands = std::vector<Command>;
 
@@ -334,6 +345,9 @@
   /// Every node must have a configuration version in force within this time of
   /// its acknowledgement.
   state::Duration applyBound{ std::chrono::seconds(2) };
+  /// A withdrawn key opens nothing later than this after the acknowledgement,
+  /// also while this node cannot reach the store; 0 if applyBound is enough.
+  state::Duration strictRevokeBound{ 0 };
 };
 
 /// The state of one node as `teaselctl status` shows it.
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -92,6 +92,7 @@
   const Clock& clock_;
   UpstreamSide& upstreamSide_;
   QuotaExchange& quotas_;
+  const VersionExchange& versions_;
   coordination::CallMetrics& callMetrics_;
   NodeHop hop_;
   StoreCalls store_;
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -54,6 +54,13 @@
   return options;
 }
 
+KeyRule
+MakeKeyRule(const Settings& aSettings)
+{
+  return { aSettings.revokesStrictly ? state::Duration(aSettings.revokeBound)
+                                     : state::Duration{ 0 } };
+}
+
 } // namespace
 
 DataPlane::DataPlane(const Settings& aSettings,
@@ -75,6 +82,7 @@
                                          aClock,
                                          LinkBytesPerSecond(settings_)))
   , versions_(aClock,
+              MakeKeyRule(settings_),
               std::move(aVersionSink),
               { settings_.exposureShare },
               std::move(aRolloutSink))
@@ -297,6 +305,12 @@
   asio::post(context_, [this, aRole] { readers_.SetRole(aRole); });
 }
 
+void
+DataPlane::OnAttested(const Attestation& aAttestation)
+{
+  asio::post(context_, [this, aAttestation] { versions_.Add(aAttestation); });
+}
+
 void
 DataPlane::TakeSettings(const Settings& aSettings)
 {
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -47,6 +47,9 @@
   void AskReader(coordination::AskReader aQuestion);
   void SetReaderRole(coordination::ReaderRole aRole);
 
+  /// Takes what a read of the store said. Safe on any thread.
+  void OnAttested(const coordination::Attestation& aAttestation);
+
   /// Takes what the control plane knows of roll-outs. Safe on any thread.
   void SetRollouts(coordination::SetRollouts aRollouts);
 
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -164,8 +164,8 @@
     [&](std::uint64_t aFingerprint) {
       controlPlane->Post(coordination::CrashObserved{ aFingerprint });
     },
-    [&](state::Generation aGeneration) {
-      controlPlane->Post(coordination::PeerVersionSeen{ aGeneration });
+    [&](const coordination::PeerVersionSeen& aSeen) {
+      controlPlane->Post(aSeen);
     },
     [&](coordination::ReaderAnswered aAnswer) { controlPlane->Post(aAnswer); },
     [&](coordination::RolloutsSeen aSeen) {
@@ -192,6 +192,9 @@
         dataPlane.AskReader(aQuestion);
       },
       [&](coordination::ReaderRole aRole) { dataPlane.SetReaderRole(aRole); },
+      [&](const coordination::Attestation& aAttestation) {
+        dataPlane.OnAttested(aAttestation);
+      },
       [&](const coordination::SetRollouts& aRollouts) {
         dataPlane.SetRollouts(aRollouts);
       } });
