Transport: Count a request against the descriptors only while it is handled

A request took its lease when its first byte came and kept it until its answer was written, so that 27 stalled bodies (of 72 descriptors) refused every other request until their limit of 20 s: "Many heads of small fields" took 22 s until an ordinary request was answered. A request needs a second descriptor only while it is handled. The lease now covers that time. While new connections are refused, messages that take over 2 s to read or write end, as when memory is short.

The default budget without memory_megabytes is 80 MiB instead of 192 MiB: such a process is held to what the smallest hosts have.

--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -117,7 +117,9 @@
       co_return;
     }
     const auto now = std::chrono::steady_clock::now();
-    const bool isTight = shared->options.limits->memory->IsTight();
+    const auto& limits = *shared->options.limits;
+    const bool isTight =
+      limits.memory->IsTight() || limits.descriptors->IsTight(now);
     for (auto& connection : shared->connections) {
       connection.EndIfOverdue(now, isTight);
     }
--- a/Libraries/Transport/HttpServerConnection.cpp
+++ b/Libraries/Transport/HttpServerConnection.cpp
@@ -113,11 +113,9 @@
 struct HttpServerConnection::Exchange
 {
   Exchange(std::shared_ptr<HttpServer::Shared> aShared,
-           MemoryBudget::HolderPointer aMemory,
-           DescriptorBudget::LeasePointer aLease)
+           MemoryBudget::HolderPointer aMemory)
     : shared(std::move(aShared))
     , memory(std::move(aMemory))
-    , lease(std::move(aLease))
   {
     ++shared->inFlight;
   }
@@ -128,6 +126,7 @@
   std::shared_ptr<HttpServer::Shared> shared;
   /// Of the request, and of the answer once it is there.
   MemoryShare memory;
+  /// While it is handled.
   DescriptorBudget::LeasePointer lease;
   HttpRequest request;
   CancellationPointer cancellation = std::make_shared<Cancellation>();
@@ -400,16 +399,7 @@
 asio::awaitable<HttpServerConnection::ExchangePointer>
 HttpServerConnection::ReadExchange()
 {
-  DescriptorBudget::LeasePointer lease;
-  if (shared_->options.countsRequests) {
-    lease = shared_->options.limits->descriptors->BeginRequest();
-    if (lease == nullptr) {
-      co_await Turn(PeerRefusal::Requests);
-      co_return nullptr;
-    }
-  }
-  auto exchange =
-    std::make_shared<Exchange>(shared_, memory_, std::move(lease));
+  auto exchange = std::make_shared<Exchange>(shared_, memory_);
   Parser parser;
   const bool hasHead = co_await ReadHead(parser, *exchange);
   if (!hasHead) {
@@ -430,6 +420,13 @@
   if (!complete) {
     co_return nullptr;
   }
+  if (shared_->options.countsRequests) {
+    exchange->lease = shared_->options.limits->descriptors->BeginRequest();
+    if (exchange->lease == nullptr) {
+      co_await Turn(PeerRefusal::Requests);
+      co_return nullptr;
+    }
+  }
   exchange->request = parser.release();
   exchange->keepAlive = exchange->request.keep_alive();
   exchange->isHead = exchange->request.method() == http::verb::head;
@@ -592,6 +589,7 @@
     response.set(headers::kOutcome, "unknown");
     response.keep_alive(false);
   }
+  aExchange->lease.reset();
   aExchange->memory.Resize(HeadBytes(response) + response.body().capacity());
   aExchange->response = std::move(response);
   if (!isWriting_ && !isBroken_) {
--- a/Libraries/Transport/Limits/DescriptorBudget.cpp
+++ b/Libraries/Transport/Limits/DescriptorBudget.cpp
@@ -21,7 +21,7 @@
   const std::size_t limit = limit_;
   const auto most = limit - limit / kOutgoingDivisor;
   if (connections_ >= most && !CloseIdle()) {
-    return nullptr;
+    return Refuse();
   }
   return std::make_unique<Lease>(shared_from_this(),
                                  &DescriptorBudget::connections_);
@@ -31,16 +31,23 @@
 DescriptorBudget::Connect()
 {
   if (connections_ >= limit_ && !CloseIdle()) {
-    return nullptr;
+    return Refuse();
   }
   return std::make_unique<Lease>(shared_from_this(),
                                  &DescriptorBudget::connections_);
 }
 
+DescriptorBudget::LeasePointer
+DescriptorBudget::Refuse()
+{
+  lastRefusal_ = std::chrono::steady_clock::now();
+  return nullptr;
+}
+
 DescriptorBudget::LeasePointer
 DescriptorBudget::BeginRequest()
 {
-  // A request holds its own connection and may open another one.
+  // A request has its own connection and may open another one.
   const std::size_t limit = limit_;
   if (requests_ >= limit / 2 - limit / kOutgoingDivisor) {
     return nullptr;
--- a/Libraries/Transport/Limits/DescriptorBudget.h
+++ b/Libraries/Transport/Limits/DescriptorBudget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -65,8 +66,8 @@
   LeasePointer Accept();
   LeasePointer Connect();
 
-  /// Counts a request that is received, handled or answered. Each may need a
-  /// connection of its own to a peer.
+  /// Counts a request that is handled: it may need a connection of its own to a
+  /// peer.
   /// @return nullptr if the request must be refused.
   LeasePointer BeginRequest();
 
@@ -74,6 +75,13 @@
   /// are answered.
   bool MayReadAhead() const { return requests_ < limit_ / kAheadDivisor; }
 
+  /// @return true if a connection was refused within the last second. Peers
+  /// that are slow then give up theirs sooner.
+  bool IsTight(std::chrono::steady_clock::time_point aNow) const
+  {
+    return aNow - lastRefusal_.load() < std::chrono::seconds(1);
+  }
+
   /// Refused connections that may be open for their answer.
   std::size_t MaxRefusing() const { return limit_ / kRefusingDivisor; }
 
@@ -92,10 +100,14 @@
   static constexpr std::size_t kRefusingDivisor = 16;
 
   bool CloseIdle();
+  LeasePointer Refuse();
 
   std::atomic<std::size_t> limit_ = std::numeric_limits<std::size_t>::max();
   std::atomic<std::size_t> connections_ = 0;
   std::atomic<std::size_t> requests_ = 0;
+  std::atomic<std::chrono::steady_clock::time_point> lastRefusal_{
+    std::chrono::steady_clock::time_point() - std::chrono::hours(1)
+  };
   std::mutex mutex_;
   std::vector<Closer> closers_;
 };
--- a/Libraries/Transport/Limits/PeerLimits.h
+++ b/Libraries/Transport/Limits/PeerLimits.h
@@ -58,8 +58,9 @@
 class PeerLimits
 {
 public:
-  /// The budget if the host does not bound the memory.
-  static constexpr std::uint64_t kDefaultMemoryBytes = 192ULL * 1024 * 1024;
+  /// The budget if the host does not bound the memory: that of the smallest
+  /// hosts, which have 160 MB.
+  static constexpr std::uint64_t kDefaultMemoryBytes = 80ULL * 1024 * 1024;
 
   /// The part of the host's memory that peers may make the process hold. The
   /// rest is for the process itself, and for what the allocator keeps.
