Callers: Count answers that are kept while a request is repeated

A failed answer of up to 16 MiB is kept for the case that later attempts fail too. No limit counted it once it was read, so an upstream that answers 500 with large bodies made a node hold one for each request in progress. It now counts against the memory of the process; an answer that is read next finds less.

--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -111,6 +111,7 @@
   Response earlierResponse;
   std::string id;
   std::string node;
+  transport::MemoryShare earlierMemory;
 };
 
 struct CallerSide::Calls
@@ -143,6 +144,9 @@
                  aIncarnation,
                  aSettings.service)
   , calls_(std::make_shared<Calls>())
+  , earlierAnswers_(std::make_shared<transport::MemoryBudget::Holder>(
+      transport::PeerLimits::OfProcess()->memory,
+      asio::ip::address()))
 {
   if (aAdapters.IsAnnounced()) {
     environment_.policy = CallPolicy::WithLoadReports();
@@ -228,7 +232,8 @@
              {},
              {},
              std::move(id),
-             {} };
+             {},
+             transport::MemoryShare(earlierAnswers_) };
   calls_->list.push_back(call);
   auto step = call.session.Start(now);
   while (!std::holds_alternative<Respond>(step)) {
@@ -437,6 +442,7 @@
     const bool isKept = respond == nullptr || respond->isKeptServerError;
     if (std::holds_alternative<Answered>(exchange.outcome) && isKept) {
       aCall.earlierResponse = std::move(aCall.response);
+      aCall.earlierMemory.Resize(aCall.earlierResponse.body().capacity());
     }
     co_return next;
   }
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -100,6 +100,8 @@
   std::shared_ptr<std::size_t> inFlight_ = std::make_shared<std::size_t>(0);
   /// The same calls; they leave it on their own.
   std::shared_ptr<Calls> calls_;
+  /// The memory of answers that are kept while their requests are repeated.
+  transport::MemoryBudget::HolderPointer earlierAnswers_;
 };
 
 } // namespace teaselhold::daemon
