--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <malloc.h>
 #include <pthread.h>
 #include <spdlog/spdlog.h>
 #include <thread>
@@ -243,6 +244,18 @@
   return kExitDone;
 }
 
+/// Lets the allocator return large bodies to the system at once. By default it
+/// keeps freed blocks of up to 32 MiB, and the resident memory exceeded the
+/// budget of what peers send by a quarter.
+void
+BoundAllocator()
+{
+  constexpr int kMappedBytes = 1024 * 1024;
+  constexpr int kKeptBytes = 4 * 1024 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+  mallopt(M_TRIM_THRESHOLD, kKeptBytes);
+}
+
 /// Blocks the signals that WaitForStop takes. Called before anything else: a
 /// signal that comes while the process starts waits, and each later thread
 /// blocks them too. One that did not would take signals that come after
@@ -266,6 +279,7 @@
 main(int aCount, char** aArguments)
 {
   const auto signals = BlockSignals();
+  BoundAllocator();
   gflags::SetUsageMessage(
     "teaselholdd --config FILE | --config_variable NAME [--check-config]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
