--- a/Libraries/Coordination/Rollouts/RolloutGate.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutGate.cpp
@@ -1,7 +1,6 @@
 #include "Coordination/Rollouts/RolloutGate.h"
 
 #include <algorithm>
-#include <array>
 
 namespace teaselhold::coordination {
 
@@ -264,6 +263,17 @@
   }
 }
 
+void
+RolloutGate::Note(const Rollout& aRollout,
+                  std::string_view aFinding,
+                  const VersionOpinion& aOpinion)
+{
+  notes_.push_back("Version judged. service=" + aRollout.service +
+                   " version=" + aRollout.target +
+                   " order=" + std::to_string(aRollout.order) +
+                   " finding=" + std::string(aFinding) + " " + aOpinion.reason);
+}
+
 void
 RolloutGate::Judge(const Rollout& aRollout,
                    Service& aService,
@@ -274,15 +284,14 @@
     book_.MarkBad(aRollout.service, aRollout.order);
     isChanged_ = true;
   }
-  if (opinion.finding != aService.finding) {
-    aService.finding = opinion.finding;
-    static constexpr std::array kNames{
-      "unclear", "good", "suspicious", "bad"
-    };
-    notes_.push_back("Version judged. service=" + aRollout.service +
-                     " version=" + aRollout.target + " finding=" +
-                     kNames[static_cast<std::size_t>(opinion.finding)] + " " +
-                     opinion.reason);
+  // Good and unclear take turns as reports come and fade.
+  const bool isNews = opinion.finding >= VersionFinding::Suspicious &&
+                      opinion.finding > aService.finding;
+  aService.finding = opinion.finding;
+  if (isNews) {
+    Note(aRollout,
+         opinion.finding == VersionFinding::Bad ? "bad" : "suspicious",
+         opinion);
   }
   if (opinion.finding == VersionFinding::Good) {
     aService.goodSince = aService.goodSince.value_or(aNow);
@@ -294,6 +303,7 @@
   if (isProven != proven_.contains(aRollout.service)) {
     isChanged_ = true;
     if (isProven) {
+      Note(aRollout, "good", opinion);
       proven_.insert(aRollout.service);
     } else {
       proven_.erase(aRollout.service);
--- a/Libraries/Coordination/Rollouts/RolloutGate.h
+++ b/Libraries/Coordination/Rollouts/RolloutGate.h
@@ -151,6 +151,9 @@
   void Follow(const Rollout& aRollout, state::Instant aNow);
   void Recount(const Rollout& aRollout, Service& aService) const;
   void Judge(const Rollout& aRollout, Service& aService, state::Instant aNow);
+  void Note(const Rollout& aRollout,
+            std::string_view aFinding,
+            const VersionOpinion& aOpinion);
   Stage StageOf(const Rollout& aRollout,
                 const Service& aService,
                 state::Instant aNow) const;
