--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -411,6 +411,8 @@
                              isSelf ? configuration_.RefusedGeneration() : 0,
                              isSelf ? configuration_.RefusedReason() : "" });
   }
+  status.rollouts = rollouts_.Book().All();
+  status.provenServices = rollouts_.Proven();
   return status;
 }
 
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -356,6 +356,19 @@
   state::Generation highestGeneration = 0;
   std::vector<NodeStatus> nodes;
   std::vector<std::string> alarms;
+  std::vector<Rollout> rollouts;
+  /// The services whose target version this node found good.
+  std::set<std::string> provenServices;
 };
 
+/// @return what a node knows of the target version of a roll-out.
+inline std::string_view
+FindingOf(const Rollout& aRollout, const std::set<std::string>& aProven)
+{
+  if (aRollout.isBad) {
+    return "bad";
+  }
+  return aProven.contains(aRollout.service) ? "good" : "unclear";
+}
+
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/Rollouts/RolloutBook.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutBook.cpp
@@ -36,13 +36,6 @@
   return value;
 }
 
-std::string_view
-StateName(const std::optional<protocol::RolloutState>& aState)
-{
-  return aState ? state::FindEnumName(protocol::kRolloutStateNames, *aState)
-                : std::string_view("ordered");
-}
-
 std::optional<Rollout>
 ParseOne(std::string_view aText, state::Instant aNow)
 {
@@ -75,6 +68,13 @@
 
 } // namespace
 
+std::string_view
+Rollout::StateName() const
+{
+  return stored ? state::FindEnumName(protocol::kRolloutStateNames, *stored)
+                : std::string_view("ordered");
+}
+
 bool
 Rollout::IsSame(const Rollout& aOther) const
 {
@@ -168,7 +168,7 @@
   for (const auto& [service, rollout] : rollouts_) {
     const auto text =
       service + ';' + rollout.target + ';' + std::to_string(rollout.order) +
-      ';' + std::string(StateName(rollout.stored)) + ';' +
+      ';' + std::string(rollout.StateName()) + ';' +
       std::to_string(rollout.storedRevision) + (rollout.isBad ? ";bad" : ";");
     for (const auto byte : text) {
       hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
@@ -192,7 +192,7 @@
             std::to_string(rollout.order) + ';' +
             milliseconds(rollout.duration) + ';' +
             milliseconds(aNow - rollout.begin) + ';' +
-            std::string(StateName(rollout.stored)) + ';' +
+            std::string(rollout.StateName()) + ';' +
             std::to_string(rollout.storedRevision) +
             (rollout.isBad ? ";bad" : ";fair");
   }
--- a/Libraries/Coordination/Rollouts/RolloutBook.h
+++ b/Libraries/Coordination/Rollouts/RolloutBook.h
@@ -31,6 +31,9 @@
            stored == protocol::RolloutState::RolledBack;
   }
 
+  /// @return the stored state, or "ordered" if there is none.
+  std::string_view StateName() const;
+
   /// Compares everything but the times.
   bool IsSame(const Rollout& aOther) const;
 };
--- a/Libraries/Coordination/Rollouts/RolloutGate.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutGate.cpp
@@ -27,6 +27,10 @@
 /// No report may speak against a version for this long before it is proven.
 constexpr state::Duration kGoodTime = std::chrono::milliseconds(1500);
 
+/// A node that finds a version suspicious for this long gives it nothing until
+/// the reports change or have faded.
+constexpr state::Duration kSuspicionTime = std::chrono::seconds(3);
+
 } // namespace
 
 void
@@ -130,8 +134,10 @@
     return Stage::Promoting;
   }
   const bool isInTime = aNow < aRollout.begin + aRollout.duration;
-  return state == RolloutState::Running && isInTime ? Stage::Shared
-                                                    : Stage::Closed;
+  const bool isHeld = aService.suspiciousSince &&
+                      aNow - *aService.suspiciousSince >= kSuspicionTime;
+  return state == RolloutState::Running && isInTime && !isHeld ? Stage::Shared
+                                                               : Stage::Closed;
 }
 
 RolloutGate::Stage
@@ -293,6 +299,11 @@
          opinion.finding == VersionFinding::Bad ? "bad" : "suspicious",
          opinion);
   }
+  if (opinion.finding == VersionFinding::Suspicious) {
+    aService.suspiciousSince = aService.suspiciousSince.value_or(aNow);
+  } else {
+    aService.suspiciousSince.reset();
+  }
   if (opinion.finding == VersionFinding::Good) {
     aService.goodSince = aService.goodSince.value_or(aNow);
   } else if (opinion.finding != VersionFinding::Unclear) {
--- a/Libraries/Coordination/Rollouts/RolloutGate.h
+++ b/Libraries/Coordination/Rollouts/RolloutGate.h
@@ -131,6 +131,8 @@
     std::size_t groupSize = 1;
     VersionJudge judge;
     VersionFinding finding = VersionFinding::Unclear;
+    /// Since when reports speak against the version without deciding.
+    std::optional<state::Instant> suspiciousSince;
     /// Since when no report spoke against the version.
     std::optional<state::Instant> goodSince;
   };
--- a/Libraries/Coordination/Rollouts/RolloutKeeper.h
+++ b/Libraries/Coordination/Rollouts/RolloutKeeper.h
@@ -42,6 +42,9 @@
 
   const RolloutBook& Book() const { return book_; }
 
+  /// @return the services whose target version this node found good.
+  const std::set<std::string>& Proven() const { return proven_; }
+
 private:
   enum class Call : std::uint8_t
   {
--- a/Libraries/Coordination/Rollouts/VersionJudge.cpp
+++ b/Libraries/Coordination/Rollouts/VersionJudge.cpp
@@ -14,12 +14,18 @@
 constexpr double kMinRuns = 4;
 /// Failures (faded by age) before an upstream counts as failing.
 constexpr double kMinFailures = 1.7;
-/// An upstream fails if its share of failures exceeds that of the median old
-/// upstream by this.
+/// An upstream fails if its share of failures exceeds that of the old ones by
+/// this.
 constexpr double kFailureMargin = 0.15;
-/// An upstream is slow if its mean service time exceeds that of the median old
-/// upstream by this factor. Upstreams of one service differ in speed by less.
+/// An upstream is slow if its mean service time exceeds that of the old ones by
+/// this factor. Upstreams of one service differ in speed by less.
 constexpr double kSlownessFactor = 2;
+/// Failures of all new upstreams together, and runs of each side whose mean
+/// times are compared, before a version is bad. Means of fewer runs vary by
+/// more than the factor: a good version was taken back for a mean of about 20
+/// runs on a rare route against the median of a few old upstreams.
+constexpr double kMinPooledFailures = 4;
+constexpr double kMinPooledRuns = 20;
 /// Upstreams that must be judged before a version is, if there are as many.
 constexpr std::size_t kMinUpstreams = 2;
 /// The chance that an upstream is in trouble of its own is taken as at least
@@ -92,18 +98,43 @@
   }
 };
 
+RouteEvidence
+Pool(const std::vector<RouteEvidence>& aUpstreams)
+{
+  RouteEvidence sum;
+  for (const auto& evidence : aUpstreams) {
+    sum.runs += evidence.runs;
+    sum.failures += evidence.failures;
+    sum.timedRuns += evidence.timedRuns;
+    sum.milliseconds += evidence.milliseconds;
+  }
+  return sum;
+}
+
 Standard
 MakeStandard(const std::vector<RouteEvidence>& aOld)
 {
   std::vector<double> rates;
-  std::vector<double> times;
   for (const auto& evidence : aOld) {
     rates.push_back(FailureRate(evidence));
-    if (evidence.timedRuns >= kMinRuns) {
-      times.push_back(MeanTime(evidence));
-    }
   }
-  return { Median(std::move(rates)), Median(std::move(times)) };
+  const auto pooled = Pool(aOld);
+  return { std::max(Median(std::move(rates)), FailureRate(pooled)),
+           pooled.timedRuns >= kMinPooledRuns ? MeanTime(pooled) : 0 };
+}
+
+/// Returns true if the new upstreams together are bad, too, so that no few runs
+/// decide.
+bool
+IsConfirmed(const Standard& aStandard, const RouteEvidence& aPooled)
+{
+  const bool fails =
+    aPooled.failures >= kMinPooledFailures &&
+    FailureRate(aPooled) > aStandard.failureRate + kFailureMargin;
+  const bool isSlow = aStandard.time > 0 &&
+                      aPooled.timedRuns >= kMinPooledRuns &&
+                      MeanTime(aPooled) > kSlownessFactor * aStandard.time;
+  return fails || isSlow;
 }
 
 std::string
@@ -111,13 +142,7 @@
              const std::vector<RouteEvidence>& aNew,
              std::size_t aMissed)
 {
-  RouteEvidence sum;
-  for (const auto& evidence : aNew) {
-    sum.runs += evidence.runs;
-    sum.failures += evidence.failures;
-    sum.timedRuns += evidence.timedRuns;
-    sum.milliseconds += evidence.milliseconds;
-  }
+  const auto sum = Pool(aNew);
   const auto time = sum.timedRuns > 0 ? MeanTime(sum) : 0;
   const auto percent = [](double aShare) {
     constexpr double kPercent = 100;
@@ -125,6 +150,7 @@
   };
   return " bad_upstreams=" + std::to_string(aMissed) +
          " upstreams=" + std::to_string(aNew.size()) +
+         " runs=" + std::to_string(std::llround(sum.runs)) +
          " failed_percent=" + percent(sum.runs > 0 ? FailureRate(sum) : 0) +
          " old_failed_percent=" + percent(aStandard.failureRate) +
          " milliseconds=" + std::to_string(std::llround(time)) +
@@ -214,7 +240,7 @@
   // With a single new upstream, its version and its host cannot be told apart.
   const bool isOnlyOne = newUpstreams_ == 1 && rate <= kMinTroubleRate;
   const bool isBad =
-    2 * missed > fresh.size() &&
+    2 * missed > fresh.size() && IsConfirmed(standard, Pool(fresh)) &&
     (isOnlyOne || BinomialTail(missed, fresh.size(), rate) < kSignificance);
   return { isBad ? VersionFinding::Bad : VersionFinding::Suspicious, reason };
 }
--- a/Services/teaselholdd/AdminServer.cpp
+++ b/Services/teaselholdd/AdminServer.cpp
@@ -177,6 +177,18 @@
     for (const auto& alarm : status.alarms) {
       aResponse->add_alarms(alarm);
     }
+    for (const auto& rollout : status.rollouts) {
+      auto& row = *aResponse->add_rollouts();
+      row.set_service(rollout.service);
+      row.set_target_version(rollout.target);
+      row.set_order(rollout.order);
+      row.set_state(ToText(rollout.StateName()));
+      row.set_finding(
+        ToText(coordination::FindingOf(rollout, status.provenServices)));
+      row.set_duration_milliseconds(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(rollout.duration)
+          .count()));
+    }
     return grpc::Status::OK;
   }
 
--- a/Services/teaselholdd/MetricsText.cpp
+++ b/Services/teaselholdd/MetricsText.cpp
@@ -48,6 +48,7 @@
     WriteStore();
     WriteVersions();
     WriteFleet();
+    WriteRollouts();
     return writer_.Take();
   }
 
@@ -244,6 +245,24 @@
     Sample("teaselhold_alarms", {}, metrics_.fleet.alarms.size());
   }
 
+  void WriteRollouts()
+  {
+    constexpr std::string_view kName = "teaselhold_rollout";
+    if (metrics_.fleet.rollouts.empty()) {
+      return;
+    }
+    writer_.Family(kName, "gauge", "Roll-outs that this node knows.");
+    for (const auto& rollout : metrics_.fleet.rollouts) {
+      const auto finding = FindingOf(rollout, metrics_.fleet.provenServices);
+      Sample(kName,
+             { { "service", rollout.service },
+               { "version", rollout.target },
+               { "state", std::string(rollout.StateName()) },
+               { "finding", std::string(finding) } },
+             1);
+    }
+  }
+
   const MetricsCopy& metrics_;
   ExpositionWriter writer_;
 };
--- a/Tests/Coordination/Rollouts/RolloutGateTest.cpp
+++ b/Tests/Coordination/Rollouts/RolloutGateTest.cpp
@@ -204,6 +204,36 @@
   CHECK(node.Send(1000) == 0);
 }
 
+TEST_CASE("a version that stays suspicious gets nothing until reports fade")
+{
+  // Guards against bad answers for as long as other trouble hides whose fault
+  // they are.
+  Node node;
+  node.Learn(RolloutState::Running, 8);
+  const auto report = [&](int aIndex, bool aIsNew, bool aIsBad) {
+    const auto name = (aIsNew ? "new" : "old") + std::to_string(aIndex);
+    node.gate.OnReport(MakeUpstream(name, aIsNew ? "v2" : "v1"),
+                       aIsBad ? "11111111;200;100;200;2000"
+                              : "11111111;200;0;200;2000",
+                       node.now);
+  };
+  for (int i = 0; i < 35; ++i) {
+    for (int upstream = 0; upstream < 10; ++upstream) {
+      report(upstream, false, upstream < 4);
+    }
+    report(0, true, true);
+    report(1, true, true);
+    node.gate.Tick(node.now);
+    node.now += 100ms;
+  }
+  CHECK(node.Send(100) == 0);
+  CHECK_FALSE(node.gate.All().front().isBad);
+  node.now += 7s;
+  node.gate.Tick(node.now);
+  node.Send(20);
+  CHECK(node.Send(100) > 0);
+}
+
 TEST_CASE("the share goes to a few upstreams at a time")
 {
   // Guards against a version that is bad only under the load of full use.
--- a/Tests/Coordination/Rollouts/VersionJudgeTest.cpp
+++ b/Tests/Coordination/Rollouts/VersionJudgeTest.cpp
@@ -80,7 +80,7 @@
   // Guards against a good route that hides a bad one.
   Service service;
   service.ReportAll(kOld, kOldUpstreams, {});
-  const auto reported = GENERATE(Reported{ 5, 3, 100 }, Reported{ 5, 0, 450 });
+  const auto reported = GENERATE(Reported{ 5, 3, 100 }, Reported{ 12, 0, 450 });
   service.ReportAll(kNew, 2, { 60, 0, 100 }, reported);
   CHECK(service.Find() == VersionFinding::Bad);
 }
@@ -135,6 +135,23 @@
   CHECK(service.Find() == VersionFinding::Suspicious);
 }
 
+TEST_CASE("few slow runs on a rare route are no verdict")
+{
+  // Guards against a good version that is taken back for means of a few runs,
+  // as seen with four upstreams of five runs each.
+  Service service;
+  for (std::size_t i = 0; i < kOldUpstreams; ++i) {
+    const double milliseconds = i % 2 == 0 ? 34 : 100;
+    service.Report(kOld, i, { 30, 0, 400 }, { 5, 0, milliseconds });
+  }
+  service.ReportAll(kNew, 4, { 30, 0, 400 }, { 4.5, 0, 92 });
+  service.Report(kNew, 0, { 30, 0, 400 }, { 5, 0, 40 });
+  CHECK(service.Find() == VersionFinding::Good);
+  // Nor are they if the old upstreams happen to be fast.
+  service.ReportAll(kOld, kOldUpstreams, { 30, 0, 400 }, { 5, 0, 34 });
+  CHECK(service.Find() == VersionFinding::Suspicious);
+}
+
 TEST_CASE("little or old evidence is no opinion")
 {
   // Guards against a version that is promoted unseen.
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/StoreClient.h"
+#include "Protocol/RolloutText.h"
 #include "Tests/StandIns/StoreStandIn/StoreServer.h"
 #include "Tests/Support/FreePort.h"
 
@@ -237,3 +238,57 @@
   REQUIRE(next);
   CHECK(next->value == "two");
 }
+
+TEST_CASE("the watch of the configuration also shows orders of roll-outs")
+{
+  // Guards against a second waiting call of every node, and against an order
+  // that nobody sees.
+  RunningStore store;
+  const auto client = store.Client(platform::ConfigurationOwner::Operator);
+  const auto put = [&](const std::string& aKey, const std::string& aValue) {
+    store.OnStore([&](stand_in::StoreState& aState) {
+      aState.Apply({ {}, { { aKey, aValue, 0 } }, {} });
+    });
+  };
+  put("op/config", "{}");
+  const auto first = client->Watch(protocol::kConfigurationKey, 0, 1s);
+  REQUIRE(first);
+  put("op/rollout/walls", R"({"targetVersion":"v2","duration":"12s"})");
+  const auto seen =
+    client->Watch(protocol::kConfigurationKey, first->revision, 20s);
+  REQUIRE(seen);
+  CHECK(seen->revision == first->revision);
+  CHECK(seen->ordersRevision > first->ordersRevision);
+  const auto orders = client->List(
+    protocol::kRolloutOrderPrefix, protocol::ReadConsistency::Linearizable, 1s);
+  REQUIRE(orders);
+  REQUIRE(orders->items.size() == 1);
+  CHECK(orders->items[0].key ==
+        std::string(protocol::kRolloutOrderPrefix) + "walls");
+  CHECK(orders->items[0].value == "v2 12000");
+  // The configuration is still seen, and a change of it is no order.
+  put("op/config", "{ }");
+  const auto changed =
+    client->Watch(protocol::kConfigurationKey, seen->revision, 20s);
+  REQUIRE(changed);
+  CHECK(changed->revision > seen->revision);
+  CHECK(changed->ordersRevision == seen->ordersRevision);
+}
+
+TEST_CASE("the state of a roll-out is written where the operator reads it")
+{
+  RunningStore store;
+  const auto client = store.Client(platform::ConfigurationOwner::Operator);
+  const auto key = std::string(protocol::kRolloutStatePrefix) + "walls";
+  const auto written = client->CompareAndSwap(key, 0, "completed v2 83", 0, 1s);
+  REQUIRE(written);
+  CHECK(written->swapped);
+  const auto raw = store.Client()->Get("status/rollout/walls", 1s);
+  REQUIRE(raw);
+  CHECK(raw->value.find("\"completed\"") != std::string::npos);
+  const auto refused =
+    client->CompareAndSwap(key, 0, "rolled_back v2 83", 0, 1s);
+  REQUIRE(refused);
+  CHECK_FALSE(refused->swapped);
+  CHECK(refused->current.value == "completed v2 83");
+}
--- a/Utilities/teaselctl/StatusCommand.cpp
+++ b/Utilities/teaselctl/StatusCommand.cpp
@@ -113,6 +113,11 @@
   for (const auto& node : aSummary.refusing) {
     text << "refused   " << DescribeRefusal(node) << "\n";
   }
+  for (const auto& rollout : aStatus.rollouts()) {
+    text << "rollout   " << rollout.service() << " to "
+         << rollout.target_version() << ": " << rollout.state() << ", found "
+         << rollout.finding() << "\n";
+  }
   for (const auto& alarm : aStatus.alarms()) {
     text << "alarm     " << alarm << "\n";
   }
@@ -219,6 +224,16 @@
   for (const auto& alarm : aStatus.alarms()) {
     alarms.push_back(alarm);
   }
+  auto rollouts = nlohmann::json::array();
+  for (const auto& rollout : aStatus.rollouts()) {
+    rollouts.push_back(
+      { { "service", rollout.service() },
+        { "target_version", rollout.target_version() },
+        { "order", rollout.order() },
+        { "state", rollout.state() },
+        { "finding", rollout.finding() },
+        { "duration_milliseconds", rollout.duration_milliseconds() } });
+  }
   context_.report.Result({ { "answering_node", aStatus.answering_node() },
                            { "answering_role", AnsweringRole(aStatus) },
                            { "newest_generation", summary.newest },
@@ -229,7 +244,8 @@
                            { "up_to_date", summary.upToDate },
                            { "lagging", ListToJson(summary.lagging) },
                            { "refused", ListToJson(summary.refusing) },
-                           { "alarms", alarms } },
+                           { "alarms", alarms },
+                           { "rollouts", rollouts } },
                          FormatStatus(aStatus, summary));
 }
 
