Rollouts: Compare mean times with the chance of their runs

Many nodes look ten times a second, so rare chances come up.

Change: the mean of the new upstreams together must exceed the old one by 1.6 times and three deviations of two means whose runs vary as much as their mean: 3.8 times for 20 and 30 runs, 2.2 times for 200 and 200.

--- a/Libraries/Coordination/Rollouts/VersionJudge.cpp
+++ b/Libraries/Coordination/Rollouts/VersionJudge.cpp
@@ -20,12 +20,16 @@
 /// An upstream is slow if its mean service time exceeds that of the old ones by
 /// this factor. Upstreams of one service differ in speed by less.
 constexpr double kSlownessFactor = 2;
-/// Failures of all new upstreams together, and runs of each side whose mean
-/// times are compared, before a version is bad. Means of fewer runs vary by
-/// more than the factor: a good version was taken back for a mean of about 20
-/// runs on a rare route against the median of a few old upstreams.
+/// Failures of all new upstreams together before a version is bad.
 constexpr double kMinPooledFailures = 4;
-constexpr double kMinPooledRuns = 20;
+/// Runs of each side before their mean times are compared.
+constexpr double kMinPooledRuns = 10;
+/// A version is slow if its mean time exceeds the old one's by this factor, and
+/// by kDeviations of what chance does to two means whose runs vary as much as
+/// their mean. Many nodes look often, so rare chances come up: a factor alone
+/// took good versions back for some 20 runs on a rare route (82 ms against 36).
+constexpr double kPooledSlownessFactor = 1.6;
+constexpr double kDeviations = 3;
 /// Upstreams that must be judged before a version is, if there are as many.
 constexpr std::size_t kMinUpstreams = 2;
 /// The chance that an upstream is in trouble of its own is taken as at least
@@ -87,6 +91,7 @@
   double failureRate = 0;
   /// 0 if service times cannot be compared.
   double time = 0;
+  RouteEvidence pooled;
 
   bool IsMissedBy(const RouteEvidence& aEvidence) const
   {
@@ -120,7 +125,19 @@
   }
   const auto pooled = Pool(aOld);
   return { std::max(Median(std::move(rates)), FailureRate(pooled)),
-           pooled.timedRuns >= kMinPooledRuns ? MeanTime(pooled) : 0 };
+           pooled.timedRuns >= kMinPooledRuns ? MeanTime(pooled) : 0,
+           pooled };
+}
+
+bool
+IsSlower(const RouteEvidence& aNew, const RouteEvidence& aOld)
+{
+  if (aNew.timedRuns < kMinPooledRuns || aOld.timedRuns < kMinPooledRuns) {
+    return false;
+  }
+  const double chance = std::sqrt(1 / aNew.timedRuns + 1 / aOld.timedRuns);
+  return MeanTime(aNew) > kPooledSlownessFactor *
+                            std::exp(kDeviations * chance) * MeanTime(aOld);
 }
 
 /// Returns true if the new upstreams together are bad, too, so that no few runs
@@ -131,10 +148,7 @@
   const bool fails =
     aPooled.failures >= kMinPooledFailures &&
     FailureRate(aPooled) > aStandard.failureRate + kFailureMargin;
-  const bool isSlow = aStandard.time > 0 &&
-                      aPooled.timedRuns >= kMinPooledRuns &&
-                      MeanTime(aPooled) > kSlownessFactor * aStandard.time;
-  return fails || isSlow;
+  return fails || IsSlower(aPooled, aStandard.pooled);
 }
 
 std::string
