--- a/Libraries/Coordination/Rollouts/RolloutGate.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutGate.cpp
@@ -1,7 +1,6 @@
 #include "Coordination/Rollouts/RolloutGate.h"
 
 #include <algorithm>
-#include <array>
 
 namespace teaselhold::coordination {
 
@@ -28,6 +27,10 @@
 /// No report may speak against a version for this long before it is proven.
 constexpr state::Duration kGoodTime = std::chrono::milliseconds(1500);
 
+/// A node that finds a version suspicious for this long gives it nothing until
+/// the reports change or have faded.
+constexpr state::Duration kSuspicionTime = std::chrono::seconds(3);
+
 } // namespace
 
 void
@@ -131,8 +134,10 @@
     return Stage::Promoting;
   }
   const bool isInTime = aNow < aRollout.begin + aRollout.duration;
-  return state == RolloutState::Running && isInTime ? Stage::Shared
-                                                    : Stage::Closed;
+  const bool isHeld = aService.suspiciousSince &&
+                      aNow - *aService.suspiciousSince >= kSuspicionTime;
+  return state == RolloutState::Running && isInTime && !isHeld ? Stage::Shared
+                                                               : Stage::Closed;
 }
 
 RolloutGate::Stage
@@ -264,6 +269,17 @@
   }
 }
 
+void
+RolloutGate::Note(const Rollout& aRollout,
+                  std::string_view aFinding,
+                  const VersionOpinion& aOpinion)
+{
+  notes_.push_back("Version judged. service=" + aRollout.service +
+                   " version=" + aRollout.target +
+                   " order=" + std::to_string(aRollout.order) +
+                   " finding=" + std::string(aFinding) + " " + aOpinion.reason);
+}
+
 void
 RolloutGate::Judge(const Rollout& aRollout,
                    Service& aService,
@@ -274,15 +290,19 @@
     book_.MarkBad(aRollout.service, aRollout.order);
     isChanged_ = true;
   }
-  if (opinion.finding != aService.finding) {
-    aService.finding = opinion.finding;
-    static constexpr std::array kNames{
-      "unclear", "good", "suspicious", "bad"
-    };
-    notes_.push_back("Version judged. service=" + aRollout.service +
-                     " version=" + aRollout.target + " finding=" +
-                     kNames[static_cast<std::size_t>(opinion.finding)] + " " +
-                     opinion.reason);
+  // Good and unclear take turns as reports come and fade.
+  const bool isNews = opinion.finding >= VersionFinding::Suspicious &&
+                      opinion.finding > aService.finding;
+  aService.finding = opinion.finding;
+  if (isNews) {
+    Note(aRollout,
+         opinion.finding == VersionFinding::Bad ? "bad" : "suspicious",
+         opinion);
+  }
+  if (opinion.finding == VersionFinding::Suspicious) {
+    aService.suspiciousSince = aService.suspiciousSince.value_or(aNow);
+  } else {
+    aService.suspiciousSince.reset();
   }
   if (opinion.finding == VersionFinding::Good) {
     aService.goodSince = aService.goodSince.value_or(aNow);
@@ -294,6 +314,7 @@
   if (isProven != proven_.contains(aRollout.service)) {
     isChanged_ = true;
     if (isProven) {
+      Note(aRollout, "good", opinion);
       proven_.insert(aRollout.service);
     } else {
       proven_.erase(aRollout.service);
--- a/Libraries/Coordination/Rollouts/RolloutGate.h
+++ b/Libraries/Coordination/Rollouts/RolloutGate.h
@@ -131,6 +131,8 @@
     std::size_t groupSize = 1;
     VersionJudge judge;
     VersionFinding finding = VersionFinding::Unclear;
+    /// Since when reports speak against the version without deciding.
+    std::optional<state::Instant> suspiciousSince;
     /// Since when no report spoke against the version.
     std::optional<state::Instant> goodSince;
   };
@@ -151,6 +153,9 @@
   void Follow(const Rollout& aRollout, state::Instant aNow);
   void Recount(const Rollout& aRollout, Service& aService) const;
   void Judge(const Rollout& aRollout, Service& aService, state::Instant aNow);
+  void Note(const Rollout& aRollout,
+            std::string_view aFinding,
+            const VersionOpinion& aOpinion);
   Stage StageOf(const Rollout& aRollout,
                 const Service& aService,
                 state::Instant aNow) const;
