--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/CallTypes.h"
 #include "Coordination/LoadReport.h"
+#include "State/Configuration.h"
 
 #include <array>
 #include <boost/intrusive/list.hpp>
@@ -28,6 +29,8 @@
   /// The caller's deadline leaves no time for another retry. A running request
   /// often depends on such a request, so it has priority over all others.
   bool isFinalTry = false;
+  /// An earlier attempt of the same call may have run.
+  bool isRepeat = false;
   /// Refuse the request immediately if its predicted wait is longer. If empty,
   /// the request class determines the longest wait.
   std::optional<state::Duration> maxWait = std::nullopt;
@@ -35,6 +38,11 @@
   /// objective of its route. Within a class, requests that can still meet
   /// theirs go before those that cannot.
   std::optional<state::Duration> usefulWait = std::nullopt;
+  /// The client account whose key the request carried; empty if it had none.
+  std::string account = {};
+  /// Rank among the requests that compete for the upstream, 0 first: the
+  /// account's, or the route's if the account has none.
+  std::uint32_t priority = state::kDefaultPriority;
 };
 
 /// Deliver the request now.
@@ -151,6 +159,9 @@
   /// @return the latest deadline of a running request, if any runs.
   std::optional<state::Instant> LatestRunningDeadline() const;
 
+  /// @return the share of the running requests that are repeats, 0 to 1.
+  double RepeatShare() const;
+
   std::size_t InFlight() const { return running_; }
   std::size_t Waiting() const { return waiting_; }
 
