--- a/Libraries/Coordination/RetryBudget.cpp
+++ b/Libraries/Coordination/RetryBudget.cpp
@@ -50,15 +50,19 @@
 }
 
 bool
-RetryBudget::HasToken(std::string_view aService, state::Instant aNow)
+RetryBudget::HasToken(std::string_view aService,
+                      state::Instant aNow,
+                      double aReserve)
 {
-  return RefillAccount(aService, aNow).tokens >= 1;
+  return RefillAccount(aService, aNow).tokens >= 1 + aReserve;
 }
 
 void
-RetryBudget::Spend(std::string_view aService, state::Instant aNow)
+RetryBudget::Spend(std::string_view aService,
+                   state::Instant aNow,
+                   double aTokens)
 {
-  RefillAccount(aService, aNow).tokens -= 1;
+  RefillAccount(aService, aNow).tokens -= aTokens;
 }
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -61,6 +61,16 @@
 
 } // namespace
 
+/// What an upstream must offer to be picked, from the strictest limit to none.
+enum class Router::LoadLimit : std::uint8_t
+{
+  FreeAndHealthy,
+  /// Where all upstreams of a service fail part of their requests, one with a
+  /// free slot nearby is still better than a farther one.
+  Free,
+  None,
+};
+
 struct Router::Candidate
 {
   const state::EndpointRecord* record;
@@ -77,7 +87,20 @@
   {
     return health->OutstandingRequests(aNow) <
              health->UsableSlots(record->slots, aNow) &&
-           !health->IsOverloaded(aNow) && !health->IsFailing(aNow);
+           !health->IsOverloaded(aNow);
+  }
+
+  bool Meets(LoadLimit aLimit, state::Instant aNow) const
+  {
+    switch (aLimit) {
+      case LoadLimit::FreeAndHealthy:
+        return HasFreeSlot(aNow) && !health->IsFailing(aNow);
+      case LoadLimit::Free:
+        return HasFreeSlot(aNow);
+      case LoadLimit::None:
+        break;
+    }
+    return true;
   }
 
   /// False for a large answer from another data centre whose link is busy.
@@ -127,7 +150,7 @@
 {
   const std::vector<EndpointPointer>& tried;
   TransferSizes sizes;
-  bool ignoresLoad;
+  LoadLimit limit;
   state::Instant now;
 };
 
@@ -270,9 +293,13 @@
   if (list == nullptr) {
     return nullptr;
   }
-  const auto* candidate = PickFrom(*list, { aTried, aSizes, false, aNow });
-  if (candidate == nullptr) {
-    candidate = PickFrom(*list, { aTried, aSizes, true, aNow });
+  const Candidate* candidate = nullptr;
+  for (const auto limit :
+       { LoadLimit::FreeAndHealthy, LoadLimit::Free, LoadLimit::None }) {
+    candidate = PickFrom(*list, { aTried, aSizes, limit, aNow });
+    if (candidate != nullptr) {
+      break;
+    }
   }
   return candidate == nullptr ? nullptr : StartRequest(*candidate, aNow);
 }
@@ -290,11 +317,12 @@
     if (candidate == nullptr) {
       continue;
     }
-    const double share = aCriteria.ignoresLoad ? kMaxFarTimeShare : 1;
+    const bool ignoresLoad = aCriteria.limit == LoadLimit::None;
+    const double share = ignoresLoad ? kMaxFarTimeShare : 1;
     if (best == nullptr || expected(*candidate) < share * expected(*best)) {
       best = candidate;
     }
-    if (aCriteria.ignoresLoad) {
+    if (ignoresLoad) {
       continue;
     }
     if (best->TransferTime(aCriteria.sizes, aCriteria.now) <=
@@ -320,7 +348,7 @@
   const auto usable = [&](const Candidate& aCandidate) {
     return aCandidate.IsAllowed(aList.panic, now) &&
            (!isAnyNear || aCandidate.HasRoomForAnswer(aCriteria.sizes, now)) &&
-           (aCriteria.ignoresLoad || aCandidate.HasFreeSlot(now)) &&
+           aCandidate.Meets(aCriteria.limit, now) &&
            !Contains(aCriteria.tried, *aCandidate.record);
   };
   const auto draw = [&](const Candidate* aOther) -> const Candidate* {
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -91,6 +91,7 @@
                             headers::kReason,
                             headers::kMaxWait,
                             headers::kUsefulWait,
+                            headers::kRepeat,
                             headers::kAnswerBytes,
                             headers::kAnswerTime,
                             headers::kFinalTry }) {
