--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -430,17 +430,6 @@
   return latest;
 }
 
-double
-Admission::RepeatShare() const
-{
-  const auto repeats = std::ranges::count_if(entries_, [](const auto& aEntry) {
-    return aEntry.second.isRunning && aEntry.second.request.isRepeat;
-  });
-  return running_ == 0
-           ? 0
-           : static_cast<double>(repeats) / static_cast<double>(running_);
-}
-
 Outcome
 Admission::ClassifyAnswer(unsigned aStatus, bool aSaysShed) const
 {
--- a/Libraries/Coordination/CallEnvironment.h
+++ b/Libraries/Coordination/CallEnvironment.h
@@ -38,8 +38,6 @@
   CallPolicy policy;
   CallerDeadlines callerDeadlines;
   ServiceTimes serviceTimes;
-  /// By service: the mean service time that its upstreams report.
-  ServiceTimes reportedServiceTimes;
   AnswerSizes answerSizes;
   NestedRoutes nestedRoutes;
   Router router;
--- a/Libraries/Coordination/CallPolicy.h
+++ b/Libraries/Coordination/CallPolicy.h
@@ -21,15 +21,12 @@
   /// The wait for a slot is bounded by the route's latency objective, and a
   /// call is refused without a backoff if no upstream has a free slot.
   bool boundsWait = false;
-  /// Tokens of the retry budget that clients' requests leave to nested calls.
-  double retryReserve = 0;
 
   /// Returns the policy for upstreams whose nodes report their load.
   static CallPolicy WithLoadReports()
   {
     constexpr unsigned kPlacements = 5;
-    constexpr double kRetryReserve = 1;
-    return { true, kPlacements, true, true, kRetryReserve };
+    return { true, kPlacements, true, true };
   }
 };
 
--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -14,9 +14,6 @@
 constexpr state::Duration kDeadlineMargin = std::chrono::milliseconds(1);
 /// Assumed for upstreams that have not reported their load.
 constexpr state::Duration kDefaultServiceTime = std::chrono::milliseconds(120);
-/// Bounds of the ratio between the service time of one upstream and the mean of
-/// its service; reports of few requests stray widely.
-constexpr double kMaxSlowness = 2.5;
 /// The longest wait for a slot if the request misses its latency objective
 /// anyway.
 constexpr state::Duration kMissedObjectiveMaxWait =
@@ -119,9 +116,6 @@
   }
   environment_.router.SetEndpoints(snapshot_->endpoints, aNow);
   environment_.budget.OnCall(service_, aNow);
-  if (isFinalTry_ && facts_.repeatedRunShare > 0) {
-    environment_.budget.Spend(service_, aNow, facts_.repeatedRunShare);
-  }
   if (IsKeyed()) {
     return StartKeyed(aNow);
   }
@@ -214,18 +208,8 @@
 CallSession::ServiceTime()
 {
   const auto known = environment_.router.ServiceTime(*currentEndpoint_);
-  const auto ofRoute =
-    environment_.serviceTimes.Get(route_->name, state::Duration{ 0 });
-  const auto ofService =
-    environment_.reportedServiceTimes.Get(service_, state::Duration{ 0 });
-  if (ofRoute.count() == 0 || ofService.count() == 0 || known.count() == 0) {
-    return std::max(ofRoute, known).count() > 0 ? std::max(ofRoute, known)
-                                                : kDefaultServiceTime;
-  }
-  const double slowness =
-    static_cast<double>(known.count()) / static_cast<double>(ofService.count());
-  return std::chrono::duration_cast<state::Duration>(
-    ofRoute * std::clamp(slowness, 1 / kMaxSlowness, kMaxSlowness));
+  return environment_.serviceTimes.Get(
+    route_->name, known.count() > 0 ? known : kDefaultServiceTime);
 }
 
 std::optional<state::Duration>
@@ -292,11 +276,8 @@
   if (IsRefusalFree()) {
     return placements_ < environment_.policy.maxPlacements;
   }
-  // A client can repeat its request itself; a nested call that fails wastes the
-  // work of the request that made it.
-  const double reserve = isFinalTry_ ? 0 : environment_.policy.retryReserve;
   return facts_.retriesLeft > 0 && attempts_ < MaxAttempts() &&
-         environment_.budget.HasToken(service_, aNow, reserve);
+         environment_.budget.HasToken(service_, aNow);
 }
 
 void
@@ -391,7 +372,6 @@
   attempt.maxWait = MaxWait(aNow);
   attempt.usefulWait = UsefulWait(aNow);
   attempt.largeAnswer = ExpectedLargeAnswer(aNow);
-  attempt.isRepeat = attempts_ > 1;
   attempt.isFinalTry = environment_.policy.boundsWait && isFinalTry_;
   if (keyed_) {
     attempt.claim =
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -28,9 +28,6 @@
   /// A request that the upstream beside this node runs expires no earlier, so
   /// that this one may be a call of it.
   bool mayBeNested = true;
-  /// The share of the requests that the upstream beside this node runs which
-  /// are repeats; the nested calls of a repeat are repeats too.
-  double repeatedRunShare = 0;
   /// Retries that this call and all calls below it in the chain may still make
   /// in total.
   unsigned retriesLeft = 2;
@@ -83,8 +80,6 @@
   /// The caller's deadline leaves no time for another retry, so the request is
   /// served before others.
   bool isFinalTry = false;
-  /// An earlier attempt of the call may have reached an upstream.
-  bool isRepeat = false;
   /// Empty if the answer is expected to be small.
   std::optional<LargeAnswer> largeAnswer = std::nullopt;
 };
--- a/Libraries/Coordination/RetryBudget.cpp
+++ b/Libraries/Coordination/RetryBudget.cpp
@@ -50,19 +50,15 @@
 }
 
 bool
-RetryBudget::HasToken(std::string_view aService,
-                      state::Instant aNow,
-                      double aReserve)
+RetryBudget::HasToken(std::string_view aService, state::Instant aNow)
 {
-  return RefillAccount(aService, aNow).tokens >= 1 + aReserve;
+  return RefillAccount(aService, aNow).tokens >= 1;
 }
 
 void
-RetryBudget::Spend(std::string_view aService,
-                   state::Instant aNow,
-                   double aTokens)
+RetryBudget::Spend(std::string_view aService, state::Instant aNow)
 {
-  RefillAccount(aService, aNow).tokens -= aTokens;
+  RefillAccount(aService, aNow).tokens -= 1;
 }
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/RetryBudget.h
+++ b/Libraries/Coordination/RetryBudget.h
@@ -31,17 +31,11 @@
   /// Counts a first attempt.
   void OnCall(std::string_view aService, state::Instant aNow);
 
-  /// @param aReserve tokens that must remain after the retry.
   /// @return true if a retry is allowed now.
-  bool HasToken(std::string_view aService,
-                state::Instant aNow,
-                double aReserve = 0);
-
-  /// Counts a retry, or the part of one that a nested call of a possibly
-  /// repeated run stands for. A retry requires HasToken().
-  void Spend(std::string_view aService,
-             state::Instant aNow,
-             double aTokens = 1);
+  bool HasToken(std::string_view aService, state::Instant aNow);
+
+  /// Counts a retry. Requires HasToken().
+  void Spend(std::string_view aService, state::Instant aNow);
 
 private:
   struct Account
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -61,16 +61,6 @@
 
 } // namespace
 
-/// What an upstream must offer to be picked, from the strictest limit to none.
-enum class Router::LoadLimit : std::uint8_t
-{
-  FreeAndHealthy,
-  /// Where all upstreams of a service fail part of their requests, one with a
-  /// free slot nearby is still better than a farther one.
-  Free,
-  None,
-};
-
 struct Router::Candidate
 {
   const state::EndpointRecord* record;
@@ -87,20 +77,7 @@
   {
     return health->OutstandingRequests(aNow) <
              health->UsableSlots(record->slots, aNow) &&
-           !health->IsOverloaded(aNow);
-  }
-
-  bool Meets(LoadLimit aLimit, state::Instant aNow) const
-  {
-    switch (aLimit) {
-      case LoadLimit::FreeAndHealthy:
-        return HasFreeSlot(aNow) && !health->IsFailing(aNow);
-      case LoadLimit::Free:
-        return HasFreeSlot(aNow);
-      case LoadLimit::None:
-        break;
-    }
-    return true;
+           !health->IsOverloaded(aNow) && !health->IsFailing(aNow);
   }
 
   /// False for a large answer from another data centre whose link is busy.
@@ -150,7 +127,7 @@
 {
   const std::vector<EndpointPointer>& tried;
   TransferSizes sizes;
-  LoadLimit limit;
+  bool ignoresLoad;
   state::Instant now;
 };
 
@@ -293,13 +270,9 @@
   if (list == nullptr) {
     return nullptr;
   }
-  const Candidate* candidate = nullptr;
-  for (const auto limit :
-       { LoadLimit::FreeAndHealthy, LoadLimit::Free, LoadLimit::None }) {
-    candidate = PickFrom(*list, { aTried, aSizes, limit, aNow });
-    if (candidate != nullptr) {
-      break;
-    }
+  const auto* candidate = PickFrom(*list, { aTried, aSizes, false, aNow });
+  if (candidate == nullptr) {
+    candidate = PickFrom(*list, { aTried, aSizes, true, aNow });
   }
   return candidate == nullptr ? nullptr : StartRequest(*candidate, aNow);
 }
@@ -317,12 +290,11 @@
     if (candidate == nullptr) {
       continue;
     }
-    const bool ignoresLoad = aCriteria.limit == LoadLimit::None;
-    const double share = ignoresLoad ? kMaxFarTimeShare : 1;
+    const double share = aCriteria.ignoresLoad ? kMaxFarTimeShare : 1;
     if (best == nullptr || expected(*candidate) < share * expected(*best)) {
       best = candidate;
     }
-    if (ignoresLoad) {
+    if (aCriteria.ignoresLoad) {
       continue;
     }
     if (best->TransferTime(aCriteria.sizes, aCriteria.now) <=
@@ -348,7 +320,7 @@
   const auto usable = [&](const Candidate& aCandidate) {
     return aCandidate.IsAllowed(aList.panic, now) &&
            (!isAnyNear || aCandidate.HasRoomForAnswer(aCriteria.sizes, now)) &&
-           aCandidate.Meets(aCriteria.limit, now) &&
+           (aCriteria.ignoresLoad || aCandidate.HasFreeSlot(now)) &&
            !Contains(aCriteria.tried, *aCandidate.record);
   };
   const auto draw = [&](const Candidate* aOther) -> const Candidate* {
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -132,7 +132,6 @@
   std::size_t TrackedNodeCount() const { return healthByNode_.size(); }
 
 private:
-  enum class LoadLimit : std::uint8_t;
   struct Candidate;
   struct PickCriteria;
   struct ServiceList;
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -36,8 +36,6 @@
 inline constexpr const char* kAnswerTime = "Teaselhold-Answer-Ms";
 /// "yes": the caller has no time for another try after a refusal.
 inline constexpr const char* kFinalTry = "Teaselhold-Final-Try";
-/// "yes": an earlier attempt of the same call may have run.
-inline constexpr const char* kRepeat = "Teaselhold-Repeat";
 /// The load of the upstream beside the answering node.
 inline constexpr const char* kLoad = "Teaselhold-Load";
 /// With not-run: milliseconds after which another try may be accepted.
--- a/Services/teaselholdd/AdmissionQueue.h
+++ b/Services/teaselholdd/AdmissionQueue.h
@@ -83,9 +83,6 @@
   ///         of a request expires no later than the request itself.
   bool MayHaveMade(state::Instant aDeadline) const;
 
-  /// See Admission::RepeatShare().
-  double RepeatShare() const { return admission_.RepeatShare(); }
-
   /// Tells what an answer of the upstream means.
   coordination::Outcome Classify(unsigned aStatus, bool aSaysShed) const
   {
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -169,13 +169,12 @@
 void
 CallerSide::ShareRetryBudget()
 {
-  // All nodes together stay within one allowance, so each takes its part. The
-  // rest is for what a node cannot count, such as a repeat that a restarted
-  // node has forgotten.
-  constexpr double kRatioShare = 0.75;
+  // All nodes together stay within one allowance, so each takes its part.
+  // Calls of a run that is itself a repeat count as repeats too, and no node
+  // can tell those, so they need room of their own.
+  constexpr double kRatioShare = 0.5;
   constexpr double kBurstShare = 0.4;
   constexpr double kSteadyShare = 0.4;
-  constexpr double kStoredTokens = 2;
   const auto nodes = std::max<std::size_t>(
     snapshot_->endpoints == nullptr ? 1 : snapshot_->endpoints->Size(), 1);
   const double slack =
@@ -185,7 +184,7 @@
   options.tokensPerCall = settings_.retryRatio * kRatioShare;
   options.tokensPerSecond = kSteadyShare * slack / window.count();
   options.initialTokens = std::max(1.0, kBurstShare * slack);
-  options.maxTokens = options.initialTokens + kStoredTokens;
+  options.maxTokens = options.initialTokens;
   environment_.budget.SetOptions(options);
 }
 
@@ -336,7 +335,6 @@
   facts.deadline = std::min(
     aNow + state::Duration(std::chrono::milliseconds(remaining)), stopTime_);
   facts.mayBeNested = upstreamSide_.MayHaveMade(facts.deadline);
-  facts.repeatedRunShare = upstreamSide_.RepeatShare();
   facts.bodySize = aRequest.body().size() >= NodeHop::kOfferedBytes
                      ? BodySize::Large
                      : BodySize::Small;
@@ -433,8 +431,6 @@
         const auto travel = now - sent - report->residence;
         environment_.router.RecordRoundTripTime(*endpoint, travel, now);
       }
-      environment_.reportedServiceTimes.Record(aCall.session.Service(),
-                                               report->serviceTime);
       environment_.serviceTimes.Record(aCall.session.Route()->name,
                                        report->ownServiceTime);
     }
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -91,7 +91,6 @@
                             headers::kReason,
                             headers::kMaxWait,
                             headers::kUsefulWait,
-                            headers::kRepeat,
                             headers::kAnswerBytes,
                             headers::kAnswerTime,
                             headers::kFinalTry }) {
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -184,9 +184,6 @@
               std::to_string(aAttempt.largeAnswer->bytes));
     SetHeader(aRequest, headers::kAnswerTime, std::to_string(time.count()));
   }
-  if (aAttempt.isRepeat) {
-    SetHeader(aRequest, headers::kRepeat, "yes");
-  }
   if (aAttempt.isFinalTry) {
     SetHeader(aRequest, headers::kFinalTry, "yes");
   }
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -470,7 +470,6 @@
                          .value_or(state::kDefaultPriority);
   admission.deadline = clock_.Now() + std::chrono::milliseconds(*remaining);
   admission.isFinalTry = ReadHeader(aRequest, headers::kFinalTry) == "yes";
-  admission.isRepeat = ReadHeader(aRequest, headers::kRepeat) == "yes";
   if (const auto wait =
         ReadNumber<std::uint32_t>(aRequest, headers::kMaxWait)) {
     admission.maxWait = std::chrono::milliseconds(*wait);
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -60,9 +60,6 @@
 
   std::size_t InFlight() const { return admission_->InFlight(); }
 
-  /// See Admission::RepeatShare().
-  double RepeatShare() const { return admission_->RepeatShare(); }
-
   /// See AdmissionQueue::MayHaveMade().
   bool MayHaveMade(state::Instant aDeadline) const
   {
