--- a/Libraries/Coordination/CallEnvironment.h
+++ b/Libraries/Coordination/CallEnvironment.h
@@ -3,6 +3,7 @@
 #include "Coordination/CallPolicy.h"
 #include "Coordination/CallerDeadlines.h"
 #include "Coordination/RetryBudget.h"
+#include "Coordination/Rollouts/RolloutGate.h"
 #include "Coordination/Room/NestedRoutes.h"
 #include "Coordination/RouteAverages.h"
 #include "Coordination/Router.h"
@@ -41,6 +42,8 @@
   AnswerSizes answerSizes;
   NestedRoutes nestedRoutes;
   Router router;
+  /// nullptr if there are no roll-outs.
+  RolloutGate* rollouts = nullptr;
 };
 
 } // namespace teaselhold::coordination
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -93,7 +93,10 @@
                             headers::kUsefulWait,
                             headers::kAnswerBytes,
                             headers::kAnswerTime,
-                            headers::kFinalTry }) {
+                            headers::kFinalTry,
+                            headers::kRolloutOrder,
+                            headers::kRouteLabel,
+                            headers::kRollouts }) {
     aFields.erase(name);
   }
 }
@@ -106,7 +109,9 @@
                             headers::kGeneration,
                             headers::kRequestId,
                             headers::kLoad,
-                            headers::kRetryAfter }) {
+                            headers::kRetryAfter,
+                            headers::kRollouts,
+                            headers::kEvidence }) {
     aFields.erase(name);
   }
 }
