Room: Give each rank its turn, and rank by the account's priority

A queue that has been passed over seven times now starts the next request; calls of running requests are exempt. The priority of a client account replaces the class of the route.

--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -17,6 +17,9 @@
 constexpr state::Duration kDefaultMaxWait = std::chrono::milliseconds(100);
 /// Bounds the wait of orders and checks, which may have no deadline.
 constexpr state::Duration kUrgentMaxWait = std::chrono::seconds(10);
+/// The lowest rank of requests that are neither uploads nor batches.
+constexpr auto kLowestSmallRank =
+  static_cast<std::size_t>(RequestClass::Lookup);
 /// One slot in four, rounded up, is reserved for requests other than uploads
 /// and batches.
 constexpr std::uint32_t kReservedSlotDivisor = 4;
@@ -84,9 +87,16 @@
 std::size_t
 Admission::QueueIndex(const AdmissionRequest& aRequest)
 {
-  return aRequest.isFinalTry
-           ? 0
-           : 1 + static_cast<std::size_t>(aRequest.requestClass);
+  static_assert(QueueTurns::kQueueCount ==
+                1 + state::kRequestClassNames.size());
+  if (aRequest.isFinalTry) {
+    return 0;
+  }
+  auto rank = static_cast<std::size_t>(aRequest.requestClass);
+  if (!aRequest.account.empty() && !IsBulk(aRequest.requestClass)) {
+    rank = std::min<std::size_t>(aRequest.priority, kLowestSmallRank);
+  }
+  return 1 + rank;
 }
 
 bool
@@ -117,9 +127,14 @@
   const auto own = QueueIndex(aRequest);
   std::size_t ahead =
     IsInTime(aRequest) ? CountInTime(queues_[own], aNow) : queues_[own].size();
-  for (std::size_t queue = 0; queue < own; ++queue) {
-    ahead += queues_[queue].size();
+  // Of the more urgent requests, only so many go first that each request of
+  // this queue gets its turn.
+  std::size_t urgent = 0;
+  for (std::size_t queue = 1; queue < own; ++queue) {
+    urgent += queues_[queue].size();
   }
+  ahead += std::min(urgent, (ahead + 1) * QueueTurns::kMaxPassedOver);
+  ahead += own > 0 ? queues_[0].size() : 0;
   const auto service =
     serviceTime_.count() > 0 ? serviceTime_ : kDefaultServiceTime;
   return service * (ahead + 1) / std::max(UsableSlots(aNow), 1U);
@@ -325,16 +340,24 @@
   }
 }
 
+QueueTurns::ReadyQueues
+Admission::FindReady(state::Instant aNow) const
+{
+  QueueTurns::ReadyQueues ready{};
+  std::ranges::transform(queues_, ready.begin(), [&](const Queue& aQueue) {
+    return !aQueue.empty() && HasRoom(aQueue.front().request, aNow);
+  });
+  return ready;
+}
+
 void
 Admission::AdmitQueued(state::Instant aNow, Releases& aReleases)
 {
-  for (auto& queue : queues_) {
-    while (!queue.empty() && HasRoom(queue.front().request, aNow)) {
-      auto& entry = NextOf(queue, aNow);
-      Dequeue(entry);
-      MarkRunning(entry);
-      aReleases.push_back({ entry.request.id, std::nullopt });
-    }
+  while (const auto queue = turns_.Take(FindReady(aNow))) {
+    auto& entry = NextOf(queues_[*queue], aNow);
+    Dequeue(entry);
+    MarkRunning(entry);
+    aReleases.push_back({ entry.request.id, std::nullopt });
   }
 }
 
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/CallTypes.h"
 #include "Coordination/LoadReport.h"
+#include "Coordination/Room/QueueTurns.h"
 #include "State/Configuration.h"
 
 #include <array>
@@ -29,8 +30,6 @@
   /// The caller's deadline leaves no time for another retry. A running request
   /// often depends on such a request, so it has priority over all others.
   bool isFinalTry = false;
-  /// An earlier attempt of the same call may have run.
-  bool isRepeat = false;
   /// Refuse the request immediately if its predicted wait is longer. If empty,
   /// the request class determines the longest wait.
   std::optional<state::Duration> maxWait = std::nullopt;
@@ -159,9 +158,6 @@
   /// @return the latest deadline of a running request, if any runs.
   std::optional<state::Instant> LatestRunningDeadline() const;
 
-  /// @return the share of the running requests that are repeats, 0 to 1.
-  double RepeatShare() const;
-
   std::size_t InFlight() const { return running_; }
   std::size_t Waiting() const { return waiting_; }
 
@@ -200,6 +196,7 @@
   void Remove(std::uint64_t aId);
   void RefuseQueued(NotRunReason aReason, Releases& aReleases);
   void RefuseExpired(state::Instant aNow, Releases& aReleases);
+  QueueTurns::ReadyQueues FindReady(state::Instant aNow) const;
   void AdmitQueued(state::Instant aNow, Releases& aReleases);
 
   AdmissionOptions options_;
@@ -208,9 +205,11 @@
   state::Instant readySince_{ 0 };
   std::unordered_map<std::uint64_t, Entry> entries_;
   /// One queue for final tries, then one per request class, each in order of
-  /// arrival. Declared after entries_, because the intrusive lists must be
-  /// destroyed before their elements.
-  std::array<Queue, state::kRequestClassNames.size() + 1> queues_;
+  /// arrival. The priority of a client account replaces the class. Declared
+  /// after entries_, because the intrusive lists must be destroyed before their
+  /// elements.
+  std::array<Queue, QueueTurns::kQueueCount> queues_;
+  QueueTurns turns_;
   std::unordered_map<std::string, std::uint32_t> requestsByTenant_;
   std::size_t running_ = 0;
   /// Running uploads and batches.
