--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/CallTypes.h"
 #include "Coordination/LoadReport.h"
+#include "Coordination/Room/QueueTurns.h"
 #include "State/Configuration.h"
 
 #include <array>
@@ -32,15 +33,15 @@
   /// Refuse the request immediately if its predicted wait is longer. If empty,
   /// the request class determines the longest wait.
   std::optional<state::Duration> maxWait = std::nullopt;
+  /// If the request starts after this wait, its answer misses the latency
+  /// objective of its route. Within a class, requests that can still meet
+  /// theirs go before those that cannot.
+  std::optional<state::Duration> usefulWait = std::nullopt;
   /// The client account whose key the request carried; empty if it had none.
   std::string account = {};
   /// Rank among the requests that compete for the upstream, 0 first: the
   /// account's, or the route's if the account has none.
   std::uint32_t priority = state::kDefaultPriority;
-  /// If the request starts after this wait, its answer misses the latency
-  /// objective of its route. Within a class, requests that can still meet
-  /// theirs go before those that cannot.
-  std::optional<state::Duration> usefulWait = std::nullopt;
 };
 
 /// Deliver the request now.
@@ -195,6 +196,7 @@
   void Remove(std::uint64_t aId);
   void RefuseQueued(NotRunReason aReason, Releases& aReleases);
   void RefuseExpired(state::Instant aNow, Releases& aReleases);
+  QueueTurns::ReadyQueues FindReady(state::Instant aNow) const;
   void AdmitQueued(state::Instant aNow, Releases& aReleases);
 
   AdmissionOptions options_;
@@ -203,9 +205,11 @@
   state::Instant readySince_{ 0 };
   std::unordered_map<std::uint64_t, Entry> entries_;
   /// One queue for final tries, then one per request class, each in order of
-  /// arrival. Declared after entries_, because the intrusive lists must be
-  /// destroyed before their elements.
-  std::array<Queue, state::kRequestClassNames.size() + 1> queues_;
+  /// arrival. The priority of a client account replaces the class. Declared
+  /// after entries_, because the intrusive lists must be destroyed before their
+  /// elements.
+  std::array<Queue, QueueTurns::kQueueCount> queues_;
+  QueueTurns turns_;
   std::unordered_map<std::string, std::uint32_t> requestsByTenant_;
   std::size_t running_ = 0;
   /// Running uploads and batches.
