--- a/Libraries/Coordination/CallTypes.h
+++ b/Libraries/Coordination/CallTypes.h
@@ -43,6 +43,8 @@
   /// The outgoing link of the upstream's host could not send the large answer
   /// in time.
   LinkBusy,
+  /// The client account's limit over all nodes is used up.
+  QuotaExceeded,
   /// The route needs the key of a client account.
   AccountKeyMissing,
   /// No client account holds the key, or the header that carries it is
@@ -53,7 +55,7 @@
   AccountsUnverified,
 };
 
-inline constexpr std::array<state::EnumName<NotRunReason>, 24>
+inline constexpr std::array<state::EnumName<NotRunReason>, 25>
   kNotRunReasonNames{ {
     { NotRunReason::NotReady, "not-ready" },
     { NotRunReason::NoRoute, "no-route" },
@@ -76,6 +78,7 @@
     { NotRunReason::KeyRefused, "key-refused" },
     { NotRunReason::KeyMismatch, "key-mismatch" },
     { NotRunReason::LinkBusy, "link-busy" },
+    { NotRunReason::QuotaExceeded, "quota-exceeded" },
     { NotRunReason::AccountKeyMissing, "account-key-missing" },
     { NotRunReason::AccountKeyUnknown, "account-key-unknown" },
     { NotRunReason::AccountsUnverified, "accounts-unverified" },
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -90,6 +90,7 @@
                             headers::kOutcome,
                             headers::kReason,
                             headers::kMaxWait,
+                            headers::kUsefulWait,
                             headers::kAnswerBytes,
                             headers::kAnswerTime,
                             headers::kFinalTry,
