--- a/Libraries/Coordination/Rollouts/VersionJudge.cpp
+++ b/Libraries/Coordination/Rollouts/VersionJudge.cpp
@@ -124,6 +124,7 @@
 MakeStandard(const std::vector<RouteEvidence>& aOld)
 {
   std::vector<double> rates;
+  rates.reserve(aOld.size());
   for (const auto& evidence : aOld) {
     rates.push_back(FailureRate(evidence));
   }
