--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -28,6 +28,8 @@
 inline constexpr const char* kPriority = "Teaselhold-Priority";
 /// Milliseconds that a request may wait for a slot beside the upstream.
 inline constexpr const char* kMaxWait = "Teaselhold-Max-Wait-Ms";
+/// Milliseconds of wait after which the answer misses its latency objective.
+inline constexpr const char* kUsefulWait = "Teaselhold-Useful-Wait-Ms";
 /// Expected size of the answer's body, if it is large.
 inline constexpr const char* kAnswerBytes = "Teaselhold-Answer-Bytes";
 /// With the above: milliseconds until the answer must be sent to be useful.
@@ -66,6 +68,8 @@
 inline constexpr const char* kReaderPath = "/.teaselhold/reader";
 inline constexpr const char* kReaderWaitPath = "/.teaselhold/reader-wait";
 inline constexpr const char* kReader = "Teaselhold-Reader";
+/// Questions about the quotas of client accounts; see quotas::QuestionMessage.
+inline constexpr const char* kCreditPath = "/.teaselhold/credit";
 /// Hands over the departure of the upstream beside Teaselhold-Node. Answered
 /// with 200 once the store holds it, or 202 if the answering node keeps it.
 inline constexpr const char* kDeparturePath = "/.teaselhold/departure";
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -37,6 +37,23 @@
 /// A node has thousands of peers, but few of them send at the same time.
 constexpr std::size_t kMaxConnections = 4096;
 
+/// The head of a request grows by this between nodes.
+constexpr std::uint32_t kNodeHeaderBytes = 4096;
+
+/// Readiness and announcements come from this host, one call at a time.
+constexpr std::size_t kMaxHostConnections = 64;
+constexpr std::uint64_t kMaxHostBodyBytes = 64ULL * 1024;
+
+transport::HttpServerOptions
+HostCallOptions()
+{
+  transport::HttpServerOptions options;
+  options.countsRequests = false;
+  options.maxConnections = kMaxHostConnections;
+  options.maxBodyBytes = kMaxHostBodyBytes;
+  return options;
+}
+
 } // namespace
 
 DataPlane::DataPlane(const Settings& aSettings,
@@ -64,6 +81,7 @@
   , departures_(context_, std::move(aDepartureSink))
   , replicator_(context_, settings_, aIncarnation, departures_)
   , readers_(context_, std::move(aReaderSink))
+  , quotas_(context_, settings_, aClock, aIncarnation)
   , upstreamSide_(context_,
                   settings_,
                   adapters_,
@@ -83,6 +101,7 @@
                 aIncarnation,
                 upstreamSide_,
                 versions_,
+                quotas_,
                 aCallMetrics)
 {
 }
@@ -117,6 +136,7 @@
     return tl::make_unexpected(callerServer.error());
   }
   auto nodeOptions = options;
+  nodeOptions.maxHeaderBytes += kNodeHeaderBytes;
   nodeOptions.pacing = link_->Pacing();
   nodeOptions.admitBody = [this](const Request& aHead) {
     return upstreamSide_.AdmitBody(aHead);
@@ -147,9 +167,10 @@
 {
   if (!settings_.readyAddress.empty()) {
     auto server = transport::HttpServer::Listen(
-      context_, settings_.readyAddress, [this](Request aRequest) {
-        return AnswerReady(std::move(aRequest));
-      });
+      context_,
+      settings_.readyAddress,
+      [this](Request aRequest) { return AnswerReady(std::move(aRequest)); },
+      HostCallOptions());
     if (!server) {
       return tl::make_unexpected(server.error());
     }
@@ -157,9 +178,12 @@
   }
   if (upstreamSide_.Announced() != nullptr) {
     auto server = transport::HttpServer::Listen(
-      context_, settings_.announcementAddress, [this](Request aRequest) {
+      context_,
+      settings_.announcementAddress,
+      [this](Request aRequest) {
         return upstreamSide_.Announced()->Serve(std::move(aRequest));
-      });
+      },
+      HostCallOptions());
     if (!server) {
       return tl::make_unexpected(server.error());
     }
@@ -176,9 +200,18 @@
   if (mayWait || IsNodeCall(aRequest, protocol::headers::kReaderPath)) {
     return readers_.Serve(mayWait, std::move(aCancellation));
   }
+  if (IsNodeCall(aRequest, protocol::headers::kCreditPath)) {
+    return ServeCredit(std::move(aRequest));
+  }
   return upstreamSide_.ServeNode(std::move(aRequest), std::move(aCancellation));
 }
 
+asio::awaitable<Response>
+DataPlane::ServeCredit(Request aRequest)
+{
+  co_return quotas_.Serve(aRequest);
+}
+
 asio::awaitable<Response>
 DataPlane::AnswerReady(Request aRequest)
 {
@@ -206,6 +239,7 @@
     }
     versions_.Rollouts().Gate().SetEndpoints(snapshot->endpoints, clock_.Now());
     replicator_.SetSnapshot(snapshot);
+    quotas_.SetSnapshot(snapshot);
     callerSide_.SetSnapshot(std::move(snapshot));
   });
 }
@@ -223,6 +257,13 @@
                            limits_->maxBodyBytes,
                            limits_->headerTimeout,
                            limits_->idleTimeout);
+  // Nodes pass on what callers may send, and use kept connections as they like.
+  const transport::HttpServerOptions usual;
+  nodeServer_->SetLimits(
+    std::max(usual.maxHeaderBytes, limits_->maxHeaderBytes) + kNodeHeaderBytes,
+    std::max(usual.maxBodyBytes, limits_->maxBodyBytes),
+    usual.headerTimeout,
+    usual.idleTimeout);
 }
 
 void
@@ -266,7 +307,11 @@
     settings_.retrySlack = settings.retrySlack;
     settings_.retryWindow = settings.retryWindow;
     settings_.upstreamDrain = settings.upstreamDrain;
+    settings_.quotaWindow = settings.quotaWindow;
+    settings_.quotaOverage = settings.quotaOverage;
+    settings_.quotaSlack = settings.quotaSlack;
     callerSide_.OnSettings();
+    quotas_.OnSettings();
     if (auto* announced = upstreamSide_.Announced()) {
       announced->OnSettings(settings_);
     }
@@ -308,6 +353,7 @@
   asio::post(context_, [this, deadline, isOnPlatform] {
     isStopping_ = true;
     readers_.Stop();
+    quotas_.Leave();
     if (isOnPlatform) {
       const auto left = deadline - kAnswerTime - Clock::Steady::now();
       callerSide_.SetStopTime(
--- a/Services/teaselholdd/MetricsText.cpp
+++ b/Services/teaselholdd/MetricsText.cpp
@@ -44,6 +44,8 @@
                  "Requests of other nodes refused beside the upstream.",
                  metrics_.calls.refused,
                  kNotRunReasonNames);
+    WritePeers();
+    WriteQuotas();
     WriteControl();
     WriteStore();
     WriteVersions();
@@ -162,6 +164,61 @@
     }
   }
 
+  void WritePeers()
+  {
+    constexpr std::string_view kName = "teaselhold_peer_refusals_total";
+    writer_.Family(kName,
+                   "counter",
+                   "Requests, answers and connections of peers refused or "
+                   "ended by a limit, by reason.");
+    for (const auto& reason : transport::kPeerRefusalNames) {
+      const auto count =
+        metrics_.peerRefusals[static_cast<std::size_t>(reason.value)];
+      if (count > 0) {
+        Sample(kName, { { "reason", std::string(reason.name) } }, count);
+      }
+    }
+    writer_.Family("teaselhold_peer_memory_bytes",
+                   "gauge",
+                   "Memory taken for what peers send.");
+    Sample("teaselhold_peer_memory_bytes", {}, metrics_.peerMemoryBytes);
+    writer_.Family("teaselhold_peer_connections",
+                   "gauge",
+                   "Open connections with callers, nodes and the upstream.");
+    Sample("teaselhold_peer_connections", {}, metrics_.peerConnections);
+  }
+
+  void WriteQuotas()
+  {
+    constexpr std::string_view kName = "teaselhold_quota_requests_total";
+    const auto& quotas = metrics_.quotas;
+    writer_.Family(kName,
+                   "counter",
+                   "Requests of limited client accounts at this node, by what "
+                   "the limit over all nodes decided.");
+    for (const auto& [account, counts] : quotas.accounts) {
+      const auto sample = [&](const char* aDecision, std::uint64_t aCount) {
+        Sample(
+          kName, { { "account", account }, { "decision", aDecision } }, aCount);
+      };
+      // An account that was not seen gets no row.
+      if (counts.granted + counts.refused > 0) {
+        sample("granted", counts.granted);
+        sample("refused", counts.refused);
+      }
+    }
+    writer_.Family("teaselhold_quota_positions_lent",
+                   "gauge",
+                   "Positions for which this node lends credit.");
+    Sample("teaselhold_quota_positions_lent", {}, quotas.positionsLent);
+    Counter("teaselhold_quota_messages_total",
+            "Messages about quotas sent to other nodes.",
+            quotas.messages);
+    Counter("teaselhold_quota_failed_messages_total",
+            "Messages about quotas that got no answer.",
+            quotas.failedMessages);
+  }
+
   void WriteControl()
   {
     const auto& control = metrics_.control;
