Quotas: Let an account that sends evenly use rate and burst in each window

Cause: a limit allows rate x window + burst in any window, but lenders refilled at the rate only, so an account with even traffic got less than its limit.

--- a/Libraries/Coordination/Quotas/CreditLedger.cpp
+++ b/Libraries/Coordination/Quotas/CreditLedger.cpp
@@ -20,6 +20,18 @@
 constexpr Seconds kMinEmpty{ 0.25 };
 constexpr Seconds kMaxEmpty{ 1.0 };
 
+/// Uses within this time are kept as one, which bounds the memory of a ledger.
+constexpr state::Duration kUseStep = std::chrono::milliseconds(50);
+
+/// @return for how long a new lender lends nothing.
+state::Duration
+StartDelay(const PartLimit& aLimit)
+{
+  const Seconds window = aLimit.window;
+  const double share = 1 - aLimit.rate / aLimit.evenRate;
+  return std::chrono::duration_cast<state::Duration>(window * share);
+}
+
 std::uint32_t
 WholeCredits(double aCredit)
 {
@@ -35,7 +47,9 @@
   : limit_(aLimit)
   , term_(aTerm)
   , lentSince_(aLentSince)
-  , refilledAt_(aLentSince)
+  // By then whatever the lender before this one lent evenly, and a burst on
+  // top, leaves room for the rate in each window.
+  , refilledAt_(aLentSince + StartDelay(aLimit))
 {
   Refill(aNow);
 }
@@ -72,16 +86,21 @@
     kept = std::min<double>(aAsk.held, limit_.capacity);
     const auto back = std::min<double>(kept + aAsk.returned, limit_.capacity);
     available_ += back - kept;
+    Unspend(std::max(0.0, back - borrower.held));
+    Spend(std::max(0.0, borrower.held - back), aNow);
+  } else {
+    Spend(borrower.held, aNow);
   }
   held_ += kept - borrower.held;
   borrower.held = kept;
   Refill(aNow);
 
   Grant grant{ aAsk.position, aAsk.account, term_ };
-  grant.need = std::min(aAsk.need, WholeCredits(available_));
+  grant.need = std::min(aAsk.need, WholeCredits(Available()));
   available_ -= grant.need;
+  Spend(grant.need, aNow);
   const double room =
-    std::min((available_ - limit_.capacity * kReserveShare) * kAheadShare,
+    std::min((Available() - limit_.capacity * kReserveShare) * kAheadShare,
              limit_.maxHeld - held_);
   grant.ahead = std::min(aAsk.ahead, WholeCredits(room));
   available_ -= grant.ahead;
@@ -98,13 +117,59 @@
 void
 CreditLedger::Refill(state::Instant aNow)
 {
-  const Seconds elapsed = std::max(aNow - refilledAt_, state::Duration(0));
-  refilledAt_ = std::max(aNow, refilledAt_);
-  available_ += limit_.rate * elapsed.count();
+  while (!used_.empty() && used_.front().time + limit_.window <= aNow) {
+    usedInWindow_ -= used_.front().credit;
+    used_.pop_front();
+  }
+  if (aNow > refilledAt_) {
+    // The lender before this one may have used much of the first window.
+    const auto windowEnd = lentSince_ + limit_.window;
+    const Seconds early = std::min(aNow, windowEnd) - refilledAt_;
+    const Seconds later = aNow - std::max(refilledAt_, windowEnd);
+    available_ += limit_.rate * std::max(0.0, early.count());
+    available_ += limit_.evenRate * std::max(0.0, later.count());
+    refilledAt_ = aNow;
+  }
   available_ =
     std::clamp(available_, 0.0, std::max(0.0, Capacity(aNow) - held_));
 }
 
+double
+CreditLedger::Available() const
+{
+  return std::min(available_, limit_.inWindow - usedInWindow_ - held_);
+}
+
+void
+CreditLedger::Spend(double aCredit, state::Instant aNow)
+{
+  if (aCredit <= 0) {
+    return;
+  }
+  usedInWindow_ += aCredit;
+  // A step counts from its end.
+  if (!used_.empty() && aNow <= used_.back().time) {
+    used_.back().credit += aCredit;
+  } else {
+    used_.push_back({ aNow + kUseStep, aCredit });
+  }
+}
+
+void
+CreditLedger::Unspend(double aCredit)
+{
+  while (aCredit > 0 && !used_.empty()) {
+    auto& last = used_.back();
+    const double part = std::min(aCredit, last.credit);
+    last.credit -= part;
+    usedInWindow_ -= part;
+    aCredit -= part;
+    if (last.credit <= 0) {
+      used_.pop_back();
+    }
+  }
+}
+
 double
 CreditLedger::Capacity(state::Instant aNow) const
 {
@@ -125,6 +190,7 @@
     if (borrower.expiry <= aNow) {
       // It counts as used, since the node may have used it.
       held_ -= borrower.held;
+      Spend(borrower.held, aNow);
       return true;
     }
     nextExpiry_ = std::min(nextExpiry_, borrower.expiry);
--- a/Libraries/Coordination/Quotas/QuotaLimits.cpp
+++ b/Libraries/Coordination/Quotas/QuotaLimits.cpp
@@ -31,6 +31,9 @@
   const double excess = inWindow * aOptions.overage + aOptions.slack;
   PartLimit limit;
   limit.rate = aAccount.requestsPerSecond / kParts;
+  limit.window = aOptions.window;
+  limit.evenRate = inWindow / seconds / kParts;
+  limit.inWindow = (inWindow + excess * kExcessShare) / kParts;
   limit.capacity = (burst + excess * kExcessShare) / kParts;
   limit.maxHeld = limit.capacity * kHeldShare;
   return limit;
--- a/Libraries/Coordination/Quotas/QuotaLimits.h
+++ b/Libraries/Coordination/Quotas/QuotaLimits.h
@@ -31,6 +31,12 @@
 {
   /// Requests per second.
   double rate = 0;
+  /// Requests per second of an account that uses rate and burst evenly in each
+  /// window.
+  double evenRate = 0;
+  /// Credit that may be used in any window.
+  double inWindow = 0;
+  state::Duration window = std::chrono::seconds(5);
   /// Credit that exists at any time, at the lender and at the nodes.
   double capacity = 0;
   /// The part of the capacity that nodes may hold unused.
