--- a/Libraries/Coordination/Quotas/QuotaLimits.h
+++ b/Libraries/Coordination/Quotas/QuotaLimits.h
@@ -4,6 +4,7 @@
 #include "State/Instant.h"
 
 #include <cstdint>
+#include <tuple>
 
 namespace teaselhold::coordination::quotas {
 
@@ -63,7 +64,12 @@
   std::uint32_t slot = 0;
   std::uint32_t part = 0;
 
-  auto operator<=>(const Position&) const = default;
+  bool operator==(const Position&) const = default;
+  bool operator<(const Position& aOther) const
+  {
+    return std::tie(slots, slot, part) <
+           std::tie(aOther.slots, aOther.slot, aOther.part);
+  }
 };
 
 /// @return the slot of an account.
--- a/Tests/Coordination/Quotas/QuotaPartsTest.cpp
+++ b/Tests/Coordination/Quotas/QuotaPartsTest.cpp
@@ -164,6 +164,7 @@
 TEST_CASE("A join changes few electors", "[quotas]")
 {
   std::vector<std::string> nodes;
+  nodes.reserve(90);
   for (int i = 0; i < 89; ++i) {
     nodes.push_back("node-" + std::to_string(i));
   }
