--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -105,12 +105,14 @@
     std::min(facts_.deadline, aNow + state::Duration(route_->timeout));
   answerBytes_ =
     static_cast<std::uint64_t>(environment_.answerSizes.Get(route_->name, 0));
+  const bool isNested =
+    environment_.nestedRoutes.Record(route_->name, facts_.mayBeNested);
   if (route_->latencyObjective.count() > 0 &&
       facts_.deadline != state::Instant::max()) {
     const auto& deadlines =
       environment_.callerDeadlines.Record(route_->name, facts_.deadline - aNow);
     objective_ = aNow + route_->latencyObjective - deadlines.elapsed;
-    isFinalTry_ = deadlines.callerTimeout <= route_->timeout;
+    isFinalTry_ = isNested && deadlines.callerTimeout <= route_->timeout;
   }
   environment_.router.SetEndpoints(snapshot_->endpoints, aNow);
   environment_.budget.OnCall(service_, aNow);
@@ -227,17 +229,26 @@
     // and on a saturated link a long queue would make all of them late.
     return std::max(left, state::Duration{ 0 });
   }
-  if (objective_ != state::Instant::max()) {
-    const auto wait = objective_ - aNow - service - service / 4;
-    if (wait > kMissedObjectiveMaxWait) {
-      return wait;
-    }
+  const auto useful = UsefulWait(aNow);
+  if (useful && *useful > kMissedObjectiveMaxWait) {
+    return useful;
   }
   // There is no objective or it cannot be met, so a short wait leaves the
   // slots to requests that can still meet theirs.
   return std::clamp(left, state::Duration{ 0 }, kMissedObjectiveMaxWait);
 }
 
+std::optional<state::Duration>
+CallSession::UsefulWait(state::Instant aNow)
+{
+  if (!environment_.policy.boundsWait || objective_ == state::Instant::max()) {
+    return std::nullopt;
+  }
+  const auto service = ServiceTime();
+  return std::max(objective_ - aNow - service - service / 4,
+                  state::Duration{ 0 });
+}
+
 std::optional<LargeAnswer>
 CallSession::ExpectedLargeAnswer(state::Instant aNow)
 {
@@ -407,6 +418,7 @@
     attempt.rolloutOrder = environment_.rollouts->Permit(service_);
   }
   attempt.maxWait = MaxWait(aNow);
+  attempt.usefulWait = UsefulWait(aNow);
   attempt.largeAnswer = ExpectedLargeAnswer(aNow);
   attempt.isFinalTry = environment_.policy.boundsWait && isFinalTry_;
   if (keyed_) {
--- a/Services/teaselholdd/MetricsText.h
+++ b/Services/teaselholdd/MetricsText.h
@@ -5,6 +5,7 @@
 #include "Services/teaselholdd/QuotaExchange.h"
 #include "Services/teaselholdd/StoreWorker.h"
 #include "Transport/ControlChannel.h"
+#include "Transport/Limits/PeerLimits.h"
 
 #include <string>
 
@@ -23,6 +24,9 @@
   StoreCounters store;
   coordination::FleetStatus fleet;
   state::Generation activeGeneration = 0;
+  transport::PeerRefusalCounts peerRefusals{};
+  std::uint64_t peerMemoryBytes = 0;
+  std::uint64_t peerConnections = 0;
 };
 
 /// Formats metrics in the Prometheus text exposition format, version 0.0.4.
