--- a/Libraries/Coordination/Quotas/QuotaLimits.h
+++ b/Libraries/Coordination/Quotas/QuotaLimits.h
@@ -4,6 +4,7 @@
 #include "State/Instant.h"
 
 #include <cstdint>
+#include <tuple>
 
 namespace teaselhold::coordination::quotas {
 
@@ -31,6 +32,12 @@
 {
   /// Requests per second.
   double rate = 0;
+  /// Requests per second of an account that uses rate and burst evenly in each
+  /// window.
+  double evenRate = 0;
+  /// Credit that may be used in any window.
+  double inWindow = 0;
+  state::Duration window = std::chrono::seconds(5);
   /// Credit that exists at any time, at the lender and at the nodes.
   double capacity = 0;
   /// The part of the capacity that nodes may hold unused.
@@ -57,7 +64,12 @@
   std::uint32_t slot = 0;
   std::uint32_t part = 0;
 
-  auto operator<=>(const Position&) const = default;
+  bool operator==(const Position&) const = default;
+  bool operator<(const Position& aOther) const
+  {
+    return std::tie(slots, slot, part) <
+           std::tie(aOther.slots, aOther.slot, aOther.part);
+  }
 };
 
 /// @return the slot of an account.
