--- a/Libraries/Coordination/Room/QueueTurns.h
+++ b/Libraries/Coordination/Room/QueueTurns.h
@@ -16,7 +16,7 @@
 {
 public:
   static constexpr std::size_t kQueueCount = 6;
-  static constexpr std::uint32_t kMaxPassedOver = 7;
+  static constexpr std::uint32_t kMaxPassedOver = 15;
 
   using ReadyQueues = std::array<bool, kQueueCount>;
 
