--- a/Tests/Services/PeerLimitsProcessTest.cpp
+++ b/Tests/Services/PeerLimitsProcessTest.cpp
@@ -276,6 +276,12 @@
                     { "HTTP/1.1 200 OK\r\nContent-Length: 15728641\r\n\r\n",
                       std::string(kMegabyte, 'b'),
                       15 * kMegabyte } });
+  // A failure is kept while the request is sent again.
+  forms.push_back({ "failures with large bodies",
+                    { "HTTP/1.1 500 Internal Server Error\r\nContent-Length: "
+                      "15728640\r\n\r\n",
+                      std::string(kMegabyte, 'b'),
+                      15 * kMegabyte } });
   Mesh mesh(1, kHostSettings);
   auto& node = mesh[0];
   for (const auto& form : forms) {
