--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -105,12 +105,14 @@
     std::min(facts_.deadline, aNow + state::Duration(route_->timeout));
   answerBytes_ =
     static_cast<std::uint64_t>(environment_.answerSizes.Get(route_->name, 0));
+  const bool isNested =
+    environment_.nestedRoutes.Record(route_->name, facts_.mayBeNested);
   if (route_->latencyObjective.count() > 0 &&
       facts_.deadline != state::Instant::max()) {
     const auto& deadlines =
       environment_.callerDeadlines.Record(route_->name, facts_.deadline - aNow);
     objective_ = aNow + route_->latencyObjective - deadlines.elapsed;
-    isFinalTry_ = deadlines.callerTimeout <= route_->timeout;
+    isFinalTry_ = isNested && deadlines.callerTimeout <= route_->timeout;
   }
   environment_.router.SetEndpoints(snapshot_->endpoints, aNow);
   environment_.budget.OnCall(service_, aNow);
@@ -127,6 +129,7 @@
                     unsigned aReturnedRetries)
 {
   environment_.router.OnRequestFinished(*currentEndpoint_, aOutcome, aNow);
+  RecordArrival(aOutcome);
   triedEndpoints_.push_back(std::move(currentEndpoint_));
   currentEndpoint_.reset();
   ReclaimRetries(aOutcome, aReturnedRetries);
@@ -226,17 +229,26 @@
     // and on a saturated link a long queue would make all of them late.
     return std::max(left, state::Duration{ 0 });
   }
-  if (objective_ != state::Instant::max()) {
-    const auto wait = objective_ - aNow - service - service / 4;
-    if (wait > kMissedObjectiveMaxWait) {
-      return wait;
-    }
+  const auto useful = UsefulWait(aNow);
+  if (useful && *useful > kMissedObjectiveMaxWait) {
+    return useful;
   }
   // There is no objective or it cannot be met, so a short wait leaves the
   // slots to requests that can still meet theirs.
   return std::clamp(left, state::Duration{ 0 }, kMissedObjectiveMaxWait);
 }
 
+std::optional<state::Duration>
+CallSession::UsefulWait(state::Instant aNow)
+{
+  if (!environment_.policy.boundsWait || objective_ == state::Instant::max()) {
+    return std::nullopt;
+  }
+  const auto service = ServiceTime();
+  return std::max(objective_ - aNow - service - service / 4,
+                  state::Duration{ 0 });
+}
+
 std::optional<LargeAnswer>
 CallSession::ExpectedLargeAnswer(state::Instant aNow)
 {
@@ -290,10 +302,54 @@
 CallSession::PickNext(state::Instant aNow)
 {
   auto& router = environment_.router;
+  if (!keyed_ && environment_.rollouts != nullptr &&
+      !environment_.rollouts->IsEmpty()) {
+    return PickVersion(aNow);
+  }
   return keyed_ ? router.PickExecutor(service_, keyHash_, triedEndpoints_, aNow)
                 : router.Pick(service_, triedEndpoints_, aNow, Sizes());
 }
 
+EndpointPointer
+CallSession::PickVersion(state::Instant aNow)
+{
+  auto& rollouts = *environment_.rollouts;
+  isRolloutShare_ = false;
+  for (const auto choice :
+       rollouts.Choose(service_, triedEndpoints_.empty(), aNow)) {
+    auto picked = environment_.router.Pick(
+      service_,
+      triedEndpoints_,
+      aNow,
+      Sizes(),
+      [&](const state::EndpointRecord& aUpstream) {
+        return rollouts.Allows(choice, aUpstream, aNow);
+      });
+    if (picked != nullptr) {
+      isRolloutShare_ = choice == VersionChoice::Target;
+      return picked;
+    }
+    if (choice == VersionChoice::Target) {
+      rollouts.Return(service_);
+    }
+  }
+  return nullptr;
+}
+
+void
+CallSession::RecordArrival(const Outcome& aOutcome)
+{
+  if (environment_.rollouts == nullptr || environment_.rollouts->IsEmpty()) {
+    return;
+  }
+  if (!std::holds_alternative<NotRun>(aOutcome)) {
+    environment_.rollouts->OnArrival(service_);
+  } else if (isRolloutShare_) {
+    environment_.rollouts->Return(service_);
+  }
+  isRolloutShare_ = false;
+}
+
 CallStep
 CallSession::Retry(state::Instant aNow)
 {
@@ -358,7 +414,11 @@
   Attempt attempt{
     currentEndpoint_, deadline_, carried, retriesPassedDown_, {}
   };
+  if (environment_.rollouts != nullptr) {
+    attempt.rolloutOrder = environment_.rollouts->Permit(service_);
+  }
   attempt.maxWait = MaxWait(aNow);
+  attempt.usefulWait = UsefulWait(aNow);
   attempt.largeAnswer = ExpectedLargeAnswer(aNow);
   attempt.isFinalTry = environment_.policy.boundsWait && isFinalTry_;
   if (keyed_) {
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -25,6 +25,9 @@
   state::Instant deadline = state::Instant::max();
   unsigned depth = 0;
   BodySize bodySize = BodySize::Small;
+  /// A request that the upstream beside this node runs expires no earlier, so
+  /// that this one may be a call of it.
+  bool mayBeNested = true;
   /// Retries that this call and all calls below it in the chain may still make
   /// in total.
   unsigned retriesLeft = 2;
@@ -71,11 +74,17 @@
   std::optional<ClaimTicket> claim;
   /// Longest wait for a slot; if empty, the node beside the upstream decides.
   std::optional<state::Duration> maxWait = std::nullopt;
+  /// The wait after which the answer misses its latency objective; empty if
+  /// there is none.
+  std::optional<state::Duration> usefulWait = std::nullopt;
   /// The caller's deadline leaves no time for another retry, so the request is
   /// served before others.
   bool isFinalTry = false;
   /// Empty if the answer is expected to be small.
   std::optional<LargeAnswer> largeAnswer = std::nullopt;
+  /// The order of the service's roll-out that this node knows; 0 if there is
+  /// none.
+  std::uint64_t rolloutOrder = 0;
 };
 
 /// Send the response to the caller.
@@ -172,12 +181,15 @@
   bool ShouldRetryAnswer(const Answered& aAnswer) const;
   unsigned MaxAttempts() const;
   std::optional<state::Duration> MaxWait(state::Instant aNow);
+  std::optional<state::Duration> UsefulWait(state::Instant aNow);
   std::optional<LargeAnswer> ExpectedLargeAnswer(state::Instant aNow);
   state::Duration ServiceTime();
   void RecordRefusal(const Outcome& aOutcome);
   void SpendRetry(state::Instant aNow);
   TransferSizes Sizes() const;
   EndpointPointer PickNext(state::Instant aNow);
+  EndpointPointer PickVersion(state::Instant aNow);
+  void RecordArrival(const Outcome& aOutcome);
   CallStep Send(state::Instant aNow);
   void ReclaimRetries(const Outcome& aOutcome, unsigned aReturnedRetries);
   void ReleaseEndpoint();
@@ -221,6 +233,8 @@
   ClaimBinding binding_;
   bool mayStart_ = false;
   std::uint64_t keyHash_ = 0;
+  /// The attempt in flight was taken from the share of a roll-out.
+  bool isRolloutShare_ = false;
 };
 
 } // namespace teaselhold::coordination
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -127,12 +127,14 @@
                        std::uint64_t aIncarnation,
                        UpstreamSide& aUpstreamSide,
                        VersionExchange& aVersions,
+                       QuotaExchange& aQuotas,
                        CallMetrics& aCallMetrics)
   : context_(aContext)
   , settings_(aSettings)
   , adapters_(aAdapters)
   , clock_(aClock)
   , upstreamSide_(aUpstreamSide)
+  , quotas_(aQuotas)
   , callMetrics_(aCallMetrics)
   , hop_(aContext, aSettings, aClock, aIncarnation, aUpstreamSide, aVersions)
   , store_(aContext, aAdapters.store)
@@ -150,6 +152,7 @@
 {
   if (aAdapters.IsAnnounced()) {
     environment_.policy = CallPolicy::WithLoadReports();
+    environment_.rollouts = &aVersions.Rollouts().Gate();
   }
 }
 
@@ -207,9 +210,13 @@
     refused = TakeAccount(aRequest, *facts);
   }
   if (refused) {
-    co_return Refuse(aRequest, *refused, clock_.Now() - now);
+    co_return Refuse(aRequest, NotRun{ *refused }, clock_.Now() - now);
   }
   const CallCount count(inFlight_);
+  auto credit = co_await quotas_.Acquire(facts->account, facts->deadline);
+  if (!credit) {
+    co_return Refuse(aRequest, credit.error(), clock_.Now() - now);
+  }
   RemoveHopHeaders(aRequest);
   RemoveNodeHeaders(aRequest);
   // A chunked body goes on with its length.
@@ -240,6 +247,7 @@
     step = co_await TakeStep(call, step, aCancellation);
   }
   const auto& respond = std::get<Respond>(step);
+  credit->Finish(respond.outcome);
   const auto* route = call.session.Route();
   callMetrics_.Record(route == nullptr ? state::RequestClass::Lookup
                                        : route->requestClass,
@@ -284,21 +292,20 @@
 
 Response
 CallerSide::Refuse(const Request& aRequest,
-                   NotRunReason aReason,
+                   const NotRun& aOutcome,
                    state::Duration aTime)
 {
-  const NotRun outcome{ aReason };
   // Nothing has been routed yet, so the class is not known.
   callMetrics_.Record(state::RequestClass::Lookup,
                       ReadHeader(aRequest, headers::kTenant),
-                      outcome,
+                      aOutcome,
                       aTime);
   CallEnd end;
   end.id = ReadId(aRequest, adapters_.headers);
   end.generation = GenerationOf(snapshot_);
-  LogCallEnd(end, outcome, aTime);
-  auto response = MakeResponse(outcome);
-  FinishAnswer(response, outcome);
+  LogCallEnd(end, aOutcome, aTime);
+  auto response = MakeResponse(aOutcome);
+  FinishAnswer(response, aOutcome);
   SetGeneration(response, snapshot_);
   return response;
 }
@@ -339,6 +346,7 @@
   // A process that ends answers before it does.
   facts.deadline = std::min(
     aNow + state::Duration(std::chrono::milliseconds(remaining)), stopTime_);
+  facts.mayBeNested = upstreamSide_.MayHaveMade(facts.deadline);
   facts.bodySize = aRequest.body().size() >= NodeHop::kOfferedBytes
                      ? BodySize::Large
                      : BodySize::Small;
@@ -479,8 +487,11 @@
   aResponse.erase(headers::kLoad);
   aResponse.erase(headers::kRetryAfter);
   const auto* notRun = std::get_if<NotRun>(&aOutcome);
-  if (notRun == nullptr ||
-      aResponse.result() != boost::beast::http::status::service_unavailable) {
+  const auto status = aResponse.result();
+  const bool mayComeBack =
+    status == boost::beast::http::status::service_unavailable ||
+    status == boost::beast::http::status::too_many_requests;
+  if (notRun == nullptr || !mayComeBack) {
     return;
   }
   constexpr double kRange = std::minstd_rand::max();
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -65,6 +65,7 @@
                      CrashSink aCrashSink,
                      VersionExchange::Sink aVersionSink,
                      ReaderExchange::Sink aReaderSink,
+                     RolloutExchange::Sink aRolloutSink,
                      coordination::CallMetrics& aCallMetrics)
   : settings_(aSettings)
   , adapters_(aAdapters)
@@ -73,10 +74,14 @@
   , link_(std::make_shared<OutgoingLink>(context_,
                                          aClock,
                                          LinkBytesPerSecond(settings_)))
-  , versions_(aClock, std::move(aVersionSink))
+  , versions_(aClock,
+              std::move(aVersionSink),
+              { settings_.exposureShare },
+              std::move(aRolloutSink))
   , departures_(context_, std::move(aDepartureSink))
   , replicator_(context_, settings_, aIncarnation, departures_)
   , readers_(context_, std::move(aReaderSink))
+  , quotas_(context_, settings_, aClock, aIncarnation)
   , upstreamSide_(context_,
                   settings_,
                   adapters_,
@@ -96,6 +101,7 @@
                 aIncarnation,
                 upstreamSide_,
                 versions_,
+                quotas_,
                 aCallMetrics)
 {
 }
@@ -194,9 +200,18 @@
   if (mayWait || IsNodeCall(aRequest, protocol::headers::kReaderPath)) {
     return readers_.Serve(mayWait, std::move(aCancellation));
   }
+  if (IsNodeCall(aRequest, protocol::headers::kCreditPath)) {
+    return ServeCredit(std::move(aRequest));
+  }
   return upstreamSide_.ServeNode(std::move(aRequest), std::move(aCancellation));
 }
 
+asio::awaitable<Response>
+DataPlane::ServeCredit(Request aRequest)
+{
+  co_return quotas_.Serve(aRequest);
+}
+
 asio::awaitable<Response>
 DataPlane::AnswerReady(Request aRequest)
 {
@@ -222,7 +237,9 @@
     if (snapshot->configuration != nullptr) {
       versions_.SetOwn(snapshot->configuration->GetGeneration());
     }
+    versions_.Rollouts().Gate().SetEndpoints(snapshot->endpoints, clock_.Now());
     replicator_.SetSnapshot(snapshot);
+    quotas_.SetSnapshot(snapshot);
     callerSide_.SetSnapshot(std::move(snapshot));
   });
 }
@@ -290,13 +307,25 @@
     settings_.retrySlack = settings.retrySlack;
     settings_.retryWindow = settings.retryWindow;
     settings_.upstreamDrain = settings.upstreamDrain;
+    settings_.quotaWindow = settings.quotaWindow;
+    settings_.quotaOverage = settings.quotaOverage;
+    settings_.quotaSlack = settings.quotaSlack;
     callerSide_.OnSettings();
+    quotas_.OnSettings();
     if (auto* announced = upstreamSide_.Announced()) {
       announced->OnSettings(settings_);
     }
   });
 }
 
+void
+DataPlane::SetRollouts(coordination::SetRollouts aRollouts)
+{
+  asio::post(context_, [this, rollouts = std::move(aRollouts)] {
+    versions_.Rollouts().Set(rollouts.rollouts);
+  });
+}
+
 template<typename Function>
 auto
 DataPlane::OnDataThread(Function aFunction)
@@ -324,6 +353,7 @@
   asio::post(context_, [this, deadline, isOnPlatform] {
     isStopping_ = true;
     readers_.Stop();
+    quotas_.Leave();
     if (isOnPlatform) {
       const auto left = deadline - kAnswerTime - Clock::Steady::now();
       callerSide_.SetStopTime(
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -90,9 +90,13 @@
                             headers::kOutcome,
                             headers::kReason,
                             headers::kMaxWait,
+                            headers::kUsefulWait,
                             headers::kAnswerBytes,
                             headers::kAnswerTime,
-                            headers::kFinalTry }) {
+                            headers::kFinalTry,
+                            headers::kRolloutOrder,
+                            headers::kRouteLabel,
+                            headers::kRollouts }) {
     aFields.erase(name);
   }
 }
@@ -105,7 +109,9 @@
                             headers::kGeneration,
                             headers::kRequestId,
                             headers::kLoad,
-                            headers::kRetryAfter }) {
+                            headers::kRetryAfter,
+                            headers::kRollouts,
+                            headers::kEvidence }) {
     aFields.erase(name);
   }
 }
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -169,6 +169,9 @@
       controlPlane->Post(coordination::PeerVersionSeen{ aGeneration });
     },
     [&](coordination::ReaderAnswered aAnswer) { controlPlane->Post(aAnswer); },
+    [&](coordination::RolloutsSeen aSeen) {
+      controlPlane->Post(std::move(aSeen));
+    },
     callMetrics);
   controlPlane = std::make_unique<daemon::ControlPlane>(
     settings,
@@ -189,15 +192,17 @@
       [&](const coordination::AskReader& aQuestion) {
         dataPlane.AskReader(aQuestion);
       },
-      [&](coordination::ReaderRole aRole) {
-        dataPlane.SetReaderRole(aRole);
+      [&](coordination::ReaderRole aRole) { dataPlane.SetReaderRole(aRole); },
+      [&](const coordination::SetRollouts& aRollouts) {
+        dataPlane.SetRollouts(aRollouts);
       } });
   for (const auto& started : { dataPlane.Start(), controlPlane->Start() }) {
     if (!started) {
       return FailStart(started.error());
     }
   }
-  const daemon::MetricsSource metrics(settings, *controlPlane, callMetrics);
+  const daemon::MetricsSource metrics(
+    settings, *controlPlane, dataPlane, callMetrics);
   std::unique_ptr<daemon::AdminServer> admin;
   if (!settings.adminAddress.empty()) {
     auto server = daemon::AdminServer::Listen(
