Coordination: Find the pace of a started upstream from its answers

Cause: two ramps over 10 s hold a healthy upstream low and flood a cold one; on deployments whose upstreams announce themselves both were off, so that a cold or returning upstream got all of its slots at once.

Change: UpstreamPace replaces Admission's cold start, UpstreamHealth's slow start, and paces the return from an ejection. Service times and failures decide; the report of each answer tells other nodes the slots. Setting [upstream] paced.

--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -10,7 +10,6 @@
 using state::EndpointState;
 using state::RequestClass;
 
-constexpr std::uint32_t kInitialSlots = 2;
 /// Time that a queued request must have left before its deadline to be worth
 /// starting; a response that takes longer comes too late.
 constexpr state::Duration kDeadlineMargin = std::chrono::milliseconds(10);
@@ -66,19 +65,13 @@
 Admission::Admission(AdmissionOptions aOptions)
   : options_(aOptions)
 {
+  pace_.SetSlots(options_.slots);
 }
 
 std::uint32_t
 Admission::UsableSlots(state::Instant aNow) const
 {
-  const auto age = aNow - readySince_;
-  if (options_.slots <= kInitialSlots || age >= options_.coldStart) {
-    return options_.slots;
-  }
-  const auto gained = (options_.slots - kInitialSlots) *
-                      std::max<state::Duration::rep>(age.count(), 0) /
-                      options_.coldStart.count();
-  return kInitialSlots + static_cast<std::uint32_t>(gained);
+  return options_.isPaced ? pace_.Limit(aNow) : options_.slots;
 }
 
 std::size_t
@@ -332,7 +325,7 @@
   const bool wasCold =
     state_ == EndpointState::Starting || state_ == EndpointState::Down;
   if (aState == EndpointState::Ready && wasCold) {
-    readySince_ = aNow;
+    BeginRun(aNow);
   }
   stateSince_ = aState == state_ ? stateSince_ : aNow;
   state_ = aState;
@@ -351,13 +344,30 @@
 {
   Releases releases;
   options_.slots = std::max(aSlots, 1U);
+  pace_.SetSlots(options_.slots);
   AdmitQueued(aNow, releases);
   return releases;
 }
 
 void
-Admission::RecordResult(state::Duration aServiceTime, bool aIsServed)
+Admission::BeginRun(state::Instant aNow)
+{
+  pace_.Begin(options_.slots, aNow);
+}
+
+void
+Admission::SetUsualServiceTime(state::Duration aTime)
+{
+  pace_.SetUsualServiceTime(aTime);
+}
+
+void
+Admission::RecordResult(state::Duration aServiceTime,
+                        bool aIsServed,
+                        state::Instant aNow)
 {
+  pace_.OnFinished(
+    { aServiceTime, static_cast<std::uint32_t>(running_), aIsServed }, aNow);
   failureRate_ += kSmoothingFactor * ((aIsServed ? 0 : 1) - failureRate_);
   if (!aIsServed) {
     return;
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/CallTypes.h"
 #include "Coordination/LoadReport.h"
+#include "Coordination/Pace/UpstreamPace.h"
 
 #include <array>
 #include <boost/intrusive/list.hpp>
@@ -79,9 +80,9 @@
   /// The upstream guarantees that it did not run a request that it answers
   /// with status 400, 429 or 503 and marks as shed.
   bool shedAnswerIsNotRun = false;
-  /// Time over which an upstream that became ready ramps up to all its slots;
-  /// 0 to use all of them immediately.
-  state::Duration coldStart = std::chrono::seconds(10);
+  /// An upstream that started gets its slots by how it answers (UpstreamPace)
+  /// and not all of them at once.
+  bool isPaced = true;
 };
 
 /// Admission control on the node beside the upstream. It decides before a
@@ -114,7 +115,7 @@
 
   /// Refuses queued requests that reached their deadline or longest wait, and
   /// admits those that have a slot now. Must also be called about every 100
-  /// ms, because the number of slots grows during the cold start.
+  /// ms, because the number of usable slots also grows with time.
   std::vector<AdmissionRelease> Expire(state::Instant aNow);
 
   /// Sets the state of the upstream. Only a ready upstream gets new requests.
@@ -127,11 +128,21 @@
   std::vector<AdmissionRelease> SetSlots(std::uint32_t aSlots,
                                          state::Instant aNow);
 
-  /// Updates the smoothed service time and failure share after a delivered
-  /// request.
+  /// Another run of the upstream has begun, so what was learnt of the pace is
+  /// void.
+  void BeginRun(state::Instant aNow);
+
+  /// Takes the usual service time of the service's other upstreams, which the
+  /// pace of this one is compared with.
+  void SetUsualServiceTime(state::Duration aTime);
+
+  /// Updates the smoothed service time, the failure share and the pace after a
+  /// delivered request. Must be called before its Finish().
   /// @param aIsServed false if the upstream refused, failed or lost the
   ///        request.
-  void RecordResult(state::Duration aServiceTime, bool aIsServed);
+  void RecordResult(state::Duration aServiceTime,
+                    bool aIsServed,
+                    state::Instant aNow);
 
   /// Returns the upstream's load in the form that other nodes get.
   LoadReport MakeLoadReport(state::Instant aNow) const;
@@ -147,8 +158,8 @@
   std::size_t InFlight() const { return running_; }
   std::size_t Waiting() const { return waiting_; }
 
-  /// Returns the number of slots that may be used now. It grows from 2 to all
-  /// slots during the cold start.
+  /// Returns the number of slots that may be used now, by the pace of an
+  /// upstream that has started.
   std::uint32_t UsableSlots(state::Instant aNow) const;
 
 private:
@@ -181,7 +192,7 @@
   AdmissionOptions options_;
   state::EndpointState state_ = state::EndpointState::Starting;
   state::Instant stateSince_{ 0 };
-  state::Instant readySince_{ 0 };
+  UpstreamPace pace_;
   std::unordered_map<std::uint64_t, Entry> entries_;
   /// One queue for final tries, then one per request class, each in order of
   /// arrival. Declared after entries_, because the intrusive lists must be
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -209,19 +209,21 @@
                 state::Instant aNow)
 {
   // Upstreams that exist when the service is first called are not new, so they
-  // need no slow start.
-  const bool skipsSlowStart =
-    aList.tableVersion == 0 || !options_.usesSlowStart;
+  // are not paced.
+  const bool isFirstTable = aList.tableVersion == 0;
   aList.candidates.clear();
   for (const auto* record : endpoints_->OfService(aService)) {
     if (record->state != state::EndpointState::Ready) {
       continue;
     }
+    UpstreamHealth::Pacing pacing{ options_.isPaced,
+                                   !isFirstTable,
+                                   record->slots };
     const auto [entry, isNew] = healthByNode_.try_emplace(
-      record->node, record->incarnation, skipsSlowStart, aNow);
+      record->node, record->incarnation, pacing, aNow);
     if (!isNew && entry->second.Incarnation() != record->incarnation) {
-      entry->second =
-        UpstreamHealth(record->incarnation, !options_.usesSlowStart, aNow);
+      pacing.isNew = true;
+      entry->second = UpstreamHealth(record->incarnation, pacing, aNow);
     }
     aList.candidates.push_back({ record,
                                  &entry->second,
@@ -452,6 +454,25 @@
   return health == nullptr ? state::Duration{ 0 } : health->ServiceTime();
 }
 
+state::Duration
+Router::UsualServiceTime(std::string_view aService) const
+{
+  const auto list = serviceLists_.find(aService);
+  if (list == serviceLists_.end()) {
+    return state::Duration{ 0 };
+  }
+  state::Duration sum{ 0 };
+  state::Duration::rep count = 0;
+  for (const auto& candidate : list->second.candidates) {
+    const auto time = candidate.health->ServiceTime();
+    if (time.count() > 0 && candidate.distance > 0) {
+      sum += time;
+      ++count;
+    }
+  }
+  return count == 0 ? sum : sum / count;
+}
+
 void
 Router::OnRequestAbandoned(const state::EndpointRecord& aEndpoint)
 {
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -42,9 +42,9 @@
   std::string dataCentre;
   std::string region;
   std::uint64_t randomSeed = 0;
-  /// Gives a new incarnation a gradually growing share of the requests (slow
-  /// start). Not needed where the nodes beside the upstreams report their load.
-  bool usesSlowStart = true;
+  /// Gives an upstream that started or recovered requests at the pace of its
+  /// answers.
+  bool isPaced = true;
 };
 
 /// Picks the upstream for a request, using the newest endpoint table and this
@@ -106,6 +106,10 @@
                            state::Duration aTime,
                            state::Instant aNow);
 
+  /// @return the mean service time of the upstreams of a service that reported
+  ///         one, without the one beside this node; 0 if none did.
+  state::Duration UsualServiceTime(std::string_view aService) const;
+
   /// Records the load report of a response. Must be called after
   /// OnRequestFinished().
   void RecordLoadReport(const state::EndpointRecord& aEndpoint,
--- a/Libraries/Coordination/UpstreamHealth.cpp
+++ b/Libraries/Coordination/UpstreamHealth.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr state::Duration kSlowStartDuration = std::chrono::seconds(10);
-constexpr double kSlowStartSlots = 2;
 constexpr state::Duration kFirstEjection = std::chrono::seconds(1);
 constexpr unsigned kMaxDoublings = 5;
 /// An upstream that refused a request as draining or starting is avoided for
@@ -47,12 +45,15 @@
 } // namespace
 
 UpstreamHealth::UpstreamHealth(std::uint64_t aIncarnation,
-                               bool aSkipsSlowStart,
+                               Pacing aPacing,
                                state::Instant aNow)
   : incarnation_(aIncarnation)
-  , skipsSlowStart_(aSkipsSlowStart)
-  , firstSeen_(aNow)
+  , pacing_(aPacing)
 {
+  pace_.SetSlots(pacing_.slots);
+  if (pacing_.isOn && pacing_.isNew) {
+    pace_.Begin(pacing_.slots, aNow);
+  }
 }
 
 bool
@@ -70,14 +71,14 @@
 double
 UpstreamHealth::UsableSlots(std::uint32_t aSlots, state::Instant aNow) const
 {
-  const double full = std::max<std::uint32_t>(aSlots, 1);
-  const auto age = aNow - firstSeen_;
-  if (skipsSlowStart_ || age >= kSlowStartDuration || full <= kSlowStartSlots) {
-    return full;
+  auto slots = std::max<std::uint32_t>(aSlots, 1);
+  if (!pacing_.isOn) {
+    return slots;
   }
-  const double share = static_cast<double>(age.count()) /
-                       static_cast<double>(kSlowStartDuration.count());
-  return kSlowStartSlots + (full - kSlowStartSlots) * share;
+  slots = std::min(slots, pace_.Limit(aNow));
+  const bool isReported =
+    report_.slots > 0 && aNow - reportReceivedAt_ < kReportLifetime;
+  return isReported ? std::min(slots, report_.slots) : slots;
 }
 
 void
@@ -169,6 +170,20 @@
   trialInFlight_ = trialInFlight_ || IsHalfOpen(aNow);
 }
 
+void
+UpstreamHealth::RecordPace(const Outcome& aOutcome, state::Instant aNow)
+{
+  const auto* notRun = std::get_if<NotRun>(&aOutcome);
+  if (notRun != nullptr && notRun->reason != NotRunReason::Shed) {
+    // The upstream did not see the request.
+    return;
+  }
+  const auto* answered = std::get_if<Answered>(&aOutcome);
+  const bool isServed =
+    answered != nullptr && answered->status < kFirstServerError;
+  pace_.OnFinished({ report_.serviceTime, inFlight_, isServed }, aNow);
+}
+
 void
 UpstreamHealth::OnRequestAbandoned()
 {
@@ -181,6 +196,7 @@
                                   double aJitter,
                                   state::Instant aNow)
 {
+  RecordPace(aOutcome, aNow);
   OnRequestAbandoned();
   if (const auto* answered = std::get_if<Answered>(&aOutcome)) {
     return OnResponse(answered->status, aJitter, aNow);
@@ -202,7 +218,7 @@
            EjectWithBackoff(aJitter, aNow);
   }
   serverErrors_ = 0;
-  return Recover();
+  return Recover(aNow);
 }
 
 bool
@@ -218,7 +234,7 @@
     case NotRunReason::Shed:
       overloadedUntil_ = aNow + kOverloadPause;
       // The upstream responds, so the cause of its ejection is gone.
-      return Recover();
+      return Recover(aNow);
     case NotRunReason::Starting:
     case NotRunReason::Draining:
     case NotRunReason::NotReady:
@@ -227,7 +243,7 @@
       return Eject(kRefusalPause, aNow);
     default:
       // The refusal concerns the request and not the upstream.
-      return Recover();
+      return Recover(aNow);
   }
 }
 
@@ -277,7 +293,7 @@
 }
 
 bool
-UpstreamHealth::Recover()
+UpstreamHealth::Recover(state::Instant aNow)
 {
   softFailures_ = 0;
   if (ejections_ == 0) {
@@ -287,6 +303,9 @@
   }
   ejections_ = 0;
   ejectedUntil_ = state::Instant{ 0 };
+  if (pacing_.isOn) {
+    pace_.Begin(pacing_.slots, aNow);
+  }
   return true;
 }
 
--- a/Libraries/Coordination/UpstreamHealth.h
+++ b/Libraries/Coordination/UpstreamHealth.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/CallTypes.h"
 #include "Coordination/LoadReport.h"
+#include "Coordination/Pace/UpstreamPace.h"
 
 namespace teaselhold::coordination {
 
@@ -10,10 +11,18 @@
 class UpstreamHealth
 {
 public:
-  /// @param aSkipsSlowStart false if the incarnation is new and starts with a
-  ///        small, growing share of the requests.
+  /// The options of the pace at which an upstream gets requests.
+  struct Pacing
+  {
+    /// An upstream that starts or recovers is paced.
+    bool isOn = true;
+    /// The upstream has just started; false if it ran before this node knew it.
+    bool isNew = false;
+    std::uint32_t slots = 1;
+  };
+
   UpstreamHealth(std::uint64_t aIncarnation,
-                 bool aSkipsSlowStart,
+                 Pacing aPacing,
                  state::Instant aNow);
 
   std::uint64_t Incarnation() const { return incarnation_; }
@@ -21,7 +30,7 @@
 
   /// An ejected upstream gets no requests. When the ejection time has passed,
   /// it gets one trial request at a time; the outcome decides whether it
-  /// recovers or is ejected again.
+  /// recovers, at the pace of its answers, or is ejected again.
   bool IsEjected(state::Instant aNow) const;
   bool IsHalfOpen(state::Instant aNow) const;
   state::Instant EjectedUntil() const { return ejectedUntil_; }
@@ -32,8 +41,9 @@
     return aNow < overloadedUntil_;
   }
 
-  /// @return the slots that this node may use, at least 1. The number grows to
-  ///         aSlots during the slow start of a new incarnation.
+  /// @return the slots that this node may use, at least 1: the lower of the
+  ///         pace that this node sees and of the slots that the last report of
+  ///         the node beside the upstream names.
   double UsableSlots(std::uint32_t aSlots, state::Instant aNow) const;
 
   /// Records the load that the node beside the upstream reports. Must be called
@@ -86,15 +96,17 @@
   double FailureRate(state::Instant aNow) const;
   bool Eject(state::Duration aTime, state::Instant aNow);
   bool EjectWithBackoff(double aJitter, state::Instant aNow);
-  bool Recover();
+  bool Recover(state::Instant aNow);
   bool OnResponse(unsigned aStatus, double aJitter, state::Instant aNow);
   bool OnNotRun(NotRunReason aReason, double aJitter, state::Instant aNow);
+  void RecordPace(const Outcome& aOutcome, state::Instant aNow);
   bool OnUnknown(UnknownReason aReason, double aJitter, state::Instant aNow);
 
   std::uint64_t incarnation_;
-  bool skipsSlowStart_;
+  Pacing pacing_;
   bool trialInFlight_ = false;
-  state::Instant firstSeen_;
+  /// Of this node's own requests.
+  UpstreamPace pace_;
   state::Instant ejectedUntil_{ 0 };
   state::Instant overloadedUntil_{ 0 };
   unsigned inFlight_ = 0;
--- a/Services/teaselholdd/AdmissionQueue.h
+++ b/Services/teaselholdd/AdmissionQueue.h
@@ -65,7 +65,14 @@
   /// Learns from the end of a delivered request; see Admission::RecordResult().
   void RecordResult(state::Duration aServiceTime, bool aIsServed)
   {
-    admission_.RecordResult(aServiceTime, aIsServed);
+    admission_.RecordResult(aServiceTime, aIsServed, clock_.Now());
+  }
+
+  /// See Admission::BeginRun() and Admission::SetUsualServiceTime().
+  void BeginRun() { admission_.BeginRun(clock_.Now()); }
+  void SetUsualServiceTime(state::Duration aTime)
+  {
+    admission_.SetUsualServiceTime(aTime);
   }
 
   coordination::LoadReport Report() const
--- a/Services/teaselholdd/AnnouncedUpstream.cpp
+++ b/Services/teaselholdd/AnnouncedUpstream.cpp
@@ -237,6 +237,10 @@
   if (upstream.slots > 0) {
     admission_->SetSlots(upstream.slots);
   }
+  if (!upstream.IsSameRun(admittedRun_)) {
+    admittedRun_ = upstream;
+    admission_->BeginRun();
+  }
   admission_->SetState(state);
   spdlog::info("[upstream] State changed. state={} id={} born={} slots={}",
                state::FindEnumName(state::kEndpointStateNames, state),
--- a/Services/teaselholdd/AnnouncedUpstream.h
+++ b/Services/teaselholdd/AnnouncedUpstream.h
@@ -74,6 +74,8 @@
   ChangeSink changeSink_;
   std::string nodeName_;
   coordination::UpstreamRegistry registry_;
+  /// The run that the admission's pace belongs to.
+  state::UpstreamIdentity admittedRun_;
   /// Departures that neither the store nor other nodes may hold yet, by the
   /// saver's numbers.
   std::map<std::uint64_t, state::UpstreamIdentity> unsecured_;
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -138,7 +138,7 @@
                    aSettings.dataCentre,
                    aSettings.region,
                    aIncarnation ^ std::hash<std::string>()(aSettings.nodeName),
-                   !aAdapters.IsAnnounced() },
+                   aSettings.upstreamPaced },
                  aIncarnation,
                  aSettings.service)
   , calls_(std::make_shared<Calls>())
@@ -152,6 +152,8 @@
 CallerSide::SetSnapshot(RoutingSnapshotPointer aSnapshot)
 {
   snapshot_ = std::move(aSnapshot);
+  upstreamSide_.SetUsualServiceTime(
+    environment_.router.UsualServiceTime(settings_.service));
   if (adapters_.IsAnnounced()) {
     ShareRetryBudget();
   }
--- a/Services/teaselholdd/Settings.cpp
+++ b/Services/teaselholdd/Settings.cpp
@@ -242,6 +242,7 @@
       false,
       ReadYesOrNo(s.upstreamShedIsNotRun) },
     { "upstream", "drain", false, ReadTime(s.upstreamDrain) },
+    { "upstream", "paced", false, ReadYesOrNo(s.upstreamPaced) },
     { "retry", "ratio", false, ReadDecimal(s.retryRatio, 1) },
     { "retry", "slack", false, ReadNumber(s.retrySlack, 0, 1000000) },
     { "retry", "window", false, ReadTime(s.retryWindow) },
--- a/Services/teaselholdd/Settings.h
+++ b/Services/teaselholdd/Settings.h
@@ -77,6 +77,9 @@
   double retryRatio = 0.1;
   std::uint32_t retrySlack = 50;
   std::chrono::milliseconds retryWindow{ 10000 };
+  /// An upstream that has started or recovered gets work at the pace that its
+  /// answers allow.
+  bool upstreamPaced = true;
   /// Memory that the process may use, in MiB, and its file descriptors; 0 if
   /// the host does not bound them.
   std::uint32_t memoryMegabytes = 0;
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -27,7 +27,7 @@
 {
   AdmissionOptions options;
   if (aAdapters.IsAnnounced()) {
-    options.coldStart = state::Duration{ 0 };
+    options.isPaced = aSettings.upstreamPaced;
     options.shedAnswerIsNotRun = true;
     options.slots = aSettings.upstreamSlots;
     options.queueLimit = aSettings.upstreamSlots * kQueuePerSlot;
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -60,6 +60,12 @@
 
   std::size_t InFlight() const { return admission_->InFlight(); }
 
+  /// See Admission::SetUsualServiceTime().
+  void SetUsualServiceTime(state::Duration aTime)
+  {
+    admission_->SetUsualServiceTime(aTime);
+  }
+
   /// Counts a message that this node sends on the link of its host.
   void RecordSent(std::uint64_t aBytes) { link_->RecordSent(aBytes); }
 
--- a/Tests/Coordination/LoadPolicyTest.cpp
+++ b/Tests/Coordination/LoadPolicyTest.cpp
@@ -179,10 +179,10 @@
 
 TEST_CASE("a request whose expected wait exceeds its limit is refused at once")
 {
-  Admission admission(AdmissionOptions{ 2, 100, false, 0s });
+  Admission admission(AdmissionOptions{ 2, 100, false, false });
   admission.SetState(state::EndpointState::Ready, 0s);
   for (int i = 0; i < 50; ++i) {
-    admission.RecordResult(200ms, true);
+    admission.RecordResult(200ms, true, 0s);
   }
   const auto ask = [&](std::uint64_t aId, bool aIsFinalTry) {
     AdmissionRequest request;
--- a/Tests/Coordination/RouterTest.cpp
+++ b/Tests/Coordination/RouterTest.cpp
@@ -114,7 +114,7 @@
 
 TEST_CASE("the growing ejection time never exceeds its limit")
 {
-  UpstreamHealth health(1, true, 0s);
+  UpstreamHealth health(1, {}, 0s);
   state::Instant now{ 0 };
   state::Duration longest{ 0 };
   for (int i = 0; i < 20; ++i) {
@@ -189,7 +189,7 @@
 
 TEST_CASE("one timeout does not eject an upstream, two without a success do")
 {
-  UpstreamHealth health(1, true, 0s);
+  UpstreamHealth health(1, {}, 0s);
   for (const bool ejected : { false, true }) {
     health.OnRequestStarted(0s);
     health.OnRequestFinished(Unknown{ UnknownReason::Timeout }, 0.5, 0s);
--- a/Tests/LoadModel/LoadModel.cpp
+++ b/Tests/LoadModel/LoadModel.cpp
@@ -53,7 +53,7 @@
     , admission(AdmissionOptions{ aScenario.slots,
                                   aScenario.slots * kQueuePerSlot,
                                   false,
-                                  state::Duration{ 0 } })
+                                  false })
   {
     environment.policy = CallPolicy::WithLoadReports();
     admission.SetState(state::EndpointState::Ready, state::Instant{ 0 });
@@ -265,7 +265,7 @@
   auto& node = *nodes_[aNode];
   const auto call = node.calls[aId];
   node.calls.erase(aId);
-  node.admission.RecordResult(aServiceTime, true);
+  node.admission.RecordResult(aServiceTime, true, now_);
   Release(aNode, node.admission.Finish(aId, now_));
   constexpr unsigned kOk = 200;
   DeliverOutcome(call, aNode, Answered{ kOk }, aServiceTime);
--- a/Tests/Services/teaselholdd/AnnouncedUpstreamTest.cpp
+++ b/Tests/Services/teaselholdd/AnnouncedUpstreamTest.cpp
@@ -47,7 +47,7 @@
   std::shared_ptr<AdmissionQueue> admission = std::make_shared<AdmissionQueue>(
     context,
     clock,
-    coordination::AdmissionOptions{ 4, 4, false, 0s });
+    coordination::AdmissionOptions{ 4, 4, false, false });
   AnnouncedUpstream upstream{ context,
                               settings,
                               clock,
--- a/Tests/Services/teaselholdd/ClockTest.cpp
+++ b/Tests/Services/teaselholdd/ClockTest.cpp
@@ -55,7 +55,7 @@
   running.id = 1;
   coordination::AdmissionOptions options;
   options.queueLimit = 4;
-  options.coldStart = 0s;
+  options.isPaced = false;
   coordination::Admission queue(options);
   queue.SetState(state::EndpointState::Ready, clock.Now());
   queue.Decide(running, clock.Now());
