Coordination: Compare the failures of a started upstream with those of the others

Change: the pace takes the failure rate that the service's other upstreams report, and falls only when the upstream fails clearly more.

--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -356,9 +356,9 @@
 }
 
 void
-Admission::SetUsualServiceTime(state::Duration aTime)
+Admission::SetUsual(state::Duration aServiceTime, double aFailureRate)
 {
-  pace_.SetUsualServiceTime(aTime);
+  pace_.SetUsual(aServiceTime, aFailureRate);
 }
 
 void
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -132,9 +132,9 @@
   /// void.
   void BeginRun(state::Instant aNow);
 
-  /// Takes the usual service time of the service's other upstreams, which the
-  /// pace of this one is compared with.
-  void SetUsualServiceTime(state::Duration aTime);
+  /// Takes what the service's other upstreams show, which the pace of this one
+  /// is compared with. See UpstreamPace::SetUsual().
+  void SetUsual(state::Duration aServiceTime, double aFailureRate);
 
   /// Updates the smoothed service time, the failure share and the pace after a
   /// delivered request. Must be called before its Finish().
--- a/Libraries/Coordination/Pace/UpstreamPace.cpp
+++ b/Libraries/Coordination/Pace/UpstreamPace.cpp
@@ -8,8 +8,11 @@
 
 /// Requests that a new upstream gets at first: enough to learn from.
 constexpr double kFirstLimit = 2;
-/// What a failure leaves of the limit.
-constexpr double kShareAfterFailure = 0.5;
+/// What failures leave of the limit.
+constexpr double kShareAfterFailures = 0.5;
+/// By how much more requests an upstream may fail than the others of its
+/// service. A single failure is no sign.
+constexpr double kFailureTolerance = 0.3;
 /// Weight of the newest request in the smoothed service time. The requests of a
 /// service differ, so one of them says little.
 constexpr double kNewestWeight = 0.25;
@@ -30,6 +33,7 @@
   slots_ = std::max<std::uint32_t>(aSlots, 1);
   limit_ = std::min<double>(kFirstLimit, slots_);
   isEnded_ = limit_ >= slots_;
+  failureRate_ = 0;
   serviceTime_ = state::Duration{ 0 };
   lowestServiceTime_ = state::Duration{ 0 };
   loweredUntil_ = state::Instant{ 0 };
@@ -63,6 +67,12 @@
   }
 }
 
+bool
+UpstreamPace::IsFailing() const
+{
+  return failureRate_ > usualFailureRate_ + kFailureTolerance;
+}
+
 bool
 UpstreamPace::IsCongested() const
 {
@@ -95,6 +105,7 @@
   changedAt_ = aNow;
   // What was learnt belongs to the limit of before.
   serviceTime_ = state::Duration{ 0 };
+  failureRate_ = 0;
 }
 
 void
@@ -104,8 +115,12 @@
   if (isEnded_ || aNow < loweredUntil_) {
     return;
   }
+  failureRate_ += kNewestWeight * ((aSample.isServed ? 0 : 1) - failureRate_);
+  if (IsFailing()) {
+    Lower(kShareAfterFailures, aNow);
+    return;
+  }
   if (!aSample.isServed) {
-    Lower(kShareAfterFailure, aNow);
     return;
   }
   Learn(aSample.serviceTime);
--- a/Libraries/Coordination/Pace/UpstreamPace.h
+++ b/Libraries/Coordination/Pace/UpstreamPace.h
@@ -22,8 +22,9 @@
 ///
 /// The limit starts low. Each request that is served in the usual time while
 /// the limit is in use raises it by one, so that it doubles in each service
-/// time: a healthy upstream has all of its slots after three or four. A failed
-/// request, or service times that grow with the limit, lower it. An upstream
+/// time: a healthy upstream has all of its slots after three or four. Failures
+/// beyond those of the others, or service times that grow with the limit, lower
+/// it. An upstream
 /// that is slow whatever it gets keeps rising, but with time only if it is much
 /// slower than the others of its service: a request there would be late, and
 /// the others can take it. At all slots the pace ends; what follows is the
@@ -37,9 +38,16 @@
   /// Takes a new number of slots; the limit is not above it.
   void SetSlots(std::uint32_t aSlots) { slots_ = aSlots; }
 
-  /// Takes the usual service time of the other upstreams of the service; 0 if
-  /// it is not known, for example because all of them are new.
-  void SetUsualServiceTime(state::Duration aTime) { usual_ = aTime; }
+  /// Takes what the other upstreams of the service show.
+  /// @param aServiceTime 0 if it is not known, for example because all of them
+  ///        are new.
+  /// @param aFailureRate the share of requests that they refuse or fail, for
+  ///        example because a service that they call is full.
+  void SetUsual(state::Duration aServiceTime, double aFailureRate)
+  {
+    usual_ = aServiceTime;
+    usualFailureRate_ = aFailureRate;
+  }
 
   void OnFinished(const PaceSample& aSample, state::Instant aNow);
 
@@ -52,6 +60,7 @@
 
 private:
   void Learn(state::Duration aServiceTime);
+  bool IsFailing() const;
   bool IsCongested() const;
   bool IsSlow() const;
   double ShareThatIsCarried() const;
@@ -62,6 +71,9 @@
   double limit_ = 0;
   bool isEnded_ = true;
   state::Duration usual_{ 0 };
+  double usualFailureRate_ = 0;
+  /// Smoothed.
+  double failureRate_ = 0;
   /// Smoothed service time, and the lowest value that it had.
   state::Duration serviceTime_{ 0 };
   state::Duration lowestServiceTime_{ 0 };
--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -454,23 +454,28 @@
   return health == nullptr ? state::Duration{ 0 } : health->ServiceTime();
 }
 
-state::Duration
-Router::UsualServiceTime(std::string_view aService) const
+Router::UsualAnswers
+Router::Usual(std::string_view aService, state::Instant aNow) const
 {
+  UsualAnswers usual;
   const auto list = serviceLists_.find(aService);
   if (list == serviceLists_.end()) {
-    return state::Duration{ 0 };
+    return usual;
   }
-  state::Duration sum{ 0 };
-  state::Duration::rep count = 0;
+  int count = 0;
   for (const auto& candidate : list->second.candidates) {
     const auto time = candidate.health->ServiceTime();
     if (time.count() > 0 && candidate.distance > 0) {
-      sum += time;
+      usual.serviceTime += time;
+      usual.failureRate += candidate.health->FailureRate(aNow);
       ++count;
     }
   }
-  return count == 0 ? sum : sum / count;
+  if (count > 0) {
+    usual.serviceTime /= count;
+    usual.failureRate /= count;
+  }
+  return usual;
 }
 
 void
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -106,9 +106,16 @@
                            state::Duration aTime,
                            state::Instant aNow);
 
-  /// @return the mean service time of the upstreams of a service that reported
-  ///         one, without the one beside this node; 0 if none did.
-  state::Duration UsualServiceTime(std::string_view aService) const;
+  /// Means over upstreams.
+  struct UsualAnswers
+  {
+    state::Duration serviceTime{ 0 };
+    double failureRate = 0;
+  };
+
+  /// @return what the upstreams of a service reported, without the one beside
+  ///         this node; zeros if none did.
+  UsualAnswers Usual(std::string_view aService, state::Instant aNow) const;
 
   /// Records the load report of a response. Must be called after
   /// OnRequestFinished().
--- a/Libraries/Coordination/UpstreamHealth.h
+++ b/Libraries/Coordination/UpstreamHealth.h
@@ -74,6 +74,10 @@
   ///         the failure rate; 1 if nothing is known.
   double RelativeCost(state::Instant aNow) const;
 
+  /// @return the share of requests that the upstream refused or failed; it
+  ///         decays while there are no reports.
+  double FailureRate(state::Instant aNow) const;
+
   /// @return true if the failure rate is so high that other upstreams are
   ///         preferred.
   bool IsFailing(state::Instant aNow) const;
@@ -93,7 +97,6 @@
   void OnRequestAbandoned();
 
 private:
-  double FailureRate(state::Instant aNow) const;
   bool Eject(state::Duration aTime, state::Instant aNow);
   bool EjectWithBackoff(double aJitter, state::Instant aNow);
   bool Recover(state::Instant aNow);
--- a/Services/teaselholdd/AdmissionQueue.h
+++ b/Services/teaselholdd/AdmissionQueue.h
@@ -68,11 +68,11 @@
     admission_.RecordResult(aServiceTime, aIsServed, clock_.Now());
   }
 
-  /// See Admission::BeginRun() and Admission::SetUsualServiceTime().
+  /// See Admission::BeginRun() and Admission::SetUsual().
   void BeginRun() { admission_.BeginRun(clock_.Now()); }
-  void SetUsualServiceTime(state::Duration aTime)
+  void SetUsual(state::Duration aServiceTime, double aFailureRate)
   {
-    admission_.SetUsualServiceTime(aTime);
+    admission_.SetUsual(aServiceTime, aFailureRate);
   }
 
   coordination::LoadReport Report() const
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -152,8 +152,8 @@
 CallerSide::SetSnapshot(RoutingSnapshotPointer aSnapshot)
 {
   snapshot_ = std::move(aSnapshot);
-  upstreamSide_.SetUsualServiceTime(
-    environment_.router.UsualServiceTime(settings_.service));
+  const auto usual = environment_.router.Usual(settings_.service, clock_.Now());
+  upstreamSide_.SetUsual(usual.serviceTime, usual.failureRate);
   if (adapters_.IsAnnounced()) {
     ShareRetryBudget();
   }
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -60,10 +60,10 @@
 
   std::size_t InFlight() const { return admission_->InFlight(); }
 
-  /// See Admission::SetUsualServiceTime().
-  void SetUsualServiceTime(state::Duration aTime)
+  /// See Admission::SetUsual().
+  void SetUsual(state::Duration aServiceTime, double aFailureRate)
   {
-    admission_->SetUsualServiceTime(aTime);
+    admission_->SetUsual(aServiceTime, aFailureRate);
   }
 
   /// Counts a message that this node sends on the link of its host.
