--- a/Libraries/Coordination/Admission.cpp
+++ b/Libraries/Coordination/Admission.cpp
@@ -16,6 +16,9 @@
 constexpr state::Duration kDefaultMaxWait = std::chrono::milliseconds(100);
 /// Bounds the wait of orders and checks, which may have no deadline.
 constexpr state::Duration kUrgentMaxWait = std::chrono::seconds(10);
+/// The lowest rank of requests that are neither uploads nor batches.
+constexpr auto kLowestSmallRank =
+  static_cast<std::size_t>(RequestClass::Lookup);
 /// One slot in four, rounded up, is reserved for requests other than uploads
 /// and batches.
 constexpr std::uint32_t kReservedSlotDivisor = 4;
@@ -77,18 +80,54 @@
 std::size_t
 Admission::QueueIndex(const AdmissionRequest& aRequest)
 {
-  return aRequest.isFinalTry
-           ? 0
-           : 1 + static_cast<std::size_t>(aRequest.requestClass);
+  static_assert(QueueTurns::kQueueCount ==
+                1 + state::kRequestClassNames.size());
+  if (aRequest.isFinalTry) {
+    return 0;
+  }
+  auto rank = static_cast<std::size_t>(aRequest.requestClass);
+  if (!aRequest.account.empty() && !IsBulk(aRequest.requestClass)) {
+    rank = std::min<std::size_t>(aRequest.priority, kLowestSmallRank);
+  }
+  return 1 + rank;
+}
+
+bool
+Admission::IsInTime(const AdmissionRequest& aRequest)
+{
+  return !aRequest.usefulWait || aRequest.usefulWait->count() > 0;
+}
+
+std::size_t
+Admission::CountInTime(const Queue& aQueue, state::Instant aNow)
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    aQueue, [aNow](const Entry& aEntry) { return aNow < aEntry.usefulUntil; }));
+}
+
+Admission::Entry&
+Admission::NextOf(Queue& aQueue, state::Instant aNow)
+{
+  const auto inTime = std::ranges::find_if(
+    aQueue, [aNow](const Entry& aEntry) { return aNow < aEntry.usefulUntil; });
+  return inTime == aQueue.end() ? aQueue.front() : *inTime;
 }
 
 state::Duration
-Admission::PredictedWait(std::size_t aQueue, state::Instant aNow) const
+Admission::PredictedWait(const AdmissionRequest& aRequest,
+                         state::Instant aNow) const
 {
-  std::size_t ahead = 0;
-  for (std::size_t queue = 0; queue <= aQueue; ++queue) {
-    ahead += queues_[queue].size();
+  const auto own = QueueIndex(aRequest);
+  std::size_t ahead =
+    IsInTime(aRequest) ? CountInTime(queues_[own], aNow) : queues_[own].size();
+  // Of the more urgent requests, only so many go first that each request of
+  // this queue gets its turn.
+  std::size_t urgent = 0;
+  for (std::size_t queue = 1; queue < own; ++queue) {
+    urgent += queues_[queue].size();
   }
+  ahead += std::min(urgent, (ahead + 1) * QueueTurns::kMaxPassedOver);
+  ahead += own > 0 ? queues_[0].size() : 0;
   const auto service =
     serviceTime_.count() > 0 ? serviceTime_ : kDefaultServiceTime;
   return service * (ahead + 1) / std::max(UsableSlots(aNow), 1U);
@@ -143,7 +182,7 @@
   if (const auto reason = RefusalReason(aRequest, aNow)) {
     return NotRun{ *reason };
   }
-  const auto predicted = PredictedWait(QueueIndex(aRequest), aNow);
+  const auto predicted = PredictedWait(aRequest, aNow);
   const bool isTooLong = !HasRoom(aRequest, aNow) && aRequest.maxWait &&
                          predicted > *aRequest.maxWait;
   return isTooLong ? std::optional(NotRun{ NotRunReason::Full, predicted })
@@ -154,10 +193,8 @@
 Admission::DecisionInputs(const AdmissionRequest& aRequest,
                           state::Instant aNow) const
 {
-  return {
-    state_,   aNow - stateSince_, running_,
-    waiting_, UsableSlots(aNow),  PredictedWait(QueueIndex(aRequest), aNow)
-  };
+  return { state_,   aNow - stateSince_, running_,
+           waiting_, UsableSlots(aNow),  PredictedWait(aRequest, aNow) };
 }
 
 AdmissionDecision
@@ -177,7 +214,7 @@
 Admission::Enqueue(const AdmissionRequest& aRequest, state::Instant aNow)
 {
   const auto until = LatestStart(aRequest, aNow);
-  const auto predicted = PredictedWait(QueueIndex(aRequest), aNow);
+  const auto predicted = PredictedWait(aRequest, aNow);
   if (until <= aNow || (aRequest.maxWait && predicted > *aRequest.maxWait)) {
     return NotRun{ NotRunReason::Full, predicted };
   }
@@ -190,6 +227,9 @@
   }
   auto& entry = Add(aRequest);
   entry.until = until;
+  if (aRequest.usefulWait) {
+    entry.usefulUntil = aNow + *aRequest.usefulWait;
+  }
   queues_[QueueIndex(aRequest)].push_back(entry);
   ++waiting_;
   return decision;
@@ -293,16 +333,24 @@
   }
 }
 
+QueueTurns::ReadyQueues
+Admission::FindReady(state::Instant aNow) const
+{
+  QueueTurns::ReadyQueues ready{};
+  std::ranges::transform(queues_, ready.begin(), [&](const Queue& aQueue) {
+    return !aQueue.empty() && HasRoom(aQueue.front().request, aNow);
+  });
+  return ready;
+}
+
 void
 Admission::AdmitQueued(state::Instant aNow, Releases& aReleases)
 {
-  for (auto& queue : queues_) {
-    while (!queue.empty() && HasRoom(queue.front().request, aNow)) {
-      auto& entry = queue.front();
-      Dequeue(entry);
-      MarkRunning(entry);
-      aReleases.push_back({ entry.request.id, std::nullopt });
-    }
+  while (const auto queue = turns_.Take(FindReady(aNow))) {
+    auto& entry = NextOf(queues_[*queue], aNow);
+    Dequeue(entry);
+    MarkRunning(entry);
+    aReleases.push_back({ entry.request.id, std::nullopt });
   }
 }
 
@@ -402,6 +450,19 @@
   return next;
 }
 
+std::optional<state::Instant>
+Admission::LatestRunningDeadline() const
+{
+  std::optional<state::Instant> latest;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.isRunning) {
+      latest = std::max(latest.value_or(entry.request.deadline),
+                        entry.request.deadline);
+    }
+  }
+  return latest;
+}
+
 Outcome
 Admission::ClassifyAnswer(unsigned aStatus, bool aSaysShed) const
 {
--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -3,6 +3,8 @@
 #include "Coordination/CallTypes.h"
 #include "Coordination/LoadReport.h"
 #include "Coordination/Pace/UpstreamPace.h"
+#include "Coordination/Room/QueueTurns.h"
+#include "State/Configuration.h"
 
 #include <array>
 #include <boost/intrusive/list.hpp>
@@ -32,6 +34,15 @@
   /// Refuse the request immediately if its predicted wait is longer. If empty,
   /// the request class determines the longest wait.
   std::optional<state::Duration> maxWait = std::nullopt;
+  /// If the request starts after this wait, its answer misses the latency
+  /// objective of its route. Within a class, requests that can still meet
+  /// theirs go before those that cannot.
+  std::optional<state::Duration> usefulWait = std::nullopt;
+  /// The client account whose key the request carried; empty if it had none.
+  std::string account = {};
+  /// Rank among the requests that compete for the upstream, 0 first: the
+  /// account's, or the route's if the account has none.
+  std::uint32_t priority = state::kDefaultPriority;
 };
 
 /// Deliver the request now.
@@ -155,6 +166,9 @@
   /// @param aSaysShed the upstream marked the response as shed.
   Outcome ClassifyAnswer(unsigned aStatus, bool aSaysShed) const;
 
+  /// @return the latest deadline of a running request, if any runs.
+  std::optional<state::Instant> LatestRunningDeadline() const;
+
   std::size_t InFlight() const { return running_; }
   std::size_t Waiting() const { return waiting_; }
 
@@ -167,13 +181,19 @@
   {
     AdmissionRequest request;
     state::Instant until{ 0 };
+    /// Latest start with which the answer meets the latency objective.
+    state::Instant usefulUntil = state::Instant::max();
     bool isRunning = false;
   };
   using Queue = boost::intrusive::list<Entry>;
   using Releases = std::vector<AdmissionRelease>;
 
   static std::size_t QueueIndex(const AdmissionRequest& aRequest);
-  state::Duration PredictedWait(std::size_t aQueue, state::Instant aNow) const;
+  static bool IsInTime(const AdmissionRequest& aRequest);
+  static std::size_t CountInTime(const Queue& aQueue, state::Instant aNow);
+  static Entry& NextOf(Queue& aQueue, state::Instant aNow);
+  state::Duration PredictedWait(const AdmissionRequest& aRequest,
+                                state::Instant aNow) const;
   std::optional<NotRunReason> RefusalReason(const AdmissionRequest& aRequest,
                                             state::Instant aNow) const;
   bool HasRoom(const AdmissionRequest& aRequest, state::Instant aNow) const;
@@ -187,6 +207,7 @@
   void Remove(std::uint64_t aId);
   void RefuseQueued(NotRunReason aReason, Releases& aReleases);
   void RefuseExpired(state::Instant aNow, Releases& aReleases);
+  QueueTurns::ReadyQueues FindReady(state::Instant aNow) const;
   void AdmitQueued(state::Instant aNow, Releases& aReleases);
 
   AdmissionOptions options_;
@@ -195,9 +216,11 @@
   UpstreamPace pace_;
   std::unordered_map<std::uint64_t, Entry> entries_;
   /// One queue for final tries, then one per request class, each in order of
-  /// arrival. Declared after entries_, because the intrusive lists must be
-  /// destroyed before their elements.
-  std::array<Queue, state::kRequestClassNames.size() + 1> queues_;
+  /// arrival. The priority of a client account replaces the class. Declared
+  /// after entries_, because the intrusive lists must be destroyed before their
+  /// elements.
+  std::array<Queue, QueueTurns::kQueueCount> queues_;
+  QueueTurns turns_;
   std::unordered_map<std::string, std::uint32_t> requestsByTenant_;
   std::size_t running_ = 0;
   /// Running uploads and batches.
--- a/Libraries/Coordination/CallSession.h
+++ b/Libraries/Coordination/CallSession.h
@@ -25,9 +25,16 @@
   state::Instant deadline = state::Instant::max();
   unsigned depth = 0;
   BodySize bodySize = BodySize::Small;
+  /// A request that the upstream beside this node runs expires no earlier, so
+  /// that this one may be a call of it.
+  bool mayBeNested = true;
   /// Retries that this call and all calls below it in the chain may still make
   /// in total.
   unsigned retriesLeft = 2;
+  /// The client account whose key the request carried; empty if it had none.
+  std::string account = {};
+  /// The account's; empty leaves it to the route.
+  std::optional<std::uint32_t> priority = std::nullopt;
 };
 
 /// The part of a claim that an attempt sends to the executor of a keyed
@@ -67,11 +74,17 @@
   std::optional<ClaimTicket> claim;
   /// Longest wait for a slot; if empty, the node beside the upstream decides.
   std::optional<state::Duration> maxWait = std::nullopt;
+  /// The wait after which the answer misses its latency objective; empty if
+  /// there is none.
+  std::optional<state::Duration> usefulWait = std::nullopt;
   /// The caller's deadline leaves no time for another retry, so the request is
   /// served before others.
   bool isFinalTry = false;
   /// Empty if the answer is expected to be small.
   std::optional<LargeAnswer> largeAnswer = std::nullopt;
+  /// The order of the service's roll-out that this node knows; 0 if there is
+  /// none.
+  std::uint64_t rolloutOrder = 0;
 };
 
 /// Send the response to the caller.
@@ -138,6 +151,13 @@
   /// found.
   const std::string& Service() const { return service_; }
 
+  /// Returns the rank of the call among those that compete for an upstream, 0
+  /// first. Must not be called before a route was found.
+  std::uint32_t Priority() const
+  {
+    return facts_.priority.value_or(route_->priority);
+  }
+
   unsigned Attempts() const { return attempts_; }
   unsigned Placements() const { return placements_; }
 
@@ -161,12 +181,15 @@
   bool ShouldRetryAnswer(const Answered& aAnswer) const;
   unsigned MaxAttempts() const;
   std::optional<state::Duration> MaxWait(state::Instant aNow);
+  std::optional<state::Duration> UsefulWait(state::Instant aNow);
   std::optional<LargeAnswer> ExpectedLargeAnswer(state::Instant aNow);
   state::Duration ServiceTime();
   void RecordRefusal(const Outcome& aOutcome);
   void SpendRetry(state::Instant aNow);
   TransferSizes Sizes() const;
   EndpointPointer PickNext(state::Instant aNow);
+  EndpointPointer PickVersion(state::Instant aNow);
+  void RecordArrival(const Outcome& aOutcome);
   CallStep Send(state::Instant aNow);
   void ReclaimRetries(const Outcome& aOutcome, unsigned aReturnedRetries);
   void ReleaseEndpoint();
@@ -210,6 +233,8 @@
   ClaimBinding binding_;
   bool mayStart_ = false;
   std::uint64_t keyHash_ = 0;
+  /// The attempt in flight was taken from the share of a roll-out.
+  bool isRolloutShare_ = false;
 };
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -67,6 +67,7 @@
   , gate_(callNumbers_, random_)
   , configuration_(callNumbers_, random_)
   , apply_(callNumbers_)
+  , keyVerification_(options_.strictRevokeBound, random_)
   , follower_(callNumbers_,
               random_,
               PercentOf(options_.applyBound, kFollowerPausePercent))
@@ -74,6 +75,7 @@
   , directory_(options_.identity.name, callNumbers_, random_)
   , registration_(options_.identity.name, callNumbers_, random_)
   , departures_(callNumbers_, random_)
+  , rollouts_(options_.identity.name, callNumbers_, random_)
 {
   const auto& identity = options_.identity;
   self_.node = identity.name;
@@ -104,8 +106,13 @@
     OnCrash(crash->fingerprint);
   } else if (const auto* seen = std::get_if<PeerVersionSeen>(&aEvent)) {
     peerVersions_.OnSeen(seen->generation, aNow);
+    if (seen->attestation) {
+      keyVerification_.Add(*seen->attestation);
+    }
   } else if (const auto* reader = std::get_if<ReaderAnswered>(&aEvent)) {
     readers_.OnAnswer(*reader, aNow);
+  } else if (const auto* rollouts = std::get_if<RolloutsSeen>(&aEvent)) {
+    rollouts_.OnSeen(*rollouts);
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
     apply_.OnApply(*apply, configuration_, commands);
   }
@@ -116,12 +123,14 @@
   SelectConfigurationSource(aNow, commands);
   CheckAfterPeers(aNow);
   FollowChanges(aNow, commands);
+  VerifyKeys(aNow, commands);
   configuration_.Tick(aNow, commands);
   publisher_.Tick(aNow, commands);
   directory_.Tick(aNow, commands);
   RestoreDepartures(aNow, commands);
   departures_.Tick(aNow, commands);
   registration_.Tick(directory_, aNow, commands);
+  rollouts_.Tick(aNow, commands);
   if (directory_.TakeChanged()) {
     ReportCrashSuspects(aNow);
     isReader_ = IsSelectedReader(directory_.Table(), self_.node);
@@ -214,6 +223,21 @@
   }
 }
 
+void
+DirectCore::VerifyKeys(state::Instant aNow, Commands& aCommands)
+{
+  if (options_.strictRevokeBound == state::Duration{ 0 }) {
+    return;
+  }
+  if (const auto attestation = configuration_.TakeAttestation()) {
+    keyVerification_.Add(*attestation);
+    aCommands.push_back(ShareAttestation{ *attestation });
+  }
+  if (keyVerification_.Tick(configuration_.Active(), aNow, aCommands)) {
+    configuration_.CheckNow(aNow);
+  }
+}
+
 void
 DirectCore::FollowChanges(state::Instant aNow, Commands& aCommands)
 {
@@ -333,6 +357,9 @@
   if (apply_.OnStoreAnswer(aAnswer, configuration_, aCommands)) {
     return;
   }
+  if (const auto* entry = std::get_if<protocol::StoreEntry>(&aAnswer.result)) {
+    rollouts_.OnOrdersRevision(entry->ordersRevision);
+  }
   // Keeps the previous version alive, because the answer may replace it.
   auto previous = configuration_.Active();
   if (configuration_.OnStoreAnswer(aAnswer, aNow, aCommands)) {
@@ -348,7 +375,8 @@
   }
   const bool isHandled = follower_.OnStoreAnswer(aAnswer, aNow) ||
                          publisher_.OnStoreAnswer(aAnswer, aNow) ||
-                         departures_.OnStoreAnswer(aAnswer, aNow, aCommands);
+                         departures_.OnStoreAnswer(aAnswer, aNow, aCommands) ||
+                         rollouts_.OnStoreAnswer(aAnswer, aNow, aCommands);
   if (!isHandled) {
     OnRegistrationAnswer(aAnswer, aNow, aCommands);
   }
@@ -403,6 +431,8 @@
                              isSelf ? configuration_.RefusedGeneration() : 0,
                              isSelf ? configuration_.RefusedReason() : "" });
   }
+  status.rollouts = rollouts_.Book().All();
+  status.provenServices = rollouts_.Proven();
   return status;
 }
 
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Coordination/Accounts/KeyVerification.h"
 #include "Coordination/ChangeFollower.h"
 #include "Coordination/ChangePublisher.h"
 #include "Coordination/ConfigurationWatch.h"
@@ -9,6 +10,7 @@
 #include "Coordination/NodeDirectory.h"
 #include "Coordination/NodeRegistration.h"
 #include "Coordination/ReaderMonitor.h"
+#include "Coordination/Rollouts/RolloutKeeper.h"
 #include "Coordination/StoreCircuitBreaker.h"
 #include "Coordination/Versions/PeerVersions.h"
 
@@ -56,6 +58,7 @@
   void SelectConfigurationSource(state::Instant aNow, Commands& aCommands);
   state::Duration PollInterval(state::Instant aNow) const;
   void CheckAfterPeers(state::Instant aNow);
+  void VerifyKeys(state::Instant aNow, Commands& aCommands);
   void PublishChange(state::ConfigurationPointer aPrevious);
   void FollowChanges(state::Instant aNow, Commands& aCommands);
   void Publish(Commands& aCommands);
@@ -68,6 +71,7 @@
   ConfigurationWatch configuration_;
   DirectApply apply_;
   PeerVersions peerVersions_;
+  KeyVerification keyVerification_;
   ChangeFollower follower_;
   ChangePublisher publisher_;
   ReaderMonitor readers_;
@@ -75,6 +79,7 @@
   NodeRegistration registration_;
   DepartureLog departures_;
   CrashGuard crashGuard_;
+  RolloutKeeper rollouts_;
   state::ConfigurationPointer published_;
   std::optional<state::Instant> startTime_;
   bool isRestored_ = false;
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Coordination/Accounts/Attestations.h"
+#include "Coordination/Rollouts/RolloutBook.h"
 #include "Coordination/RoutingSnapshot.h"
 #include "Protocol/StoreClient.h"
 #include "State/EndpointRecord.h"
@@ -9,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 #include <variant>
@@ -100,6 +103,17 @@
 struct PeerVersionSeen
 {
   state::Generation generation;
+  /// The latest that was heard of a newest version, if nodes tell it.
+  std::optional<Attestation> attestation = std::nullopt;
+};
+
+/// What the data plane knows of roll-outs, learnt from other nodes and judged
+/// from the answers of upstreams.
+struct RolloutsSeen
+{
+  std::vector<Rollout> rollouts;
+  /// The services whose target version this node found good.
+  std::set<std::string> proven;
 };
 
 struct ApplyRequested
@@ -125,6 +139,7 @@
                            CrashObserved,
                            PeerVersionSeen,
                            ReaderAnswered,
+                           RolloutsSeen,
                            ApplyRequested,
                            StatusRequested>;
 
@@ -229,6 +244,19 @@
   ReaderRole role;
 };
 
+/// A read of the store showed which version is the newest, for requests with
+/// keys and for other nodes.
+struct ShareAttestation
+{
+  Attestation attestation;
+};
+
+/// What the control plane knows of roll-outs.
+struct SetRollouts
+{
+  std::vector<Rollout> rollouts;
+};
+
 struct PublishSnapshot
 {
   RoutingSnapshotPointer snapshot;
@@ -287,7 +315,9 @@
                              DepartureSaved,
                              RestoreUpstream,
                              AskReader,
-                             SetReaderRole>;
+                             SetReaderRole,
+                             ShareAttestation,
+                             SetRollouts>;
 using Commands = std::vector<Command>;
 
 /// The name, location and addresses of this node, from its settings.
@@ -315,6 +345,9 @@
   /// Every node must have a configuration version in force within this time of
   /// its acknowledgement.
   state::Duration applyBound{ std::chrono::seconds(2) };
+  /// A withdrawn key opens nothing later than this after the acknowledgement,
+  /// also while this node cannot reach the store; 0 if applyBound is enough.
+  state::Duration strictRevokeBound{ 0 };
 };
 
 /// The state of one node as `teaselctl status` shows it.
@@ -337,6 +370,19 @@
   state::Generation highestGeneration = 0;
   std::vector<NodeStatus> nodes;
   std::vector<std::string> alarms;
+  std::vector<Rollout> rollouts;
+  /// The services whose target version this node found good.
+  std::set<std::string> provenServices;
 };
 
+/// @return what a node knows of the target version of a roll-out.
+inline std::string_view
+FindingOf(const Rollout& aRollout, const std::set<std::string>& aProven)
+{
+  if (aRollout.isBad) {
+    return "bad";
+  }
+  return aProven.contains(aRollout.service) ? "good" : "unclear";
+}
+
 } // namespace teaselhold::coordination
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -1,5 +1,6 @@
 #include "Services/teaselholdd/CallerSide.h"
 
+#include "Coordination/Accounts/KeyCheck.h"
 #include "Coordination/RetryDelay.h"
 #include "Protocol/Headers.h"
 #include "Services/teaselholdd/HttpHeaders.h"
@@ -110,6 +111,7 @@
   Response earlierResponse;
   std::string id;
   std::string node;
+  transport::MemoryShare earlierMemory;
 };
 
 struct CallerSide::Calls
@@ -125,12 +127,15 @@
                        std::uint64_t aIncarnation,
                        UpstreamSide& aUpstreamSide,
                        VersionExchange& aVersions,
+                       QuotaExchange& aQuotas,
                        CallMetrics& aCallMetrics)
   : context_(aContext)
   , settings_(aSettings)
   , adapters_(aAdapters)
   , clock_(aClock)
   , upstreamSide_(aUpstreamSide)
+  , quotas_(aQuotas)
+  , versions_(aVersions)
   , callMetrics_(aCallMetrics)
   , hop_(aContext, aSettings, aClock, aIncarnation, aUpstreamSide, aVersions)
   , store_(aContext, aAdapters.store)
@@ -142,9 +147,13 @@
                  aIncarnation,
                  aSettings.service)
   , calls_(std::make_shared<Calls>())
+  , earlierAnswers_(std::make_shared<transport::MemoryBudget::Holder>(
+      transport::PeerLimits::OfProcess()->memory,
+      asio::ip::address()))
 {
   if (aAdapters.IsAnnounced()) {
     environment_.policy = CallPolicy::WithLoadReports();
+    environment_.rollouts = &aVersions.Rollouts().Gate();
   }
 }
 
@@ -200,11 +209,17 @@
     refused = NotRunReason::BadRequest;
   } else if (IsRefusedForDraining(*facts)) {
     refused = NotRunReason::Draining;
+  } else {
+    refused = TakeAccount(aRequest, *facts);
   }
   if (refused) {
-    co_return Refuse(aRequest, *refused, clock_.Now() - now);
+    co_return Refuse(aRequest, NotRun{ *refused }, clock_.Now() - now);
   }
   const CallCount count(inFlight_);
+  auto credit = co_await quotas_.Acquire(facts->account, facts->deadline);
+  if (!credit) {
+    co_return Refuse(aRequest, credit.error(), clock_.Now() - now);
+  }
   RemoveHopHeaders(aRequest);
   RemoveNodeHeaders(aRequest);
   // A chunked body goes on with its length.
@@ -227,13 +242,15 @@
              {},
              {},
              std::move(id),
-             {} };
+             {},
+             transport::MemoryShare(earlierAnswers_) };
   calls_->list.push_back(call);
   auto step = call.session.Start(now);
   while (!std::holds_alternative<Respond>(step)) {
     step = co_await TakeStep(call, step, aCancellation);
   }
   const auto& respond = std::get<Respond>(step);
+  credit->Finish(respond.outcome);
   const auto* route = call.session.Route();
   callMetrics_.Record(route == nullptr ? state::RequestClass::Lookup
                                        : route->requestClass,
@@ -278,21 +295,20 @@
 
 Response
 CallerSide::Refuse(const Request& aRequest,
-                   NotRunReason aReason,
+                   const NotRun& aOutcome,
                    state::Duration aTime)
 {
-  const NotRun outcome{ aReason };
   // Nothing has been routed yet, so the class is not known.
   callMetrics_.Record(state::RequestClass::Lookup,
                       ReadHeader(aRequest, headers::kTenant),
-                      outcome,
+                      aOutcome,
                       aTime);
   CallEnd end;
   end.id = ReadId(aRequest, adapters_.headers);
   end.generation = GenerationOf(snapshot_);
-  LogCallEnd(end, outcome, aTime);
-  auto response = MakeResponse(outcome);
-  FinishAnswer(response, outcome);
+  LogCallEnd(end, aOutcome, aTime);
+  auto response = MakeResponse(aOutcome);
+  FinishAnswer(response, aOutcome);
   SetGeneration(response, snapshot_);
   return response;
 }
@@ -333,6 +349,7 @@
   // A process that ends answers before it does.
   facts.deadline = std::min(
     aNow + state::Duration(std::chrono::milliseconds(remaining)), stopTime_);
+  facts.mayBeNested = upstreamSide_.MayHaveMade(facts.deadline);
   facts.bodySize = aRequest.body().size() >= NodeHop::kOfferedBytes
                      ? BodySize::Large
                      : BodySize::Small;
@@ -343,6 +360,48 @@
   return facts;
 }
 
+std::optional<NotRunReason>
+CallerSide::TakeAccount(Request& aRequest, CallParameters& aFacts) const
+{
+  const auto& names = adapters_.headers;
+  const std::string key(ReadHeader(aRequest, names.accountKey));
+  KeyFacts keyFacts;
+  keyFacts.key = key;
+  keyFacts.count = aRequest.count(names.accountKey);
+  aRequest.erase(names.accountKey);
+  const bool isKnown =
+    snapshot_ != nullptr && snapshot_->configuration != nullptr;
+  if (!isKnown || !snapshot_->configuration->RequiresKeys()) {
+    // Without keys, the product's own header is the caller's claim.
+    if (names.accountName != headers::kTenant) {
+      aRequest.erase(names.accountName);
+    }
+    return std::nullopt;
+  }
+  aRequest.erase(names.accountName);
+  aFacts.tenant.clear();
+  const auto& configuration = *snapshot_->configuration;
+  const auto* route =
+    configuration.FindRoute(aFacts.method, aFacts.target, aFacts.host);
+  if (route == nullptr) {
+    return NotRunReason::NoRoute;
+  }
+  keyFacts.mayBeNested = upstreamSide_.InFlight() > 0;
+  keyFacts.isVerified =
+    versions_.MayUseKeys(configuration.GetGeneration(), clock_.Now());
+  const auto account = CheckKey(configuration, *route, keyFacts);
+  if (!account) {
+    return account.error();
+  }
+  if (*account != nullptr) {
+    aFacts.account = (*account)->name;
+    aFacts.tenant = aFacts.account;
+    aFacts.priority = (*account)->priority;
+    SetHeader(aRequest, names.accountName, aFacts.account);
+  }
+  return std::nullopt;
+}
+
 std::uint32_t
 CallerSide::TenantLimit(const std::string& aTenant) const
 {
@@ -362,7 +421,8 @@
     const NodeHop::Load load{ *aCall.session.Route(),
                               aCall.session.Service(),
                               aCall.tenantLimit,
-                              aCall.depth };
+                              aCall.depth,
+                              aCall.session.Priority() };
     const auto endpoint = attempt->endpoint;
     aCall.node = endpoint->node;
     const auto sent = clock_.Now();
@@ -395,6 +455,7 @@
     const bool isKept = respond == nullptr || respond->isKeptServerError;
     if (std::holds_alternative<Answered>(exchange.outcome) && isKept) {
       aCall.earlierResponse = std::move(aCall.response);
+      aCall.earlierMemory.Resize(aCall.earlierResponse.body().capacity());
     }
     co_return next;
   }
@@ -431,8 +492,11 @@
   aResponse.erase(headers::kLoad);
   aResponse.erase(headers::kRetryAfter);
   const auto* notRun = std::get_if<NotRun>(&aOutcome);
-  if (notRun == nullptr ||
-      aResponse.result() != boost::beast::http::status::service_unavailable) {
+  const auto status = aResponse.result();
+  const bool mayComeBack =
+    status == boost::beast::http::status::service_unavailable ||
+    status == boost::beast::http::status::too_many_requests;
+  if (notRun == nullptr || !mayComeBack) {
     return;
   }
   constexpr double kRange = std::minstd_rand::max();
@@ -471,6 +535,7 @@
   }
   RemoveHopHeaders(response);
   response.erase(headers::kRequestId);
+  response.erase(headers::kNewest);
   FinishAnswer(response, aRespond.outcome);
   SetHeader(
     response, headers::kRetriesLeft, std::to_string(aRespond.retriesLeft));
--- a/Services/teaselholdd/CallerSide.h
+++ b/Services/teaselholdd/CallerSide.h
@@ -3,6 +3,7 @@
 #include "Coordination/CallMetrics.h"
 #include "Services/teaselholdd/Adapters.h"
 #include "Services/teaselholdd/NodeHop.h"
+#include "Services/teaselholdd/QuotaExchange.h"
 #include "Services/teaselholdd/RequestLines.h"
 #include "Services/teaselholdd/StoreCalls.h"
 
@@ -20,6 +21,7 @@
              std::uint64_t aIncarnation,
              UpstreamSide& aUpstreamSide,
              VersionExchange& aVersions,
+             QuotaExchange& aQuotas,
              coordination::CallMetrics& aCallMetrics);
 
   /// Takes a new snapshot for the calls that start from now on.
@@ -63,12 +65,17 @@
   void RecordAnswerSize(const Call& aCall, const Exchange& aExchange);
   static CallEnd Describe(const Call& aCall);
   Response Refuse(const Request& aRequest,
-                  coordination::NotRunReason aReason,
+                  const coordination::NotRun& aOutcome,
                   state::Duration aTime);
   bool IsRefusedForDraining(const coordination::CallParameters& aFacts) const;
   std::optional<coordination::CallParameters> ReadFacts(
     const Request& aRequest,
     state::Instant aNow) const;
+  /// Replaces the key in a request by its client account.
+  /// @return why the request must not run, if it must not.
+  std::optional<coordination::NotRunReason> TakeAccount(
+    Request& aRequest,
+    coordination::CallParameters& aFacts) const;
   Awaitable<coordination::CallStep> TakeStep(
     Call& aCall,
     const coordination::CallStep& aStep,
@@ -84,6 +91,8 @@
   const Adapters& adapters_;
   const Clock& clock_;
   UpstreamSide& upstreamSide_;
+  QuotaExchange& quotas_;
+  const VersionExchange& versions_;
   coordination::CallMetrics& callMetrics_;
   NodeHop hop_;
   StoreCalls store_;
@@ -95,6 +104,8 @@
   std::shared_ptr<std::size_t> inFlight_ = std::make_shared<std::size_t>(0);
   /// The same calls; they leave it on their own.
   std::shared_ptr<Calls> calls_;
+  /// The memory of answers that are kept while their requests are repeated.
+  transport::MemoryBudget::HolderPointer earlierAnswers_;
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -37,6 +37,30 @@
 /// A node has thousands of peers, but few of them send at the same time.
 constexpr std::size_t kMaxConnections = 4096;
 
+/// The head of a request grows by this between nodes.
+constexpr std::uint32_t kNodeHeaderBytes = 4096;
+
+/// Readiness and announcements come from this host, one call at a time.
+constexpr std::size_t kMaxHostConnections = 64;
+constexpr std::uint64_t kMaxHostBodyBytes = 64ULL * 1024;
+
+transport::HttpServerOptions
+HostCallOptions()
+{
+  transport::HttpServerOptions options;
+  options.countsRequests = false;
+  options.maxConnections = kMaxHostConnections;
+  options.maxBodyBytes = kMaxHostBodyBytes;
+  return options;
+}
+
+KeyRule
+MakeKeyRule(const Settings& aSettings)
+{
+  return { aSettings.revokesStrictly ? state::Duration(aSettings.revokeBound)
+                                     : state::Duration{ 0 } };
+}
+
 } // namespace
 
 DataPlane::DataPlane(const Settings& aSettings,
@@ -48,6 +72,7 @@
                      CrashSink aCrashSink,
                      VersionExchange::Sink aVersionSink,
                      ReaderExchange::Sink aReaderSink,
+                     RolloutExchange::Sink aRolloutSink,
                      coordination::CallMetrics& aCallMetrics)
   : settings_(aSettings)
   , adapters_(aAdapters)
@@ -56,10 +81,15 @@
   , link_(std::make_shared<OutgoingLink>(context_,
                                          aClock,
                                          LinkBytesPerSecond(settings_)))
-  , versions_(aClock, std::move(aVersionSink))
+  , versions_(aClock,
+              MakeKeyRule(settings_),
+              std::move(aVersionSink),
+              { settings_.exposureShare },
+              std::move(aRolloutSink))
   , departures_(context_, std::move(aDepartureSink))
   , replicator_(context_, settings_, aIncarnation, departures_)
   , readers_(context_, std::move(aReaderSink))
+  , quotas_(context_, settings_, aClock, aIncarnation)
   , upstreamSide_(context_,
                   settings_,
                   adapters_,
@@ -79,6 +109,7 @@
                 aIncarnation,
                 upstreamSide_,
                 versions_,
+                quotas_,
                 aCallMetrics)
 {
 }
@@ -113,6 +144,7 @@
     return tl::make_unexpected(callerServer.error());
   }
   auto nodeOptions = options;
+  nodeOptions.maxHeaderBytes += kNodeHeaderBytes;
   nodeOptions.pacing = link_->Pacing();
   nodeOptions.admitBody = [this](const Request& aHead) {
     return upstreamSide_.AdmitBody(aHead);
@@ -143,9 +175,10 @@
 {
   if (!settings_.readyAddress.empty()) {
     auto server = transport::HttpServer::Listen(
-      context_, settings_.readyAddress, [this](Request aRequest) {
-        return AnswerReady(std::move(aRequest));
-      });
+      context_,
+      settings_.readyAddress,
+      [this](Request aRequest) { return AnswerReady(std::move(aRequest)); },
+      HostCallOptions());
     if (!server) {
       return tl::make_unexpected(server.error());
     }
@@ -153,9 +186,12 @@
   }
   if (upstreamSide_.Announced() != nullptr) {
     auto server = transport::HttpServer::Listen(
-      context_, settings_.announcementAddress, [this](Request aRequest) {
+      context_,
+      settings_.announcementAddress,
+      [this](Request aRequest) {
         return upstreamSide_.Announced()->Serve(std::move(aRequest));
-      });
+      },
+      HostCallOptions());
     if (!server) {
       return tl::make_unexpected(server.error());
     }
@@ -172,9 +208,18 @@
   if (mayWait || IsNodeCall(aRequest, protocol::headers::kReaderPath)) {
     return readers_.Serve(mayWait, std::move(aCancellation));
   }
+  if (IsNodeCall(aRequest, protocol::headers::kCreditPath)) {
+    return ServeCredit(std::move(aRequest));
+  }
   return upstreamSide_.ServeNode(std::move(aRequest), std::move(aCancellation));
 }
 
+asio::awaitable<Response>
+DataPlane::ServeCredit(Request aRequest)
+{
+  co_return quotas_.Serve(aRequest);
+}
+
 asio::awaitable<Response>
 DataPlane::AnswerReady(Request aRequest)
 {
@@ -200,7 +245,9 @@
     if (snapshot->configuration != nullptr) {
       versions_.SetOwn(snapshot->configuration->GetGeneration());
     }
+    versions_.Rollouts().Gate().SetEndpoints(snapshot->endpoints, clock_.Now());
     replicator_.SetSnapshot(snapshot);
+    quotas_.SetSnapshot(snapshot);
     callerSide_.SetSnapshot(std::move(snapshot));
   });
 }
@@ -218,6 +265,13 @@
                            limits_->maxBodyBytes,
                            limits_->headerTimeout,
                            limits_->idleTimeout);
+  // Nodes pass on what callers may send, and use kept connections as they like.
+  const transport::HttpServerOptions usual;
+  nodeServer_->SetLimits(
+    std::max(usual.maxHeaderBytes, limits_->maxHeaderBytes) + kNodeHeaderBytes,
+    std::max(usual.maxBodyBytes, limits_->maxBodyBytes),
+    usual.headerTimeout,
+    usual.idleTimeout);
 }
 
 void
@@ -251,6 +305,12 @@
   asio::post(context_, [this, aRole] { readers_.SetRole(aRole); });
 }
 
+void
+DataPlane::OnAttested(const Attestation& aAttestation)
+{
+  asio::post(context_, [this, aAttestation] { versions_.Add(aAttestation); });
+}
+
 void
 DataPlane::TakeSettings(const Settings& aSettings)
 {
@@ -261,13 +321,25 @@
     settings_.retrySlack = settings.retrySlack;
     settings_.retryWindow = settings.retryWindow;
     settings_.upstreamDrain = settings.upstreamDrain;
+    settings_.quotaWindow = settings.quotaWindow;
+    settings_.quotaOverage = settings.quotaOverage;
+    settings_.quotaSlack = settings.quotaSlack;
     callerSide_.OnSettings();
+    quotas_.OnSettings();
     if (auto* announced = upstreamSide_.Announced()) {
       announced->OnSettings(settings_);
     }
   });
 }
 
+void
+DataPlane::SetRollouts(coordination::SetRollouts aRollouts)
+{
+  asio::post(context_, [this, rollouts = std::move(aRollouts)] {
+    versions_.Rollouts().Set(rollouts.rollouts);
+  });
+}
+
 template<typename Function>
 auto
 DataPlane::OnDataThread(Function aFunction)
@@ -295,6 +367,7 @@
   asio::post(context_, [this, deadline, isOnPlatform] {
     isStopping_ = true;
     readers_.Stop();
+    quotas_.Leave();
     if (isOnPlatform) {
       const auto left = deadline - kAnswerTime - Clock::Steady::now();
       callerSide_.SetStopTime(
--- a/Services/teaselholdd/Exchange.cpp
+++ b/Services/teaselholdd/Exchange.cpp
@@ -53,9 +53,13 @@
       case NotRunReason::ServiceNotReachable:
         return http::status::not_found;
       case NotRunReason::TenantLimit:
+      case NotRunReason::QuotaExceeded:
         return http::status::too_many_requests;
       case NotRunReason::BadRequest:
         return http::status::bad_request;
+      case NotRunReason::AccountKeyMissing:
+      case NotRunReason::AccountKeyUnknown:
+        return http::status::unauthorized;
       default:
         return http::status::service_unavailable;
     }
--- a/Services/teaselholdd/HttpHeaders.cpp
+++ b/Services/teaselholdd/HttpHeaders.cpp
@@ -81,6 +81,7 @@
   for (const auto* name : { headers::kService,
                             headers::kClass,
                             headers::kIdempotent,
+                            headers::kPriority,
                             headers::kTenantLimit,
                             headers::kExecutor,
                             headers::kClaim,
@@ -89,9 +90,13 @@
                             headers::kOutcome,
                             headers::kReason,
                             headers::kMaxWait,
+                            headers::kUsefulWait,
                             headers::kAnswerBytes,
                             headers::kAnswerTime,
-                            headers::kFinalTry }) {
+                            headers::kFinalTry,
+                            headers::kRolloutOrder,
+                            headers::kRouteLabel,
+                            headers::kRollouts }) {
     aFields.erase(name);
   }
 }
@@ -102,9 +107,12 @@
   for (const auto* name : { headers::kOutcome,
                             headers::kReason,
                             headers::kGeneration,
+                            headers::kNewest,
                             headers::kRequestId,
                             headers::kLoad,
-                            headers::kRetryAfter }) {
+                            headers::kRetryAfter,
+                            headers::kRollouts,
+                            headers::kEvidence }) {
     aFields.erase(name);
   }
 }
--- a/Services/teaselholdd/MetricsSource.cpp
+++ b/Services/teaselholdd/MetricsSource.cpp
@@ -11,9 +11,14 @@
   copy.dataCentre = settings_.dataCentre;
   copy.region = settings_.region;
   copy.calls = callMetrics_.Snapshot();
+  copy.quotas = dataPlane_.Quotas();
   copy.control = controlPlane_.Counters();
   copy.store = controlPlane_.StoreCalls();
   copy.fleet = controlPlane_.LocalStatus();
+  const auto& limits = *transport::PeerLimits::OfProcess();
+  copy.peerRefusals = limits.Counts();
+  copy.peerMemoryBytes = limits.memory->Used();
+  copy.peerConnections = limits.descriptors->Connections();
   const auto snapshot = controlPlane_.Snapshot();
   if (snapshot != nullptr && snapshot->configuration != nullptr) {
     copy.activeGeneration = snapshot->configuration->GetGeneration();
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -81,6 +81,7 @@
     exchange =
       co_await SendRemote(aRequest, aLoad, aAttempt, std::move(aCancellation));
   }
+  versions_.Rollouts().LearnEvidence(endpoint, exchange.response);
   exchange.retriesLeft =
     ReadNumber<unsigned>(exchange.response, headers::kRetriesLeft).value_or(0);
   co_return exchange;
@@ -95,6 +96,7 @@
   const auto id = idPrefix_ + std::to_string(nextRequest_++);
   SetHeader(aRequest, headers::kRequestId, id);
   versions_.Tell(aRequest);
+  const auto sent = clock_.Now();
   local_.RecordSent(aRequest.body().size());
   if (aRequest.body().size() >= kOfferedBytes) {
     // A refusal then costs none of the body's bytes.
@@ -123,6 +125,7 @@
     pool_.CloseIdle(aAttempt.endpoint->dataAddress);
     co_return Exchange{ Unknown{ UnknownReason::CrossedAnswer }, {}, 0 };
   }
+  versions_.LearnAttested(*answer, sent);
   versions_.Learn(*answer);
   const auto outcome = ReadOutcome(*answer);
   co_return Exchange{ outcome, std::move(*answer), 0 };
@@ -155,10 +158,15 @@
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
     aAttempt.carriedDeadline - clock_.Now());
   SetHeader(aRequest, headers::kService, aLoad.service);
+  versions_.Rollouts().MarkRequest(
+    aRequest, aLoad.service, route.name, aAttempt.rolloutOrder);
   SetHeader(aRequest,
             headers::kClass,
             state::FindEnumName(state::kRequestClassNames, route.requestClass));
   SetHeader(aRequest, headers::kIdempotent, route.isIdempotent ? "yes" : "no");
+  if (aLoad.priority != state::kDefaultPriority) {
+    SetHeader(aRequest, headers::kPriority, std::to_string(aLoad.priority));
+  }
   SetHeader(aRequest, headers::kDeadline, std::to_string(remaining.count()));
   SetHeader(
     aRequest, headers::kRetriesLeft, std::to_string(aAttempt.retriesLeft));
@@ -168,6 +176,11 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(*aAttempt.maxWait);
     SetHeader(aRequest, headers::kMaxWait, std::to_string(wait.count()));
   }
+  if (aAttempt.usefulWait) {
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+      *aAttempt.usefulWait);
+    SetHeader(aRequest, headers::kUsefulWait, std::to_string(wait.count()));
+  }
   if (aAttempt.largeAnswer) {
     const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
       aAttempt.largeAnswer->maxTime);
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -66,6 +66,12 @@
     admission_->SetUsual(aServiceTime, aFailureRate);
   }
 
+  /// See AdmissionQueue::MayHaveMade().
+  bool MayHaveMade(state::Instant aDeadline) const
+  {
+    return admission_->MayHaveMade(aDeadline);
+  }
+
   /// Counts a message that this node sends on the link of its host.
   void RecordSent(std::uint64_t aBytes) { link_->RecordSent(aBytes); }
 
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -4,10 +4,12 @@
 #include "Services/teaselholdd/Logs.h"
 #include "Services/teaselholdd/MetricsServer.h"
 #include "Services/teaselholdd/SettingsReload.h"
+#include "Transport/Limits/PeerLimits.h"
 
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <malloc.h>
 #include <pthread.h>
 #include <spdlog/spdlog.h>
 #include <thread>
@@ -143,6 +145,8 @@
   const auto& settings = aLoaded.settings;
   const daemon::Clock clock;
   const auto incarnation = MakeIncarnation();
+  transport::PeerLimits::OfProcess()->SetHost(settings.memoryMegabytes,
+                                              settings.maxDescriptors);
   const auto adapters = daemon::MakeAdapters(settings);
   coordination::CallMetrics callMetrics;
   TenantNamer tenantNamer(callMetrics);
@@ -161,10 +165,13 @@
     [&](std::uint64_t aFingerprint) {
       controlPlane->Post(coordination::CrashObserved{ aFingerprint });
     },
-    [&](state::Generation aGeneration) {
-      controlPlane->Post(coordination::PeerVersionSeen{ aGeneration });
+    [&](const coordination::PeerVersionSeen& aSeen) {
+      controlPlane->Post(aSeen);
     },
     [&](coordination::ReaderAnswered aAnswer) { controlPlane->Post(aAnswer); },
+    [&](coordination::RolloutsSeen aSeen) {
+      controlPlane->Post(std::move(aSeen));
+    },
     callMetrics);
   controlPlane = std::make_unique<daemon::ControlPlane>(
     settings,
@@ -185,15 +192,20 @@
       [&](const coordination::AskReader& aQuestion) {
         dataPlane.AskReader(aQuestion);
       },
-      [&](coordination::ReaderRole aRole) {
-        dataPlane.SetReaderRole(aRole);
+      [&](coordination::ReaderRole aRole) { dataPlane.SetReaderRole(aRole); },
+      [&](const coordination::Attestation& aAttestation) {
+        dataPlane.OnAttested(aAttestation);
+      },
+      [&](const coordination::SetRollouts& aRollouts) {
+        dataPlane.SetRollouts(aRollouts);
       } });
   for (const auto& started : { dataPlane.Start(), controlPlane->Start() }) {
     if (!started) {
       return FailStart(started.error());
     }
   }
-  const daemon::MetricsSource metrics(settings, *controlPlane, callMetrics);
+  const daemon::MetricsSource metrics(
+    settings, *controlPlane, dataPlane, callMetrics);
   std::unique_ptr<daemon::AdminServer> admin;
   if (!settings.adminAddress.empty()) {
     auto server = daemon::AdminServer::Listen(
@@ -240,6 +252,18 @@
   return kExitDone;
 }
 
+/// Lets the allocator return large bodies to the system at once. By default it
+/// keeps freed blocks of up to 32 MiB, and the resident memory exceeded the
+/// budget of what peers send by a quarter.
+void
+BoundAllocator()
+{
+  constexpr int kMappedBytes = 1024 * 1024;
+  constexpr int kKeptBytes = 4 * 1024 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+  mallopt(M_TRIM_THRESHOLD, kKeptBytes);
+}
+
 /// Blocks the signals that WaitForStop takes. Called before anything else: a
 /// signal that comes while the process starts waits, and each later thread
 /// blocks them too. One that did not would take signals that come after
@@ -263,6 +287,7 @@
 main(int aCount, char** aArguments)
 {
   const auto signals = BlockSignals();
+  BoundAllocator();
   gflags::SetUsageMessage(
     "teaselholdd --config FILE | --config_variable NAME [--check-config]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
