--- a/Tests/Coordination/Room/QueueOrderTest.cpp
+++ b/Tests/Coordination/Room/QueueOrderTest.cpp
@@ -28,7 +28,7 @@
   // that are still in time until those are late too.
   Admission admission(AdmissionOptions{ 1, 10, false, 0s });
   admission.SetState(state::EndpointState::Ready, 0s);
-  admission.RecordResult(50ms, true);
+  admission.RecordResult(50ms, true, 0s);
   admission.Decide(MakeRequest(1, 300ms), 0s);
   admission.Decide(MakeRequest(2, 0ms), 0s);
   admission.Decide(MakeRequest(3, 300ms), 0s);
@@ -47,7 +47,7 @@
 {
   Admission admission(AdmissionOptions{ 1, 10, false, 0s });
   admission.SetState(state::EndpointState::Ready, 0s);
-  admission.RecordResult(100ms, true);
+  admission.RecordResult(100ms, true, 0s);
   admission.Decide(MakeRequest(1, 300ms), 0s);
   admission.Decide(MakeRequest(2, 0ms), 0s);
   CHECK(admission.DecisionInputs(MakeRequest(3, 250ms), 0s).predictedWait ==
