--- a/Libraries/Coordination/Router.cpp
+++ b/Libraries/Coordination/Router.cpp
@@ -210,19 +210,21 @@
                 state::Instant aNow)
 {
   // Upstreams that exist when the service is first called are not new, so they
-  // need no slow start.
-  const bool skipsSlowStart =
-    aList.tableVersion == 0 || !options_.usesSlowStart;
+  // are not paced.
+  const bool isFirstTable = aList.tableVersion == 0;
   aList.candidates.clear();
   for (const auto* record : endpoints_->OfService(aService)) {
     if (record->state != state::EndpointState::Ready) {
       continue;
     }
+    UpstreamHealth::Pacing pacing{ options_.isPaced,
+                                   !isFirstTable,
+                                   record->slots };
     const auto [entry, isNew] = healthByNode_.try_emplace(
-      record->node, record->incarnation, skipsSlowStart, aNow);
+      record->node, record->incarnation, pacing, aNow);
     if (!isNew && entry->second.Incarnation() != record->incarnation) {
-      entry->second =
-        UpstreamHealth(record->incarnation, !options_.usesSlowStart, aNow);
+      pacing.isNew = true;
+      entry->second = UpstreamHealth(record->incarnation, pacing, aNow);
     }
     aList.candidates.push_back({ record,
                                  &entry->second,
@@ -456,6 +458,30 @@
   return health == nullptr ? state::Duration{ 0 } : health->ServiceTime();
 }
 
+Router::UsualAnswers
+Router::Usual(std::string_view aService, state::Instant aNow) const
+{
+  UsualAnswers usual;
+  const auto list = serviceLists_.find(aService);
+  if (list == serviceLists_.end()) {
+    return usual;
+  }
+  int count = 0;
+  for (const auto& candidate : list->second.candidates) {
+    const auto time = candidate.health->ServiceTime();
+    if (time.count() > 0 && candidate.distance > 0) {
+      usual.serviceTime += time;
+      usual.failureRate += candidate.health->FailureRate(aNow);
+      ++count;
+    }
+  }
+  if (count > 0) {
+    usual.serviceTime /= count;
+    usual.failureRate /= count;
+  }
+  return usual;
+}
+
 void
 Router::OnRequestAbandoned(const state::EndpointRecord& aEndpoint)
 {
--- a/Libraries/Coordination/Router.h
+++ b/Libraries/Coordination/Router.h
@@ -46,9 +46,9 @@
   std::string dataCentre;
   std::string region;
   std::uint64_t randomSeed = 0;
-  /// Gives a new incarnation a gradually growing share of the requests (slow
-  /// start). Not needed where the nodes beside the upstreams report their load.
-  bool usesSlowStart = true;
+  /// Gives an upstream that started or recovered requests at the pace of its
+  /// answers.
+  bool isPaced = true;
 };
 
 /// Picks the upstream for a request, using the newest endpoint table and this
@@ -112,6 +112,17 @@
                            state::Duration aTime,
                            state::Instant aNow);
 
+  /// Means over upstreams.
+  struct UsualAnswers
+  {
+    state::Duration serviceTime{ 0 };
+    double failureRate = 0;
+  };
+
+  /// @return what the upstreams of a service reported, without the one beside
+  ///         this node; zeros if none did.
+  UsualAnswers Usual(std::string_view aService, state::Instant aNow) const;
+
   /// Records the load report of a response. Must be called after
   /// OnRequestFinished().
   void RecordLoadReport(const state::EndpointRecord& aEndpoint,
--- a/Services/teaselholdd/CallerSide.cpp
+++ b/Services/teaselholdd/CallerSide.cpp
@@ -143,7 +143,7 @@
                    aSettings.dataCentre,
                    aSettings.region,
                    aIncarnation ^ std::hash<std::string>()(aSettings.nodeName),
-                   !aAdapters.IsAnnounced() },
+                   aSettings.upstreamPaced },
                  aIncarnation,
                  aSettings.service)
   , calls_(std::make_shared<Calls>())
@@ -161,6 +161,8 @@
 CallerSide::SetSnapshot(RoutingSnapshotPointer aSnapshot)
 {
   snapshot_ = std::move(aSnapshot);
+  const auto usual = environment_.router.Usual(settings_.service, clock_.Now());
+  upstreamSide_.SetUsual(usual.serviceTime, usual.failureRate);
   if (adapters_.IsAnnounced()) {
     ShareRetryBudget();
   }
--- a/Services/teaselholdd/UpstreamSide.h
+++ b/Services/teaselholdd/UpstreamSide.h
@@ -60,6 +60,12 @@
 
   std::size_t InFlight() const { return admission_->InFlight(); }
 
+  /// See Admission::SetUsual().
+  void SetUsual(state::Duration aServiceTime, double aFailureRate)
+  {
+    admission_->SetUsual(aServiceTime, aFailureRate);
+  }
+
   /// See AdmissionQueue::MayHaveMade().
   bool MayHaveMade(state::Instant aDeadline) const
   {
