--- a/Tests/Coordination/Room/NestedRoutesTest.cpp
+++ b/Tests/Coordination/Room/NestedRoutesTest.cpp
@@ -25,7 +25,7 @@
 
 TEST_CASE("the running requests bound the deadline of the calls that they make")
 {
-  Admission admission(AdmissionOptions{ 1, 4, false, 0s });
+  Admission admission(AdmissionOptions{ 1, 4, false, false });
   admission.SetState(state::EndpointState::Ready, 0s);
   CHECK_FALSE(admission.LatestRunningDeadline());
   for (std::uint64_t id = 1; id <= 2; ++id) {
--- a/Tests/Coordination/Room/QueueOrderTest.cpp
+++ b/Tests/Coordination/Room/QueueOrderTest.cpp
@@ -26,7 +26,7 @@
   // Load: a wave above the capacity, whose refused callers come back too late
   // for their objective. Served in order of arrival, they delay the requests
   // that are still in time until those are late too.
-  Admission admission(AdmissionOptions{ 1, 10, false, 0s });
+  Admission admission(AdmissionOptions{ 1, 10, false, false });
   admission.SetState(state::EndpointState::Ready, 0s);
   admission.RecordResult(50ms, true, 0s);
   admission.Decide(MakeRequest(1, 300ms), 0s);
@@ -45,7 +45,7 @@
 
 TEST_CASE("late requests that wait do not count as ahead of one in time")
 {
-  Admission admission(AdmissionOptions{ 1, 10, false, 0s });
+  Admission admission(AdmissionOptions{ 1, 10, false, false });
   admission.SetState(state::EndpointState::Ready, 0s);
   admission.RecordResult(100ms, true, 0s);
   admission.Decide(MakeRequest(1, 300ms), 0s);
--- a/Tests/Coordination/Room/QueueTurnsTest.cpp
+++ b/Tests/Coordination/Room/QueueTurnsTest.cpp
@@ -26,7 +26,7 @@
 {
   // Load: the most urgent kind alone asks for more than the upstream has, so in
   // strict order no request of another kind would ever start.
-  Admission admission(AdmissionOptions{ 1, 100, false, 0s });
+  Admission admission(AdmissionOptions{ 1, 100, false, false });
   admission.SetState(state::EndpointState::Ready, 0s);
   std::uint64_t next = 0;
   const auto ask = [&](state::RequestClass aClass) {
@@ -59,7 +59,7 @@
 
 TEST_CASE("the priority of an account goes before that of the route")
 {
-  Admission admission(AdmissionOptions{ 1, 100, false, 0s });
+  Admission admission(AdmissionOptions{ 1, 100, false, false });
   admission.SetState(state::EndpointState::Ready, 0s);
   admission.Decide(MakeRequest(1, state::RequestClass::Lookup), 1s);
   admission.Decide(MakeRequest(2, state::RequestClass::Check), 1s);
