--- a/Libraries/Coordination/Admission.h
+++ b/Libraries/Coordination/Admission.h
@@ -33,15 +33,15 @@
   /// Refuse the request immediately if its predicted wait is longer. If empty,
   /// the request class determines the longest wait.
   std::optional<state::Duration> maxWait = std::nullopt;
-  /// If the request starts after this wait, its answer misses the latency
-  /// objective of its route. Within a class, requests that can still meet
-  /// theirs go before those that cannot.
-  std::optional<state::Duration> usefulWait = std::nullopt;
   /// The client account whose key the request carried; empty if it had none.
   std::string account = {};
   /// Rank among the requests that compete for the upstream, 0 first: the
   /// account's, or the route's if the account has none.
   std::uint32_t priority = state::kDefaultPriority;
+  /// If the request starts after this wait, its answer misses the latency
+  /// objective of its route. Within a class, requests that can still meet
+  /// theirs go before those that cannot.
+  std::optional<state::Duration> usefulWait = std::nullopt;
 };
 
 /// Deliver the request now.
