--- a/Services/teaselholdd/MetricsText.cpp
+++ b/Services/teaselholdd/MetricsText.cpp
@@ -196,7 +196,8 @@
                    "counter",
                    "Requests of limited client accounts at this node, by what "
                    "the limit over all nodes decided.");
-    for (const auto& [account, counts] : quotas.accounts) {
+    for (const auto& [name, counts] : quotas.accounts) {
+      const std::string& account = name;
       const auto sample = [&](const char* aDecision, std::uint64_t aCount) {
         Sample(
           kName, { { "account", account }, { "decision", aDecision } }, aCount);
--- a/Services/teaselholdd/QuotaExchange.cpp
+++ b/Services/teaselholdd/QuotaExchange.cpp
@@ -68,9 +68,40 @@
 {
 }
 
+namespace {
+
+/// Logs the accounts whose limit is another one than before.
+void
+LogChangedLimits(const RoutingSnapshotPointer& aBefore,
+                 const RoutingSnapshotPointer& aAfter)
+{
+  if (aBefore == nullptr || aBefore->configuration == nullptr ||
+      aAfter->configuration == nullptr ||
+      aBefore->configuration == aAfter->configuration) {
+    return;
+  }
+  for (const auto& account : aAfter->configuration->Accounts()) {
+    const auto* before = aBefore->configuration->FindAccount(account.name);
+    if (before != nullptr &&
+        (before->requestsPerSecond != account.requestsPerSecond ||
+         before->burst != account.burst)) {
+      spdlog::info("[quota] Limit changed. account={} rate={} burst={} "
+                   "earlier_rate={} earlier_burst={}",
+                   account.name,
+                   account.requestsPerSecond,
+                   account.burst,
+                   before->requestsPerSecond,
+                   before->burst);
+    }
+  }
+}
+
+} // namespace
+
 void
 QuotaExchange::SetSnapshot(const RoutingSnapshotPointer& aSnapshot)
 {
+  LogChangedLimits(snapshot_, aSnapshot);
   snapshot_ = aSnapshot;
   Commands commands;
   quotas_.SetConfiguration(aSnapshot->configuration, clock_.Now(), commands);
