--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -357,7 +357,8 @@
   if (apply_.OnStoreAnswer(aAnswer, configuration_, aCommands)) {
     return;
   }
-  if (const auto* entry = std::get_if<protocol::StoreEntry>(&aAnswer.result)) {
+  const auto* entry = std::get_if<protocol::StoreEntry>(&aAnswer.result);
+  if (entry != nullptr && options_.followsRollouts) {
     rollouts_.OnOrdersRevision(entry->ordersRevision);
   }
   // Keeps the previous version alive, because the answer may replace it.
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -345,6 +345,9 @@
   /// Every node must have a configuration version in force within this time of
   /// its acknowledgement.
   state::Duration applyBound{ std::chrono::seconds(2) };
+  /// Orders of roll-outs are read from the store. A fleet without them saves
+  /// the calls.
+  bool followsRollouts = true;
   /// A withdrawn key opens nothing later than this after the acknowledgement,
   /// also while this node cannot reach the store; 0 if applyBound is enough.
   state::Duration strictRevokeBound{ 0 };
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -32,6 +32,7 @@
                        CapacityOf(aSettings) };
   options.seeds = aSettings.seeds;
   options.applyBound = aSettings.applyBound;
+  options.followsRollouts = aSettings.rolloutsEnabled;
   if (aSettings.revokesStrictly) {
     options.strictRevokeBound = aSettings.revokeBound;
   }
--- a/Services/teaselholdd/Settings.cpp
+++ b/Services/teaselholdd/Settings.cpp
@@ -259,6 +259,7 @@
     { "accounts", "quota_window", false, ReadTime(s.quotaWindow) },
     { "accounts", "quota_overage", false, ReadDecimal(s.quotaOverage, 10) },
     { "accounts", "quota_slack", false, ReadNumber(s.quotaSlack, 0, 1000000) },
+    { "rollouts", "enabled", false, ReadYesOrNo(s.rolloutsEnabled) },
     { "rollouts", "exposure_share", false, ReadDecimal(s.exposureShare, 1) },
     { "rollouts",
       "exposure_slack",
--- a/Services/teaselholdd/Settings.h
+++ b/Services/teaselholdd/Settings.h
@@ -94,6 +94,8 @@
   std::chrono::milliseconds quotaWindow{ 5000 };
   double quotaOverage = 0.1;
   std::uint32_t quotaSlack = 20;
+  /// Orders of roll-outs are followed.
+  bool rolloutsEnabled = true;
   /// Requests that a new version of a service may get before it is trusted, as
   /// a share of all requests for the service, and requests on top.
   double exposureShare = 0.1;
