Transport: Read the answers of upstreams, nodes and the store in one place

Answers were read twice, by HttpClientConnection (upstreams, other nodes, probes) and by StoreConnection (the store), each with Beast's parser and with checks of its own or none. A check that is added to one of them does not hold for the other.

Change: AnswerParser takes bytes and says how far an answer has come, without I/O; AnswerReader feeds it from a connection and bounds memory, interim answers and time. Both connections read with it. AnswerFault names why bytes are no answer. No check is added here: this commit is meant to change no behaviour, so that each fault of the incident has a commit of its own.

--- /dev/null
+++ b/Libraries/Transport/Answers/AnswerParser.cpp
@@ -0,0 +1,119 @@
+#include "Transport/Answers/AnswerParser.h"
+
+#include <algorithm>
+
+namespace teaselhold::transport {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+AnswerFault
+ToFault(const boost::system::error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    return AnswerFault::TooLong;
+  }
+  if (aError == http::error::body_limit ||
+      aError == http::error::buffer_overflow) {
+    return AnswerFault::TooLarge;
+  }
+  return AnswerFault::Malformed;
+}
+
+} // namespace
+
+AnswerParser::AnswerParser(const AnswerExpectation& aExpectation)
+  : expectation_(aExpectation)
+{
+  parser_.header_limit(kMaxHeaderBytes);
+  parser_.body_limit(aExpectation.maxBodyBytes);
+  parser_.skip(aExpectation.isToHead);
+}
+
+tl::expected<std::size_t, AnswerFault>
+AnswerParser::Take(std::string_view aBytes)
+{
+  std::size_t taken = 0;
+  while (taken < aBytes.size() && !IsDone()) {
+    const bool hadHead = HasHead();
+    const auto rest = aBytes.substr(taken);
+    boost::system::error_code error;
+    // Takes one element: the head, or one part of the body.
+    taken += parser_.put(asio::buffer(rest.data(), rest.size()), error);
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      return tl::make_unexpected(ToFault(error));
+    }
+    if (!hadHead && HasHead()) {
+      const auto checked = CheckHead();
+      if (!checked) {
+        return tl::make_unexpected(checked.error());
+      }
+      break;
+    }
+  }
+  return taken;
+}
+
+tl::expected<void, AnswerFault>
+AnswerParser::TakeEnd()
+{
+  if (!HasHead()) {
+    return tl::make_unexpected(AnswerFault::Cut);
+  }
+  boost::system::error_code error;
+  parser_.put_eof(error);
+  if (error) {
+    return tl::make_unexpected(AnswerFault::Cut);
+  }
+  return {};
+}
+
+tl::expected<void, AnswerFault>
+AnswerParser::CheckHead() const
+{
+  if (IsUnframed() && !expectation_.acceptsUnframed) {
+    return tl::make_unexpected(AnswerFault::NoLength);
+  }
+  return {};
+}
+
+bool
+AnswerParser::IsInvitation() const
+{
+  return parser_.get().result() == http::status::continue_;
+}
+
+bool
+AnswerParser::IsInterim() const
+{
+  // By number, because Beast does not know the name of each interim status.
+  constexpr unsigned kSwitchingProtocols = 101;
+  return Status() / 100 == 1 && Status() != kSwitchingProtocols;
+}
+
+bool
+AnswerParser::KeepsConnection() const
+{
+  return parser_.get().keep_alive() && !IsUnframed();
+}
+
+std::uint64_t
+AnswerParser::NextBodyBytes() const
+{
+  constexpr std::uint64_t kPartBytes = 4UL * kMaxHeaderBytes;
+  const auto& body = parser_.get().body();
+  const auto needed = body.size() + kPartBytes;
+  if (const auto length = parser_.content_length()) {
+    // The whole body is reserved, and takes memory only as it is filled.
+    return std::min<std::uint64_t>(needed, *length);
+  }
+  const std::uint64_t capacity = body.capacity();
+  return needed <= capacity ? capacity : std::max(2 * capacity, needed);
+}
+
+} // namespace teaselhold::transport
--- a/Libraries/Transport/HttpClientConnection.cpp
+++ b/Libraries/Transport/HttpClientConnection.cpp
@@ -21,10 +21,6 @@
 /// Late answers that are skipped before a connection is given up.
 constexpr int kMaxSkippedAnswers = 4;
 
-/// Interim answers before an answer. A server that sends them without end
-/// would keep the thread busy past the deadline, which ends only waits.
-constexpr int kMaxInterimAnswers = 16;
-
 TransportError
 ToTransportError(const boost::system::error_code& aError,
                  const CancellationPointer& aCancellation)
@@ -53,30 +49,6 @@
            std::move(aError.message) };
 }
 
-/// By number, because Beast does not know the name of each interim status.
-bool
-IsInterim(const HttpResponse& aResponse)
-{
-  constexpr unsigned kSwitchingProtocols = 101;
-  const auto status = aResponse.result_int();
-  return status / 100 == 1 && status != kSwitchingProtocols;
-}
-
-/// @return what the body of an answer holds after the next part. One of known
-/// length is reserved, and takes memory only as it is filled; others double.
-std::uint64_t
-NextAnswerBytes(const http::response_parser<http::string_body>& aParser)
-{
-  constexpr std::uint64_t kPartBytes = 4UL * kMaxHeaderBytes;
-  const auto& body = aParser.get().body();
-  const auto needed = body.size() + kPartBytes;
-  if (const auto length = aParser.content_length()) {
-    return std::min<std::uint64_t>(needed, *length);
-  }
-  const std::uint64_t capacity = body.capacity();
-  return needed <= capacity ? capacity : std::max(2 * capacity, needed);
-}
-
 } // namespace
 
 HttpClientConnection::HttpClientConnection(asio::io_context& aContext,
@@ -151,7 +123,7 @@
   aState->finished.cancel();
 }
 
-asio::awaitable<tl::expected<std::optional<HttpResponse>, TransportError>>
+asio::awaitable<tl::expected<std::optional<ReceivedAnswer>, TransportError>>
 HttpClientConnection::OfferBody(std::shared_ptr<WriteState> aState,
                                 const AnswerRules& aRules)
 {
@@ -164,11 +136,13 @@
   if (error) {
     co_return tl::make_unexpected(ToTransportError(error, nullptr));
   }
-  auto answer = co_await ReadMessage(false, aRules, true);
+  const AnswerRequest awaited{ false, aRules.acceptsUnframed, true };
+  const AnswerBounds bounds{ kMaxBodyBytes, aRules.memory, memory_, {} };
+  auto answer = co_await reader_.Read(stream_, awaited, bounds);
   if (!answer) {
-    co_return tl::make_unexpected(std::move(answer.error()));
+    co_return tl::make_unexpected(ToError(std::move(answer.error())));
   }
-  if (answer->result() == http::status::continue_) {
+  if (answer->message.result() == http::status::continue_) {
     co_return std::nullopt;
   }
   co_return std::move(*answer);
@@ -189,9 +163,9 @@
     if (!instead || *instead) {
       stream_.expires_never();
       lastAnswer_ = std::chrono::steady_clock::now();
-      keepAlive_ = instead && (*instead)->keep_alive();
+      keepAlive_ = instead && (*instead)->keepsConnection;
       if (instead) {
-        co_return std::move(**instead);
+        co_return std::move((*instead)->message);
       }
       if (IsCancelled(aCancellation)) {
         co_return tl::make_unexpected(TransportError{
@@ -227,34 +201,43 @@
     co_await writing->finished.async_wait(
       asio::redirect_error(asio::use_awaitable, error));
   }
-  keepAlive_ = wholeRequestSent && answer && answer->keep_alive();
+  keepAlive_ = wholeRequestSent && answer && answer->keepsConnection;
   stream_.expires_never();
   lastAnswer_ = std::chrono::steady_clock::now();
-  co_return answer;
+  if (!answer) {
+    co_return tl::make_unexpected(std::move(answer.error()));
+  }
+  co_return std::move(answer->message);
 }
 
-asio::awaitable<tl::expected<HttpResponse, TransportError>>
+asio::awaitable<HttpClientConnection::Result>
 HttpClientConnection::ReadAnswer(const HttpRequest& aRequest,
                                  const AnswerRules& aRules)
 {
   const auto& header = aRules.identityHeader;
-  const bool isHead = aRequest.method() == http::verb::head;
+  const AnswerRequest awaited{ aRequest.method() == http::verb::head,
+                               aRules.acceptsUnframed,
+                               false };
+  const AnswerBounds bounds{ kMaxBodyBytes, aRules.memory, memory_, {} };
   for (int skipped = 0; skipped <= kMaxSkippedAnswers; ++skipped) {
-    auto answer = co_await ReadMessage(isHead, aRules, false);
-    if (!answer || header.empty()) {
-      co_return answer;
+    auto answer = co_await reader_.Read(stream_, awaited, bounds);
+    if (!answer) {
+      co_return tl::make_unexpected(ToError(std::move(answer.error())));
+    }
+    if (header.empty()) {
+      co_return std::move(*answer);
     }
-    const auto identity = (*answer)[header];
+    const auto identity = answer->message[header];
     if (identity == aRequest[header]) {
-      co_return answer;
+      co_return std::move(*answer);
     }
     // A refusal may come from before the server read the identity.
-    const bool isRefusal =
-      to_status_class(answer->result()) != http::status_class::successful;
+    const bool isRefusal = to_status_class(answer->message.result()) !=
+                           http::status_class::successful;
     if (identity.empty() && isRefusal) {
-      co_return answer;
+      co_return std::move(*answer);
     }
-    if (identity.empty() || !answer->keep_alive()) {
+    if (identity.empty() || !answer->keepsConnection) {
       break;
     }
   }
@@ -262,99 +245,22 @@
     TransportErrorCode::ForeignAnswer, "the answer has another identity" });
 }
 
-asio::awaitable<tl::expected<HttpResponse, TransportError>>
-HttpClientConnection::ReadMessage(bool aIsHead,
-                                  const AnswerRules& aRules,
-                                  bool aStopsAtInvitation)
-{
-  for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
-    http::response_parser<http::string_body> parser;
-    parser.header_limit(kMaxHeaderBytes);
-    parser.body_limit(kMaxBodyBytes);
-    parser.skip(aIsHead);
-    boost::system::error_code error;
-    co_await http::async_read_header(
-      stream_,
-      buffer_,
-      parser,
-      asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      co_return tl::make_unexpected(FailRead(error));
-    }
-    const bool isInvitation =
-      aStopsAtInvitation && parser.get().result() == http::status::continue_;
-    if (isInvitation) {
-      co_return parser.release();
-    }
-    if (IsInterim(parser.get())) {
-      continue;
-    }
-    if (parser.need_eof() && !aRules.acceptsUnframed) {
-      co_return tl::make_unexpected(TransportError{
-        TransportErrorCode::PartialAnswer, "the answer has no length" });
-    }
-    error = co_await ReadBody(parser, aRules.memory);
-    if (!error) {
-      auto answer = parser.release();
-      // Its length is known now; the connection ends with it.
-      answer.keep_alive(answer.keep_alive() && !parser.need_eof());
-      co_return answer;
-    }
-    auto failure = FailRead(error);
-    if (failure.code == TransportErrorCode::ConnectionLost) {
-      failure.code = TransportErrorCode::PartialAnswer;
-    }
-    co_return tl::make_unexpected(std::move(failure));
-  }
-  co_return tl::make_unexpected(TransportError{
-    TransportErrorCode::PartialAnswer, "interim answers without an answer" });
-}
-
 TransportError
-HttpClientConnection::FailRead(const boost::system::error_code& aError)
+HttpClientConnection::ToError(AnswerFailure aFailure)
 {
-  if (aError == http::error::buffer_overflow ||
-      aError == http::error::header_limit) {
+  if (aFailure.fault == AnswerFault::TooLong) {
     limits_->Count(PeerRefusal::AnswerFraming);
   }
-  return ToTransportError(aError, nullptr);
-}
-
-asio::awaitable<boost::system::error_code>
-HttpClientConnection::ReadBody(
-  http::response_parser<http::string_body>& aParser,
-  std::shared_ptr<AnswerMemory> aMemory)
-{
-  AnswerMemory::Share share(std::move(aMemory));
-  MemoryShare processShare(memory_);
-  boost::system::error_code error;
-  aParser.eager(true);
-  while (!aParser.is_done()) {
-    const auto next = NextAnswerBytes(aParser) + buffer_.capacity();
-    if (!processShare.TryResize(MemoryUse::Answer, next)) {
-      limits_->Count(PeerRefusal::AnswerMemory);
-      co_return make_error_code(http::error::body_limit);
-    }
-    co_await http::async_read_some(
-      stream_,
-      buffer_,
-      aParser,
-      asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      co_return error;
-    }
-    if (!share.GrowTo(aParser.get().body().size())) {
-      limits_->Count(PeerRefusal::AnswerMemory);
-      co_return make_error_code(http::error::body_limit);
-    }
+  if (aFailure.fault == AnswerFault::NoMemory) {
+    limits_->Count(PeerRefusal::AnswerMemory);
   }
-  co_return error;
+  return std::move(aFailure.error);
 }
 
 bool
 HttpClientConnection::IsReusable()
 {
-  if (!keepAlive_ || buffer_.size() > 0) {
+  if (!keepAlive_ || reader_.HasRest()) {
     return false;
   }
   boost::system::error_code error;
--- a/Libraries/Transport/HttpClientConnection.h
+++ b/Libraries/Transport/HttpClientConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Transport/AnswerMemory.h"
+#include "Transport/Answers/AnswerReader.h"
 #include "Transport/Cancellation.h"
 #include "Transport/HttpMessages.h"
 #include "Transport/Limits/PeerLimits.h"
@@ -72,38 +73,26 @@
   void MarkUsed() { lastUse_ = std::chrono::steady_clock::now(); }
 
 private:
-  using Result = tl::expected<HttpResponse, TransportError>;
+  using Result = tl::expected<ReceivedAnswer, TransportError>;
   struct WriteState;
 
   /// Sends the head and waits for the invitation to send the body.
   /// @return an answer that came instead, or nothing.
   boost::asio::awaitable<
-    tl::expected<std::optional<HttpResponse>, TransportError>>
+    tl::expected<std::optional<ReceivedAnswer>, TransportError>>
   OfferBody(std::shared_ptr<WriteState> aState, const AnswerRules& aRules);
   boost::asio::awaitable<Result> ReadAnswer(const HttpRequest& aRequest,
                                             const AnswerRules& aRules);
-  /// @param aStopsAtInvitation an answer with status 100 is returned.
-  boost::asio::awaitable<Result> ReadMessage(bool aIsHead,
-                                             const AnswerRules& aRules,
-                                             bool aStopsAtInvitation);
-  TransportError FailRead(const boost::system::error_code& aError);
-  /// @return the error that ended the body early.
-  boost::asio::awaitable<boost::system::error_code> ReadBody(
-    boost::beast::http::response_parser<boost::beast::http::string_body>&
-      aParser,
-    std::shared_ptr<AnswerMemory> aMemory);
+  /// Counts a failure that is due to the limits.
+  TransportError ToError(AnswerFailure aFailure);
   boost::asio::awaitable<void> Write(std::shared_ptr<WriteState> aState);
 
-  /// The most that is read ahead of the parser. The parser itself bounds
-  /// neither extensions of chunks nor trailers.
-  static constexpr std::size_t kMaxReadAhead = 4UL * kMaxHeaderBytes;
-
   boost::beast::tcp_stream stream_;
   std::shared_ptr<PeerLimits> limits_;
   DescriptorBudget::LeasePointer lease_;
   /// Of the answer that is being read; set once there is a peer.
   MemoryBudget::HolderPointer memory_;
-  boost::beast::flat_buffer buffer_{ kMaxReadAhead };
+  AnswerReader reader_;
   std::string address_;
   TimePoint lastAnswer_{};
   TimePoint lastUse_{};
