Transport: Reject answers whose status is none of an answer

What callers saw: an upstream in trouble sent an answer with the status 000 and the caller got it as an answer, whatever its framing, also behind an interim answer, through the node beside the upstream and through a far one.

Cause: Beast's parser takes any three digits for a status and nothing behind it asks whether they are one. 000 is in no class, so it was no interim answer and no refusal, and went on as the upstream's final word. The same held for 001 to 099, for 600 to 999, and for 101, which was kept from being skipped as an interim answer although the node never asks for another protocol (Upgrade is removed from requests).

Change: AnswerParser fails an answer whose status is below 100, above 599 (RFC 9110, section 15) or 101. It is a partial answer to the call: 502, no promise that it has not run, and the connection is not used again. Nodes, the store and probes read with the same parser.

Evidence: tests that send such answers from a stand-in.

Ruled out: the framing. The answers were read whole, so no check of lengths helps.

--- a/Libraries/Transport/Answers/AnswerFault.h
+++ b/Libraries/Transport/Answers/AnswerFault.h
@@ -12,6 +12,8 @@
 {
   /// The bytes are not HTTP/1.0 or HTTP/1.1.
   Malformed,
+  /// The status is neither that of an interim answer nor of a final one.
+  Status,
   /// Neither a length nor chunks say where the body ends.
   NoLength,
   /// The head, the trailers or the extensions of a chunk are over the bound.
@@ -26,9 +28,10 @@
   OnlyInterim,
 };
 
-inline constexpr std::array<state::EnumName<AnswerFault>, 7> kAnswerFaultNames{
+inline constexpr std::array<state::EnumName<AnswerFault>, 8> kAnswerFaultNames{
   {
     { AnswerFault::Malformed, "the answer is malformed" },
+    { AnswerFault::Status, "the answer has no status of an answer" },
     { AnswerFault::NoLength, "the answer has no length" },
     { AnswerFault::TooLong, "the framing of the answer is too long" },
     { AnswerFault::TooLarge, "the body of the answer is too large" },
--- a/Libraries/Transport/Answers/AnswerParser.cpp
+++ b/Libraries/Transport/Answers/AnswerParser.cpp
@@ -9,6 +9,21 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+/// The client asks for no other protocol, so 101 answers none of its requests.
+constexpr unsigned kSwitchingProtocols = 101;
+
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
+
+/// @return true for the statuses of RFC 9110, section 15, that a request may
+/// get. Beast takes any three digits.
+bool
+IsStatusOfAnswer(unsigned aStatus)
+{
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus &&
+         aStatus != kSwitchingProtocols;
+}
+
 AnswerFault
 ToFault(const boost::system::error_code& aError)
 {
@@ -76,6 +91,9 @@
 tl::expected<void, AnswerFault>
 AnswerParser::CheckHead() const
 {
+  if (!IsStatusOfAnswer(Status())) {
+    return tl::make_unexpected(AnswerFault::Status);
+  }
   if (IsUnframed() && !expectation_.acceptsUnframed) {
     return tl::make_unexpected(AnswerFault::NoLength);
   }
@@ -92,8 +110,7 @@
 AnswerParser::IsInterim() const
 {
   // By number, because Beast does not know the name of each interim status.
-  constexpr unsigned kSwitchingProtocols = 101;
-  return Status() / 100 == 1 && Status() != kSwitchingProtocols;
+  return Status() / 100 == 1;
 }
 
 bool
--- /dev/null
+++ b/Tests/Services/BrokenAnswersProcessTest.cpp
@@ -0,0 +1,85 @@
+#include "Tests/Services/PlatformMesh.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselhold::tests;
+
+// Guards against broken answers of an upstream that reach callers as answers,
+// with the settings and the adapter of the platform.
+
+namespace {
+
+struct BrokenAnswer
+{
+  const char* name;
+  std::string bytes;
+  ConnectionEnd end = ConnectionEnd::Kept;
+};
+
+std::string
+MakeHead(const std::string& aHead, const std::string& aStatus = "200 OK")
+{
+  return "HTTP/1.1 " + aStatus + "\r\n@id@" + aHead + "\r\n";
+}
+
+const std::vector<BrokenAnswer>&
+BrokenAnswers()
+{
+  static const std::vector<BrokenAnswer> kAnswers{
+    { "status 000, length",
+      MakeHead("Content-Length: 5\r\n", "000 Broken") + "hello" },
+    { "status 000, chunks",
+      MakeHead("Transfer-Encoding: chunked\r\n", "000 Broken") +
+        "5\r\nhello\r\n0\r\n\r\n" },
+    { "status 000, no length",
+      MakeHead("", "000 Broken") + "hello",
+      ConnectionEnd::Closed },
+    { "status 000 behind an interim answer",
+      "HTTP/1.1 100 Continue\r\n\r\n" +
+        MakeHead("Content-Length: 5\r\n", "000 Broken") + "hello" },
+    { "status 101", MakeHead("", "101 Switching") },
+    { "status 600", MakeHead("Content-Length: 5\r\n", "600 Odd") + "hello" },
+  };
+  return kAnswers;
+}
+
+ScriptedAnswer
+WithId(const BrokenAnswer& aAnswer, const std::string& aHead)
+{
+  auto bytes = aAnswer.bytes;
+  const auto place = bytes.find("@id@");
+  bytes.replace(
+    place, 4, "X-Request-Id: " + FieldOf(aHead, "X-Request-Id") + "\r\n");
+  return { bytes, aAnswer.end };
+}
+
+/// Checks that the caller got a failure that promises nothing.
+void
+CheckFailed(const CallResult& aResult)
+{
+  REQUIRE(aResult.answer);
+  CHECK(aResult.Status() == 502);
+  CHECK(aResult.Outcome() == "unknown");
+  CHECK(aResult.Reason() == "partial-answer");
+}
+
+} // namespace
+
+TEST_CASE("Broken answers of an upstream never reach a caller of the platform")
+{
+  std::atomic<const BrokenAnswer*> broken = nullptr;
+  PlatformMesh mesh(
+    [&](const std::string& aHead) { return WithId(*broken, aHead); });
+  for (const auto& answer : BrokenAnswers()) {
+    broken = &answer;
+    for (const bool isFar : { false, true }) {
+      CAPTURE(answer.name, isFar);
+      const auto before = mesh.Upstream().Requests();
+      CheckFailed(mesh.Send(isFar, "GET", "/safe/"));
+      CheckFailed(mesh.Send(isFar, "POST", "/upload/", "short"));
+      CHECK(mesh.Upstream().Requests() >= before + 2);
+      // The upstream is still used, on another connection.
+      CHECK(mesh.Send(isFar, "GET", "/ready/").Body() == "ready");
+    }
+  }
+}
--- a/Tests/Services/Mesh.cpp
+++ b/Tests/Services/Mesh.cpp
@@ -82,7 +82,9 @@
   boost::system::error_code error;
   stream.connect({ asio::ip::make_address(address.host), address.port }, error);
   transport::HttpRequest request(http::string_to_verb(aMethod), aTarget, 11);
-  request.set(http::field::host, aAddress);
+  if (!aHeaders.contains("Host")) {
+    request.set(http::field::host, aAddress);
+  }
   for (const auto& [name, value] : aHeaders) {
     request.insert(name, value);
   }
