Transport: Hear a reset that the writer of a request was told of

What callers saw: an upstream answered a long upload at once with a 200 (or 500) without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part, framed anew with a length, as a complete answer.

Cause: the request is written and the answer read at the same time on one socket. The kernel reports a reset once, by the socket's pending error, to whichever call comes first. When both wait, Asio's reactor performs the write before the read, so the writer gets "connection reset" and takes the error away. The reader then gets the bytes that had arrived, and behind them an end that looks like a close: for a body without a length, its end. The writer's error only kept the connection from being used again.

Change: an answer that ended with its connection is whole only if no write has failed. The check comes after the writer has ended, so it does not depend on which handler runs first; errors of our own close (aborted, bad descriptor) do not count. Any other write error counts, also a broken pipe: it may stand for a close that was followed by a reset, but a 502 promises nothing and a cut answer that looks whole does harm.

Ruled out: that an answer with a length or in chunks can be cut this way; a short request that was written before the reset (the reader is told).

--- a/Libraries/Transport/Answers/AnswerReader.cpp
+++ b/Libraries/Transport/Answers/AnswerReader.cpp
@@ -148,7 +148,8 @@
     const bool isAwaited = aRequest.stopsAtInvitation && parser.IsInvitation();
     if (isAwaited || !parser.IsInterim()) {
       const bool keepsConnection = parser.KeepsConnection();
-      co_return ReceivedAnswer{ parser.Release(), keepsConnection };
+      const bool isUnframed = parser.IsUnframed();
+      co_return ReceivedAnswer{ parser.Release(), keepsConnection, isUnframed };
     }
   }
   co_return Fail(AnswerFault::OnlyInterim);
--- a/Libraries/Transport/Answers/AnswerReader.h
+++ b/Libraries/Transport/Answers/AnswerReader.h
@@ -39,6 +39,9 @@
   HttpResponse message;
   /// Its connection carries another request.
   bool keepsConnection = false;
+  /// Its body ended with the connection. A caller that also writes to the
+  /// connection must check that no write has failed.
+  bool isUnframed = false;
 };
 
 /// An answer that was not read whole. Its connection must not be used again.
--- a/Libraries/Transport/HttpClientConnection.cpp
+++ b/Libraries/Transport/HttpClientConnection.cpp
@@ -105,9 +105,21 @@
   {
   }
 
+  /// @return true if the connection failed under the writer. An error that
+  /// follows from closing the connection on this side is none.
+  bool HasFailed() const
+  {
+    const bool isOwnClose =
+      isAbandoned && (error == asio::error::operation_aborted ||
+                      error == asio::error::bad_descriptor);
+    return error && !isOwnClose;
+  }
+
   http::request_serializer<http::string_body> serializer;
 
   bool isDone = false;
+  /// The connection was closed before the whole request was sent.
+  bool isAbandoned = false;
   boost::system::error_code error;
   asio::steady_timer finished;
 };
@@ -194,6 +206,7 @@
   const bool wholeRequestSent = writing->isDone && !writing->error;
   if (!writing->isDone) {
     // The rest of the body must not be taken for another request.
+    writing->isAbandoned = true;
     stream_.close();
   }
   while (!writing->isDone) {
@@ -201,6 +214,13 @@
     co_await writing->finished.async_wait(
       asio::redirect_error(asio::use_awaitable, error));
   }
+  if (answer && answer->isUnframed && writing->HasFailed()) {
+    // The system reports a reset once, to the writer or to the reader. If the
+    // writer was told, what the reader saw of it looks like a close.
+    answer = tl::make_unexpected(
+      TransportError{ TransportErrorCode::PartialAnswer,
+                      "the connection was reset inside the answer" });
+  }
   keepAlive_ = wholeRequestSent && answer && answer->keepsConnection;
   stream_.expires_never();
   lastAnswer_ = std::chrono::steady_clock::now();
--- a/Tests/Services/BrokenAnswersProcessTest.cpp
+++ b/Tests/Services/BrokenAnswersProcessTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace teaselhold::tests;
+using namespace std::chrono_literals;
 
 // Guards against broken answers of an upstream that reach callers as answers,
 // with the settings and the adapter of the platform.
@@ -16,6 +17,11 @@
   ConnectionEnd end = ConnectionEnd::Kept;
 };
 
+constexpr std::size_t kUploadBytes = std::size_t{ 12 } * 1024 * 1024;
+
+/// Time in which the node fills the sockets and waits to write more.
+constexpr std::chrono::milliseconds kUntilFull{ 100 };
+
 std::string
 MakeHead(const std::string& aHead, const std::string& aStatus = "200 OK")
 {
@@ -39,18 +45,24 @@
         MakeHead("Content-Length: 5\r\n", "000 Broken") + "hello" },
     { "status 101", MakeHead("", "101 Switching") },
     { "status 600", MakeHead("Content-Length: 5\r\n", "600 Odd") + "hello" },
+    { "cut chunks",
+      MakeHead("Transfer-Encoding: chunked\r\n") + "5\r\nhello\r\n",
+      ConnectionEnd::Closed },
+    { "no length, reset",
+      MakeHead("") + std::string(700, 'a'),
+      ConnectionEnd::Reset },
   };
   return kAnswers;
 }
 
 ScriptedAnswer
-WithId(const BrokenAnswer& aAnswer, const std::string& aHead)
+WithId(const BrokenAnswer& aAnswer, const std::string& aHead, bool aReadsBody)
 {
   auto bytes = aAnswer.bytes;
   const auto place = bytes.find("@id@");
   bytes.replace(
     place, 4, "X-Request-Id: " + FieldOf(aHead, "X-Request-Id") + "\r\n");
-  return { bytes, aAnswer.end };
+  return { bytes, aAnswer.end, aReadsBody, aReadsBody ? 0ms : kUntilFull };
 }
 
 /// Checks that the caller got a failure that promises nothing.
@@ -69,7 +81,7 @@
 {
   std::atomic<const BrokenAnswer*> broken = nullptr;
   PlatformMesh mesh(
-    [&](const std::string& aHead) { return WithId(*broken, aHead); });
+    [&](const std::string& aHead) { return WithId(*broken, aHead, true); });
   for (const auto& answer : BrokenAnswers()) {
     broken = &answer;
     for (const bool isFar : { false, true }) {
@@ -83,3 +95,38 @@
     }
   }
 }
+
+TEST_CASE("An upload that is answered early and reset fails for its caller")
+{
+  std::atomic<const BrokenAnswer*> broken = nullptr;
+  PlatformMesh mesh(
+    [&](const std::string& aHead) { return WithId(*broken, aHead, false); });
+  const std::string upload(kUploadBytes, 'u');
+  for (const char* status : { "200 OK", "500 Failed" }) {
+    for (const std::size_t bytes : { 700, 90000 }) {
+      const BrokenAnswer answer{ status,
+                                 MakeHead("", status) + std::string(bytes, 'a'),
+                                 ConnectionEnd::Reset };
+      broken = &answer;
+      for (const bool isFar : { false, true }) {
+        CAPTURE(status, bytes, isFar);
+        CheckFailed(mesh.Send(isFar, "POST", "/upload/", upload));
+      }
+    }
+  }
+}
+
+TEST_CASE("An upload that is answered early and whole is served")
+{
+  const BrokenAnswer answer{ "early",
+                             MakeHead("Content-Length: 5\r\n") + "hello" };
+  PlatformMesh mesh(
+    [&](const std::string& aHead) { return WithId(answer, aHead, false); });
+  const std::string upload(kUploadBytes, 'u');
+  for (const bool isFar : { false, true }) {
+    CAPTURE(isFar);
+    const auto result = mesh.Send(isFar, "POST", "/upload/", upload);
+    CHECK(result.Status() == 200);
+    CHECK(result.Body() == "hello");
+  }
+}
