Transport: Reject answers with a folded field

What callers saw: of a head in which a field's name begins with a blank or a tab, the line went on as the end of the field before it, and a length or a coding that stood in it was not seen. Of "X-A: a", " Content-Length: 3" and a body of five bytes, the caller got "X-A: a Content-Length: 3" and all five.

Cause: Beast still reads the folding of RFC 7230, which RFC 9112 (section 5.2) forbids: it joins a line that begins with a blank to the value before it, in the head, in the trailers and in interim answers, and a line of blanks alone vanishes. What Beast hands on does not show it.

Change: AnswerParser looks for a line that begins with a blank in the bytes that the parser took as fields. Fields are taken whole, and trailers at once with the line of the last chunk, so a fold never lies across two parts.

Handled already, tests kept: a blank, tab, null, control byte, escape, delete, byte above 127, carriage return, line feed, comma or quote inside a name, a blank before the colon, an empty name, no colon, and control bytes in a value are rejected by Beast, first or last in the head, in trailers and in interim answers, in each framing.

--- a/Libraries/Transport/Answers/AnswerFault.h
+++ b/Libraries/Transport/Answers/AnswerFault.h
@@ -14,6 +14,8 @@
   Malformed,
   /// The status is neither that of an interim answer nor of a final one.
   Status,
+  /// A line of the head or of the trailers goes on in the next one.
+  FoldedField,
   /// Neither a length nor chunks say where the body ends.
   NoLength,
   /// The head, the trailers or the extensions of a chunk are over the bound.
@@ -28,10 +30,11 @@
   OnlyInterim,
 };
 
-inline constexpr std::array<state::EnumName<AnswerFault>, 8> kAnswerFaultNames{
+inline constexpr std::array<state::EnumName<AnswerFault>, 9> kAnswerFaultNames{
   {
     { AnswerFault::Malformed, "the answer is malformed" },
     { AnswerFault::Status, "the answer has no status of an answer" },
+    { AnswerFault::FoldedField, "a field of the answer is folded" },
     { AnswerFault::NoLength, "the answer has no length" },
     { AnswerFault::TooLong, "the framing of the answer is too long" },
     { AnswerFault::TooLarge, "the body of the answer is too large" },
--- a/Libraries/Transport/Answers/AnswerParser.cpp
+++ b/Libraries/Transport/Answers/AnswerParser.cpp
@@ -24,6 +24,16 @@
          aStatus != kSwitchingProtocols;
 }
 
+/// Finds a line that begins with a blank. Beast joins it to the field before
+/// it, so that a field whose name begins with a blank, such as a length, would
+/// vanish in the value of another.
+bool
+HasFoldedLine(std::string_view aLines)
+{
+  return aLines.find("\r\n ") != std::string_view::npos ||
+         aLines.find("\r\n\t") != std::string_view::npos;
+}
+
 AnswerFault
 ToFault(const boost::system::error_code& aError)
 {
@@ -55,8 +65,15 @@
     const bool hadHead = HasHead();
     const auto rest = aBytes.substr(taken);
     boost::system::error_code error;
-    // Takes one element: the head, or one part of the body.
-    taken += parser_.put(asio::buffer(rest.data(), rest.size()), error);
+    // Takes whole fields of the head, or one part of the body. The trailers are
+    // taken at once with the line of the last chunk.
+    const auto used =
+      parser_.put(asio::buffer(rest.data(), rest.size()), error);
+    taken += used;
+    const bool tookFields = !hadHead || (parser_.chunked() && IsDone());
+    if (tookFields && HasFoldedLine(rest.substr(0, used))) {
+      return tl::make_unexpected(AnswerFault::FoldedField);
+    }
     if (error == http::error::need_more) {
       break;
     }
--- a/Tests/Services/BrokenAnswersProcessTest.cpp
+++ b/Tests/Services/BrokenAnswersProcessTest.cpp
@@ -45,6 +45,15 @@
         MakeHead("Content-Length: 5\r\n", "000 Broken") + "hello" },
     { "status 101", MakeHead("", "101 Switching") },
     { "status 600", MakeHead("Content-Length: 5\r\n", "600 Odd") + "hello" },
+    { "blank in a name",
+      MakeHead("X Bad: a\r\nContent-Length: 5\r\n") + "hello" },
+    { "control byte in a name",
+      MakeHead("X\x01"
+               "Bad: a\r\nContent-Length: 5\r\n") +
+        "hello" },
+    { "blank before a name",
+      MakeHead("X-A: a\r\n Content-Length: 3\r\n") + "hello",
+      ConnectionEnd::Closed },
     { "cut chunks",
       MakeHead("Transfer-Encoding: chunked\r\n") + "5\r\nhello\r\n",
       ConnectionEnd::Closed },
