Transport: Reject answers whose transfer coding is not just chunked

What callers saw: on the platform, where answers without a length are accepted, an answer with Transfer-Encoding: gzip went to the caller as plain bytes without the field, so with a body that is not the upstream's; "gzip, chunked" likewise everywhere, with the chunks taken off. "chunked, gzip" or "xchunked" passed the chunk lines on as body.

Cause: Beast looks for "chunked" at the end of the first field and ignores all other codings, so an unknown one counts as none, and a Content-Length behind it counts. The field itself is removed as one of the connection's.

Change: an answer has either no Transfer-Encoding or exactly one, "chunked", in HTTP/1.1; anything else is unreadable. RFC 9112, section 6.1, lets a proxy close on chunks in HTTP/1.0, and the node offers no coding with TE.

Handled already, tests kept: lengths that differ, are signed, hexadecimal, quoted, empty, a list with an empty element or over 64 bits; a length beside chunks; chunk sizes with a blank, sign, prefix or too many digits, extensions without a name, chunks longer or shorter than their size, trailers that are no fields or name a length.

--- a/Libraries/Transport/Answers/AnswerParser.cpp
+++ b/Libraries/Transport/Answers/AnswerParser.cpp
@@ -34,6 +34,23 @@
          aLines.find("\r\n\t") != std::string_view::npos;
 }
 
+/// @return true if the answer is sent as it is or in chunks and nothing else.
+/// Beast ignores a coding that it does not know; the body would be passed on
+/// as coded, and read to the end of the connection or to a length that does
+/// not count beside a coding.
+bool
+HasKnownCoding(const http::response<http::string_body>& aMessage)
+{
+  constexpr unsigned kHttp11 = 11;
+  const auto codings = aMessage.count(http::field::transfer_encoding);
+  if (codings == 0) {
+    return true;
+  }
+  return codings == 1 && aMessage.version() == kHttp11 &&
+         boost::beast::iequals(aMessage[http::field::transfer_encoding],
+                               "chunked");
+}
+
 AnswerFault
 ToFault(const boost::system::error_code& aError)
 {
@@ -111,6 +128,9 @@
   if (!IsStatusOfAnswer(Status())) {
     return tl::make_unexpected(AnswerFault::Status);
   }
+  if (!HasKnownCoding(parser_.get())) {
+    return tl::make_unexpected(AnswerFault::Coding);
+  }
   if (IsUnframed() && !expectation_.acceptsUnframed) {
     return tl::make_unexpected(AnswerFault::NoLength);
   }
--- a/Tests/Services/BrokenAnswersProcessTest.cpp
+++ b/Tests/Services/BrokenAnswersProcessTest.cpp
@@ -54,6 +54,12 @@
     { "blank before a name",
       MakeHead("X-A: a\r\n Content-Length: 3\r\n") + "hello",
       ConnectionEnd::Closed },
+    { "unknown coding",
+      MakeHead("Transfer-Encoding: gzip\r\n") + "hello",
+      ConnectionEnd::Closed },
+    { "coding below chunks",
+      MakeHead("Transfer-Encoding: gzip, chunked\r\n") +
+        "5\r\nhello\r\n0\r\n\r\n" },
     { "cut chunks",
       MakeHead("Transfer-Encoding: chunked\r\n") + "5\r\nhello\r\n",
       ConnectionEnd::Closed },
