Transport: Reject a body behind an interim answer or a 204

After an interim answer or a 204 that names a length or chunks, the next bytes of the connection were read as an answer although they are the body of the one before. An upstream that sends a status line in that body chooses what its caller gets.

Cause: Beast ends such an answer with its head, whatever length it names (RFC 9112, section 6.3, does so too), but a peer that names one (RFC 9110, section 8.6, forbids it) may well send it.

Change: an interim answer or a 204 with chunks or a length over 0 is unreadable. A length of 0, which servers do send, and the length of a 304 or of an answer to HEAD are still read.

--- a/Libraries/Transport/Answers/AnswerFault.h
+++ b/Libraries/Transport/Answers/AnswerFault.h
@@ -18,6 +18,8 @@
   FoldedField,
   /// The body is coded otherwise than in chunks.
   Coding,
+  /// A length stands where the status allows no body.
+  ForbiddenBody,
   /// Neither a length nor chunks say where the body ends.
   NoLength,
   /// The head, the trailers or the extensions of a chunk are over the bound.
@@ -32,12 +34,13 @@
   OnlyInterim,
 };
 
-inline constexpr std::array<state::EnumName<AnswerFault>, 10> kAnswerFaultNames{
+inline constexpr std::array<state::EnumName<AnswerFault>, 11> kAnswerFaultNames{
   {
     { AnswerFault::Malformed, "the answer is malformed" },
     { AnswerFault::Status, "the answer has no status of an answer" },
     { AnswerFault::FoldedField, "a field of the answer is folded" },
     { AnswerFault::Coding, "the answer has a transfer coding but chunked" },
+    { AnswerFault::ForbiddenBody, "the answer has a body that must not be" },
     { AnswerFault::NoLength, "the answer has no length" },
     { AnswerFault::TooLong, "the framing of the answer is too long" },
     { AnswerFault::TooLarge, "the body of the answer is too large" },
--- a/Libraries/Transport/Answers/AnswerParser.cpp
+++ b/Libraries/Transport/Answers/AnswerParser.cpp
@@ -51,6 +51,19 @@
                                "chunked");
 }
 
+/// @return true if an interim answer or a 204 says that a body follows. Beast
+/// ends the answer with its head all the same, so that the body would be read
+/// as the next one.
+bool
+HasForbiddenBody(const http::response_parser<http::string_body>& aParser)
+{
+  const auto status = aParser.get().result_int();
+  const bool allowsNone =
+    status / 100 == 1 || aParser.get().result() == http::status::no_content;
+  return allowsNone &&
+         (aParser.chunked() || aParser.content_length().value_or(0) > 0);
+}
+
 AnswerFault
 ToFault(const boost::system::error_code& aError)
 {
@@ -131,6 +144,9 @@
   if (!HasKnownCoding(parser_.get())) {
     return tl::make_unexpected(AnswerFault::Coding);
   }
+  if (HasForbiddenBody(parser_)) {
+    return tl::make_unexpected(AnswerFault::ForbiddenBody);
+  }
   if (IsUnframed() && !expectation_.acceptsUnframed) {
     return tl::make_unexpected(AnswerFault::NoLength);
   }
--- a/Tests/Transport/Answers/Ask.h
+++ b/Tests/Transport/Answers/Ask.h
@@ -105,6 +105,21 @@
   CHECK(aResult.error().code == transport::TransportErrorCode::PartialAnswer);
 }
 
+/// @return the bytes of an answer with the lines of its head.
+inline std::string
+MakeAnswer(const std::string& aFields,
+           const std::string& aBody,
+           const std::string& aStatusLine = "HTTP/1.1 200 OK")
+{
+  return aStatusLine + "\r\n" + aFields + "\r\n" + aBody;
+}
+
+inline std::string
+MakeChunked(const std::string& aChunks)
+{
+  return MakeAnswer("Transfer-Encoding: chunked\r\n", aChunks);
+}
+
 /// Ways in which an answer may say where its body ends, with a body.
 struct Framing
 {
