Transport: Keep no connection that any of its fields ends

What callers saw: of an upstream whose answer has two fields Connection, the second one "close", the node used the connection for another request. The upstream closes it, and a request that may run once and crosses with the close ends with 502 (lost connection) without need.

Cause: message::keep_alive reads the first field Connection only.

Change: the parser's keep_alive, which reads all of them.

Evidence: on the code before, the test fails for "x-a" and "keep-alive" before "close", 2 assertions; it passes now.

Handled already, tests kept: bytes behind a whole answer end the connection, behind each framing and behind a 204.

--- a/Libraries/Transport/Answers/AnswerParser.cpp
+++ b/Libraries/Transport/Answers/AnswerParser.cpp
@@ -169,7 +169,8 @@
 bool
 AnswerParser::KeepsConnection() const
 {
-  return parser_.get().keep_alive() && !IsUnframed();
+  // Not the message's keep_alive, which sees the first field Connection only.
+  return parser_.keep_alive();
 }
 
 std::uint64_t
