Transport: Fail at the first byte that begins no answer

What callers saw: an upstream in trouble that sends up to seven bytes of something else and keeps the connection held its caller to the deadline (504); eight bytes or more were a 502 at once.

Cause: Beast waits for the eight bytes of the version before it compares the first.

Change: before anything was taken, the bytes are compared with the start "HTTP/1.".

Evidence: on the code before, "A head without end is given up before the deadline" fails for "hello" (2 assertions, after the 20 s of its deadline); it passes now.

Handled already, tests kept: heads that are cut, end lines with a line feed or a carriage return alone, have no reason or two blanks, other versions, control bytes in the reason, or begin with an empty line.

--- a/Libraries/Transport/Answers/AnswerParser.cpp
+++ b/Libraries/Transport/Answers/AnswerParser.cpp
@@ -34,6 +34,16 @@
          aLines.find("\r\n\t") != std::string_view::npos;
 }
 
+/// @return false if the bytes cannot become an answer, however they go on.
+/// Beast waits for eight bytes before it looks at the first.
+bool
+MayStartAnswer(std::string_view aBytes)
+{
+  constexpr std::string_view kStart = "HTTP/1.";
+  const auto length = std::min(aBytes.size(), kStart.size());
+  return aBytes.substr(0, length) == kStart.substr(0, length);
+}
+
 /// @return true if the answer is sent as it is or in chunks and nothing else.
 /// Beast ignores a coding that it does not know; the body would be passed on
 /// as coded, and read to the end of the connection or to a length that does
@@ -90,6 +100,9 @@
 tl::expected<std::size_t, AnswerFault>
 AnswerParser::Take(std::string_view aBytes)
 {
+  if (!hasTaken_ && !MayStartAnswer(aBytes)) {
+    return tl::make_unexpected(AnswerFault::Malformed);
+  }
   std::size_t taken = 0;
   while (taken < aBytes.size() && !IsDone()) {
     const bool hadHead = HasHead();
@@ -100,6 +113,7 @@
     const auto used =
       parser_.put(asio::buffer(rest.data(), rest.size()), error);
     taken += used;
+    hasTaken_ = hasTaken_ || used > 0;
     const bool tookFields = !hadHead || (parser_.chunked() && IsDone());
     if (tookFields && HasFoldedLine(rest.substr(0, used))) {
       return tl::make_unexpected(AnswerFault::FoldedField);
--- a/Libraries/Transport/Answers/AnswerParser.h
+++ b/Libraries/Transport/Answers/AnswerParser.h
@@ -58,6 +58,8 @@
   tl::expected<void, AnswerFault> CheckHead() const;
 
   AnswerExpectation expectation_;
+  /// A first part was taken, so what comes is not the start of the answer.
+  bool hasTaken_ = false;
   boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
 };
 
