Transport: Promise nothing for an unreadable answer to an offered body

What callers saw: a node that offers a large body to another one (Expect: 100-continue) and gets broken bytes in place of the invitation told its caller "not run" (503), and the caller sent the request again.

Cause: every failure before the invitation was taken for a certain one, since the body is kept back. That holds if the connection ends or nothing comes; a peer that sends what is no answer is in no state to be relied on, and may be no node at all.

Change: a partial answer stays one there, 502.

--- a/Libraries/Transport/HttpClientConnection.cpp
+++ b/Libraries/Transport/HttpClientConnection.cpp
@@ -39,10 +39,14 @@
   return { TransportErrorCode::PartialAnswer, aError.message() };
 }
 
-/// Without its body a request cannot run, so the failure is a certain one.
+/// Without its body a request cannot run, so the failure is a certain one. Only
+/// a peer that sent what is no answer is not relied on.
 TransportError
 ToOfferError(TransportError aError)
 {
+  if (aError.code == TransportErrorCode::PartialAnswer) {
+    return aError;
+  }
   const bool isLate = aError.code == TransportErrorCode::Timeout;
   return { isLate ? TransportErrorCode::NotInvited
                   : TransportErrorCode::ConnectFailed,
