--- a/Libraries/Transport/HttpClientConnection.cpp
+++ b/Libraries/Transport/HttpClientConnection.cpp
@@ -284,15 +284,7 @@
 bool
 HttpClientConnection::IsReusable()
 {
-  if (!keepAlive_ || reader_.HasRest()) {
-    return false;
-  }
-  boost::system::error_code error;
-  stream_.socket().non_blocking(true, error);
-  char byte = 0;
-  stream_.socket().receive(
-    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-  return error == asio::error::would_block;
+  return keepAlive_ && !reader_.HasRest() && IsQuiet(stream_.socket());
 }
 
 } // namespace teaselhold::transport
--- a/Libraries/Transport/SocketOptions.cpp
+++ b/Libraries/Transport/SocketOptions.cpp
@@ -35,4 +35,15 @@
                      ignored);
 }
 
+bool
+IsQuiet(asio::ip::tcp::socket& aSocket)
+{
+  boost::system::error_code error;
+  aSocket.non_blocking(true, error);
+  char byte = 0;
+  aSocket.receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
 } // namespace teaselhold::transport
--- a/Libraries/Transport/SocketOptions.h
+++ b/Libraries/Transport/SocketOptions.h
@@ -10,4 +10,9 @@
 void
 SetRequestOptions(boost::asio::ip::tcp::socket& aSocket);
 
+/// Looks at a connection on which nothing is awaited. Makes it non-blocking.
+/// @return true if the peer has sent no bytes and has not ended it.
+bool
+IsQuiet(boost::asio::ip::tcp::socket& aSocket);
+
 } // namespace teaselhold::transport
--- a/Tests/Platform/BrokenStoreAnswersTest.cpp
+++ b/Tests/Platform/BrokenStoreAnswersTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/StoreClient.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace teaselhold;
 using namespace teaselhold::tests;
@@ -25,6 +26,9 @@
          "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
+/// Time until bytes or the end of a connection come that no call waits for.
+constexpr std::chrono::milliseconds kUntilLate{ 50 };
+
 ScriptedAnswer
 MakeWhole()
 {
@@ -145,3 +149,32 @@
   REQUIRE_FALSE(changed.has_value());
   CHECK(changed.error().code == StoreErrorCode::Unknown);
 }
+
+TEST_CASE("bytes that no call waits for are no answer to the next call")
+{
+  const auto stale =
+    MakeAnswer("HTTP/1.1 200 OK",
+               "",
+               R"({"key":"a/key","value":"b2xk","revision":3,"atRev":4})");
+  const auto first = MakeAnswer("HTTP/1.1 200 OK", "", kItem);
+  const auto answer = GENERATE_COPY(
+    ScriptedAnswer{ first + stale, ConnectionEnd::Kept },
+    ScriptedAnswer{ first + "!", ConnectionEnd::Kept },
+    ScriptedAnswer{ first, ConnectionEnd::Kept, true, kUntilLate, stale });
+  CAPTURE(answer.lateBytes.empty());
+  Fixture fixture(answer);
+  REQUIRE(fixture.client.Get("a/key", 5s).has_value());
+  std::this_thread::sleep_for(2 * kUntilLate);
+  fixture.CheckNextRead();
+}
+
+TEST_CASE("a call after the store ended an idle connection opens another one")
+{
+  const auto end = GENERATE(ConnectionEnd::Closed, ConnectionEnd::Reset);
+  CAPTURE(static_cast<int>(end));
+  Fixture fixture({ MakeAnswer("HTTP/1.1 200 OK", "", kItem), end });
+  REQUIRE(fixture.client.Get("a/key", 5s).has_value());
+  std::this_thread::sleep_for(kUntilLate);
+  fixture.CheckNextRead();
+  CHECK(fixture.server.Requests() == 2);
+}
--- a/Tests/Support/AnswerServer.h
+++ b/Tests/Support/AnswerServer.h
@@ -30,8 +30,10 @@
   ConnectionEnd end = ConnectionEnd::Closed;
   /// False answers as soon as the head has arrived.
   bool readsBody = true;
-  /// Between the bytes and the end of the connection.
+  /// Between the bytes and what follows.
   std::chrono::milliseconds pause{ 0 };
+  /// Sent after the pause, when no request waits for them.
+  std::string lateBytes{};
 };
 
 /// @return the value of a field in the head of a request, or "".
@@ -123,6 +125,10 @@
       if (answer.pause.count() > 0) {
         boost::asio::steady_timer timer(context_, answer.pause);
         co_await timer.async_wait(boost::asio::use_awaitable);
+        co_await boost::asio::async_write(
+          aSocket,
+          boost::asio::buffer(answer.lateBytes),
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
       }
       if (answer.end == ConnectionEnd::Reset) {
         aSocket.set_option(boost::asio::socket_base::linger(true, 0), error);
