Tests: Let endless answers without a length be read

Left behind earlier: EndlessAnswerTest built its pool from one number of its options, so acceptsUnframed was lost and the case "body without a length" was refused at its head. It showed nothing of the bound on such bodies.

Cause: a pool with options has a coroutine that runs until the pool ends, so io_context::run would not have returned.

Change: the pool gets its options, and the test runs until its call has ended. No bound and no check is changed. Two checks more: a result must be there.

--- a/Tests/Transport/EndlessAnswerTest.cpp
+++ b/Tests/Transport/EndlessAnswerTest.cpp
@@ -122,13 +122,22 @@
 Get(HttpClientPool& aPool,
     std::string aAddress,
     std::string aTarget,
-    Result& aResult)
+    std::optional<Result>& aResult)
 {
   HttpRequest request(http::verb::get, aTarget, 11);
   request.set(http::field::host, "upstream");
   aResult = co_await aPool.Send(aAddress, request, Steady::now() + 20s);
 }
 
+/// Runs until a call has ended. The pool's own coroutine goes on.
+void
+RunUntil(asio::io_context& aContext, const std::optional<Result>& aResult)
+{
+  while (!aResult) {
+    REQUIRE(aContext.run_one_for(30s) > 0);
+  }
+}
+
 struct Endless
 {
   const char* what;
@@ -169,15 +178,15 @@
   CAPTURE(endless.what);
   const EndlessServer server(endless.start, endless.piece);
   asio::io_context context(1);
-  HttpClientPool pool(context, MakeOptions().maxIdleConnections);
-  Result result;
+  HttpClientPool pool(context, MakeOptions());
+  std::optional<Result> result;
   const auto start = Steady::now();
   asio::co_spawn(
     context, Get(pool, server.Address(), "/endless", result), asio::detached);
-  context.run();
+  RunUntil(context, result);
   CHECK(Steady::now() - start < 10s);
-  REQUIRE_FALSE(result.has_value());
-  CHECK(result.error().code == TransportErrorCode::PartialAnswer);
+  REQUIRE_FALSE(result->has_value());
+  CHECK(result->error().code == TransportErrorCode::PartialAnswer);
   CHECK(server.BytesWritten() < endless.mostBytes + kSocketBytes);
   CHECK(pool.IdleConnections() == 0);
   for (int i = 0; i < 100 && server.Open() > 0; ++i) {
@@ -193,8 +202,8 @@
   asio::io_context context(1);
   HttpClientPool pool(context, 16);
   constexpr std::size_t kRequests = 16;
-  std::vector<Result> results(kRequests);
-  Result whole;
+  std::vector<std::optional<Result>> results(kRequests);
+  std::optional<Result> whole;
   for (auto& result : results) {
     asio::co_spawn(
       context, Get(pool, server.Address(), "/endless", result), asio::detached);
@@ -203,10 +212,12 @@
     context, Get(pool, server.Address(), "/whole", whole), asio::detached);
   context.run();
   for (const auto& result : results) {
-    REQUIRE_FALSE(result.has_value());
-    CHECK(result.error().code == TransportErrorCode::PartialAnswer);
+    REQUIRE(result.has_value());
+    REQUIRE_FALSE(result->has_value());
+    CHECK(result->error().code == TransportErrorCode::PartialAnswer);
   }
   REQUIRE(whole.has_value());
-  CHECK(whole->body() == "ok");
+  REQUIRE(whole->has_value());
+  CHECK((*whole)->body() == "ok");
   CHECK(server.BytesWritten() < 48 * kMegabyte + kRequests * kSocketBytes);
 }
