Upstream: Log why an answer could not be read

Cause: a caller that gets 502 with reason partial-answer, and the line of its call, do not say what was wrong with the answer.

Evidence: the node beside the upstream wrote it in the process test of broken answers ("the answer has no status of an answer" for status 000, one line a request). Calls that are answered write nothing more than before.

--- a/Services/teaselholdd/UpstreamLink.cpp
+++ b/Services/teaselholdd/UpstreamLink.cpp
@@ -158,9 +158,16 @@
   if (aError.code == transport::TransportErrorCode::ConnectFailed) {
     MarkUnreachable();
   }
-  const bool lost =
-    aError.code == transport::TransportErrorCode::ConnectionLost ||
+  const bool isUnreadable =
     aError.code == transport::TransportErrorCode::PartialAnswer;
+  if (isUnreadable) {
+    spdlog::warn("[upstream] Answer could not be read. id={} reason=\"{}\"",
+                 ReadHeader(aRequest, adapters_.headers.requestId),
+                 aError.message);
+  }
+  const bool lost =
+    isUnreadable ||
+    aError.code == transport::TransportErrorCode::ConnectionLost;
   bool crashed = false;
   if (lost && announced_ != nullptr) {
     // The caller does not wait for the check: another upstream may still
--- a/Tests/Transport/Answers/IdleProbeTest.cpp
+++ b/Tests/Transport/Answers/IdleProbeTest.cpp
@@ -6,17 +6,18 @@
 // Guards against an idle connection that stays in use although its peer
 // answered a probe with bytes that are no answer.
 
-TEST_CASE("A broken answer to a probe ends an idle connection") {
+TEST_CASE("A broken answer to a probe ends an idle connection")
+{
   const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
   const std::string probed =
-      GENERATE("HTTP/1.1 000 Text\r\nContent-Length: 2\r\n\r\nok",
-               "HTTP/1.1 204 No Content\r\nX Bad: a\r\n\r\n",
-               "HTTP/1.1 204 No Content\r\nX-A: a\r\n b\r\n\r\n",
-               "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok");
+    GENERATE("HTTP/1.1 000 Text\r\nContent-Length: 2\r\n\r\nok",
+             "HTTP/1.1 204 No Content\r\nX Bad: a\r\n\r\n",
+             "HTTP/1.1 204 No Content\r\nX-A: a\r\n b\r\n\r\n",
+             "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok");
   CAPTURE(probed);
-  const AnswerServer server([&](const std::string &aHead) {
-    return ScriptedAnswer{aHead.starts_with("GET /probe") ? probed : whole,
-                          ConnectionEnd::Kept};
+  const AnswerServer server([&](const std::string& aHead) {
+    return ScriptedAnswer{ aHead.starts_with("GET /probe") ? probed : whole,
+                           ConnectionEnd::Kept };
   });
   teaselhold::transport::HttpClientOptions options;
   options.probePath = "/probe";
@@ -25,7 +26,7 @@
   unsigned answered = 0;
   const auto ask = [&]() -> boost::asio::awaitable<void> {
     const auto result = co_await pool.Send(
-        server.Address(), MakeGet(), std::chrono::steady_clock::now() + 20s);
+      server.Address(), MakeGet(), std::chrono::steady_clock::now() + 20s);
     answered += result.has_value() ? 1 : 0;
   };
   boost::asio::co_spawn(context, ask(), boost::asio::detached);
