Tests: Send broken answers in place of another node

A node beside an upstream is killed and the test answers at its address; the far node takes it for the node until the store has forgotten it.

--- a/Tests/Services/BrokenAnswersProcessTest.cpp
+++ b/Tests/Services/BrokenAnswersProcessTest.cpp
@@ -80,6 +80,20 @@
   return { bytes, aAnswer.end, aReadsBody, aReadsBody ? 0ms : kUntilFull };
 }
 
+/// The same for an answer of a node.
+ScriptedAnswer
+WithNodeId(const BrokenAnswer& aAnswer, const std::string& aHead)
+{
+  const std::string name = "Teaselhold-Request-Id";
+  auto bytes = aAnswer.bytes;
+  const auto place = bytes.find("@id@");
+  bytes.replace(place,
+                4,
+                name + ": " + FieldOf(aHead, name) +
+                  "\r\nTeaselhold-Outcome: answered\r\n");
+  return { bytes, aAnswer.end };
+}
+
 /// Checks that the caller got a failure that promises nothing.
 void
 CheckFailed(const CallResult& aResult)
@@ -145,3 +159,27 @@
     CHECK(result.Body() == "hello");
   }
 }
+
+TEST_CASE("Broken answers of another node never reach a caller")
+{
+  const BrokenAnswer answer = GENERATE(
+    BrokenAnswer{ "status 000",
+                  MakeHead("Content-Length: 5\r\n", "000 Broken") + "hello" },
+    BrokenAnswer{ "folded field",
+                  MakeHead("X-A: a\r\n b\r\nContent-Length: 5\r\n") + "hello" },
+    BrokenAnswer{ "unknown coding",
+                  MakeHead("Transfer-Encoding: gzip\r\nContent-Length: 5\r\n") +
+                    "hello" },
+    BrokenAnswer{ "cut body",
+                  MakeHead("Content-Length: 9\r\n") + "hello",
+                  ConnectionEnd::Closed });
+  const std::string method = GENERATE("GET", "POST");
+  CAPTURE(answer.name, method);
+  PlatformMesh mesh([](const auto&) { return ScriptedAnswer{}; });
+  const auto node = mesh.TakeNearNode(
+    [&](const std::string& aHead) { return WithNodeId(answer, aHead); });
+  const bool isGet = method == "GET";
+  CheckFailed(mesh.Send(
+    true, method, isGet ? "/safe/" : "/upload/", isGet ? "" : "short"));
+  CHECK(node->Requests() > 0);
+}
--- a/Tests/Services/PlatformMesh.cpp
+++ b/Tests/Services/PlatformMesh.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Services/PlatformMesh.h"
 
 #include "Tests/Support/FreePort.h"
+#include "Transport/SocketAddress.h"
 
 #include <absl/strings/escaping.h>
 #include <algorithm>
@@ -161,6 +162,14 @@
               aBody);
 }
 
+std::unique_ptr<AnswerServer>
+PlatformMesh::TakeNearNode(AnswerServer::Script aScript)
+{
+  nodes_[0]->Kill();
+  const auto address = *transport::ParseSocketAddress(dataAddresses_[0]);
+  return std::make_unique<AnswerServer>(std::move(aScript), address.port);
+}
+
 bool
 PlatformMesh::Carries(bool aIsFar)
 {
--- a/Tests/Services/PlatformMesh.h
+++ b/Tests/Services/PlatformMesh.h
@@ -30,6 +30,11 @@
 
   const AnswerServer& Upstream() const { return upstream_; }
 
+  /// Kills the node beside the upstream and answers at its address in its
+  /// place. The far node takes it for the node until the store has forgotten
+  /// it.
+  std::unique_ptr<AnswerServer> TakeNearNode(AnswerServer::Script aScript);
+
   /// The end of what both nodes have logged.
   std::string Logs() const;
 
--- a/Tests/Support/AnswerServer.h
+++ b/Tests/Support/AnswerServer.h
@@ -63,8 +63,10 @@
     })
   {
   }
-  explicit AnswerServer(Script aScript)
+  /// @param aPort 0 takes any that is free.
+  explicit AnswerServer(Script aScript, std::uint16_t aPort = 0)
     : script_(std::move(aScript))
+    , acceptor_(context_, { boost::asio::ip::address_v4::loopback(), aPort })
   {
     boost::asio::co_spawn(context_, Accept(), boost::asio::detached);
     thread_ = std::thread([this] { context_.run(); });
@@ -184,10 +186,7 @@
 
   const Script script_;
   boost::asio::io_context context_{ 1 };
-  boost::asio::ip::tcp::acceptor acceptor_{
-    context_,
-    boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)
-  };
+  boost::asio::ip::tcp::acceptor acceptor_;
   std::atomic<unsigned> requests_ = 0;
   std::atomic<unsigned> connections_ = 0;
   std::thread thread_;
