Soak: Let upstreams send broken answers

A series beside the other faults: an upstream sends, for 0.5 to 2 s, three of ten answers as status 000, with a length hidden in a folded line, a blank in a name, an unknown coding, cut, or without a length and with a reset behind a part of the body. It draws from a random source of its own, so the other faults of a seed stay as they were, and it excuses no check. New check: a status outside of 200 to 599 is a broken promise; wrong and cut bodies were checked already.

--- a/Tests/Soak/backend.py
+++ b/Tests/Soak/backend.py
@@ -6,7 +6,8 @@
 import json
 import time
 
-from http11 import call, format_message, read_message
+from broken import WAYS
+from http11 import call, format_message, read_message, reset
 
 HEARTBEAT_SECONDS = 0.5
 ACKNOWLEDGEMENT_SECONDS = 1.0
@@ -33,7 +34,9 @@
         self.work_seconds = 0.02
         self.error_share = 0.0
         self.lost_answer_share = 0.0
+        self.broken_share = 0.0
         self.random = None
+        self.broken_random = None
         self._start_run()
 
     def _start_run(self, keep_id=False):
@@ -134,14 +137,33 @@
                 if answer is None:
                     writer.transport.abort()
                     return
-                writer.write(answer)
-                await writer.drain()
+                is_broken = (self.broken_share > 0.0 and
+                             self.broken_random.random() < self.broken_share)
+                if is_broken and await self._break_answer(request, writer):
+                    return
+                if not is_broken:
+                    writer.write(answer)
+                    await writer.drain()
         except (ConnectionError, OSError):
             pass
         finally:
             self._writers.discard(writer)
             writer.close()
 
+    async def _break_answer(self, request, writer):
+        """Sends bytes in place of the answer. Returns True if the connection
+        is reset behind them."""
+        request_id = request.headers.get("x-request-id", "")
+        echo = {"X-Request-Id": request_id,
+                "X-Response-Seal": f"seal.{self.id}.{request_id}"}
+        way = self.broken_random.choice(WAYS)
+        broken, is_reset = way(echo, body_of(request_id))
+        writer.write(broken)
+        await writer.drain()
+        if is_reset:
+            reset(writer)
+        return is_reset
+
     async def _answer(self, request):
         request_id = request.headers.get("x-request-id", "")
         echo = {"X-Request-Id": request_id}
--- a/Tests/Soak/checks.py
+++ b/Tests/Soak/checks.py
@@ -58,6 +58,8 @@
         if answer is None or not answer.is_complete:
             self._check_cut(request, answer)
             return
+        if not 200 <= answer.status <= 599:
+            self.fail("mixed", f"request {request.id} got {answer.status}")
         seal = answer.headers.get("x-response-seal", "")
         if seal and not seal.endswith(request.id):
             self.fail("mixed", f"request {request.id} got the seal {seal}")
--- a/Tests/Soak/http11.py
+++ b/Tests/Soak/http11.py
@@ -1,5 +1,7 @@
 """A small HTTP/1.1 reader and writer on asyncio streams."""
 import asyncio
+import socket
+import struct
 
 
 class Message:
@@ -43,6 +45,18 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+def reset(writer):
+    """Ends a connection so that its peer gets a reset. abort() alone closes it
+    like an answer that ends with its connection."""
+    connection = writer.get_extra_info("socket")
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                              struct.pack("ii", 1, 0))
+    except OSError:
+        pass  # It has ended already.
+    writer.transport.abort()
+
+
 async def call(address, method, target, headers, body, timeout):
     """Sends one request on a connection of its own. Returns None without an
     answer."""
--- a/Tests/Soak/link.py
+++ b/Tests/Soak/link.py
@@ -1,6 +1,8 @@
 """A TCP proxy on loopback whose connections can be delayed, reset or silenced."""
 import asyncio
 
+from http11 import reset
+
 
 class Link:
     """Forwards connections to one address."""
@@ -79,7 +81,7 @@
                     writer.write(data)
                     await writer.drain()
         except (ConnectionError, OSError):
-            writer.transport.abort()
+            reset(writer)
         finally:
             if not lost[direction]:
                 writer.close()
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -61,6 +61,7 @@
         self.backend = Backend(upstream, self.upstream_link_address,
                                self.announce, self.service, fleet.records)
         self.backend.random = fleet.random
+        self.backend.broken_random = fleet.broken_random
         self.backend.machine = self
         self.process = None
         self.incarnation = 0
@@ -141,6 +142,8 @@
     def __init__(self, processes_fleet, seed, count):
         self.processes_fleet = processes_fleet
         self.random = random.Random(seed)
+        # Of its own, so that the other faults of a seed stay as they were.
+        self.broken_random = random.Random(f"broken {seed}")
         self.records = Records()
         self.numbers = 0
         self.version = 0
@@ -265,6 +268,7 @@
     async def run(self, seconds):
         end = time.monotonic() + seconds
         departures = asyncio.create_task(self.run_departures(end))
+        broken = asyncio.create_task(self.run_broken_answers(end))
         while time.monotonic() < end:
             fault = self.random.choice(self.kinds)
             machine = self.random.choice(self.fleet.machines)
@@ -275,6 +279,7 @@
             task.add_done_callback(self.tasks.discard)
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
         await departures
+        await broken
         await asyncio.gather(*self.tasks)
 
     async def run_departures(self, end):
@@ -286,6 +291,19 @@
                             f"{machine.name}")
             await self.leave_unseen(machine)
 
+    async def run_broken_answers(self, end):
+        """A series beside the other faults: an upstream in trouble sends bytes
+        that are no whole answer. It excuses nothing."""
+        chance = self.fleet.broken_random
+        while time.monotonic() < end:
+            await asyncio.sleep(chance.uniform(1.0, 4.0))
+            machine = chance.choice(self.fleet.machines)
+            self.log.append(f"{time.monotonic():.2f} broken_answers "
+                            f"{machine.name}")
+            machine.backend.broken_share = 0.3
+            await asyncio.sleep(chance.uniform(0.5, 2.0))
+            machine.backend.broken_share = 0.0
+
     async def exit_of(self, machine, process, seconds):
         end = time.monotonic() + seconds
         while process.poll() is None and time.monotonic() < end:
