--- a/Libraries/Transport/Answers/AnswerFault.h
+++ b/Libraries/Transport/Answers/AnswerFault.h
@@ -37,10 +37,10 @@
 inline constexpr std::array<state::EnumName<AnswerFault>, 11> kAnswerFaultNames{
   {
     { AnswerFault::Malformed, "the answer is malformed" },
-    { AnswerFault::Status, "the answer has no status of an answer" },
+    { AnswerFault::Status, "the status is none of an answer" },
     { AnswerFault::FoldedField, "a field of the answer is folded" },
-    { AnswerFault::Coding, "the answer has a transfer coding but chunked" },
-    { AnswerFault::ForbiddenBody, "the answer has a body that must not be" },
+    { AnswerFault::Coding, "the transfer coding is not chunked" },
+    { AnswerFault::ForbiddenBody, "the answer may have no body" },
     { AnswerFault::NoLength, "the answer has no length" },
     { AnswerFault::TooLong, "the framing of the answer is too long" },
     { AnswerFault::TooLarge, "the body of the answer is too large" },
--- a/Libraries/Transport/HttpClientConnection.cpp
+++ b/Libraries/Transport/HttpClientConnection.cpp
@@ -21,6 +21,7 @@
 /// Late answers that are skipped before a connection is given up.
 constexpr int kMaxSkippedAnswers = 4;
 
+/// Tells what an error of the connection means for a request that was written.
 TransportError
 ToTransportError(const boost::system::error_code& aError,
                  const CancellationPointer& aCancellation)
@@ -31,12 +32,7 @@
   if (aError == boost::beast::error::timeout) {
     return { TransportErrorCode::Timeout, aError.message() };
   }
-  if (aError == http::error::end_of_stream ||
-      aError.category() !=
-        make_error_code(http::error::end_of_stream).category()) {
-    return { TransportErrorCode::ConnectionLost, aError.message() };
-  }
-  return { TransportErrorCode::PartialAnswer, aError.message() };
+  return { TransportErrorCode::ConnectionLost, aError.message() };
 }
 
 /// Without its body a request cannot run, so the failure is a certain one. Only
--- a/Libraries/Transport/TransportError.h
+++ b/Libraries/Transport/TransportError.h
@@ -18,7 +18,7 @@
   Timeout,
   /// The peer did not invite the body in time; nothing of it was sent.
   NotInvited,
-  /// The answer ended before its announced length.
+  /// The answer cannot be read whole: it ended early or is none.
   PartialAnswer,
   /// The answer belongs to another request.
   ForeignAnswer,
