Store: Log which call failed, and when calls are held back

The logs could not tell the hypotheses apart: which call of the store failed and after how long, when calls were held back, by which way a version came, that a node knew of versions that it did not have, and whether its control thread got processor time. Each has a line now, or a field of one that was there.

No decision changes.

--- a/Libraries/Coordination/ConfigurationWatch.cpp
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -110,7 +110,7 @@
   nextWatch_ =
     aNow + (isChanged && !isFirst ? pauseAfterChange_ : state::Duration{ 0 });
   if (isChanged) {
-    OnStoredValue(*entry, aCommands);
+    OnStoredValue(*entry, VersionSource::Watch, aCommands);
     if (isFirst) {
       // It was read; a watch may miss changes, and attests nothing.
       Attest(InForceAt(entry->revision), watchSent_);
@@ -138,7 +138,9 @@
   isFullReadDue_ =
     isFullReadDue_ && entry->revision <= revision_ && isVersionCheck_;
   if (entry->revision > revision_) {
-    OnStoredValue(*entry, aCommands);
+    OnStoredValue(*entry,
+                  isVersionCheck_ ? VersionSource::Check : VersionSource::Read,
+                  aCommands);
     Attest(InForceAt(entry->revision), readSent_);
   } else if (!isVersionCheck_) {
     Attest(InForceAt(entry->revision), readSent_);
@@ -175,7 +177,8 @@
     return;
   }
   revision_ = std::max(revision_, newest->storeRevision);
-  Activate(newest->text, newest->generation, aCommands);
+  Activate(
+    newest->text, newest->generation, VersionSource::Changes, aCommands);
   if (active_->GetGeneration() == newest->generation) {
     activeRevision_ = newest->storeRevision;
   }
@@ -183,6 +186,7 @@
 
 void
 ConfigurationWatch::OnStoredValue(const protocol::StoreEntry& aEntry,
+                                  VersionSource aSource,
                                   Commands& aCommands)
 {
   revision_ = aEntry.revision;
@@ -207,7 +211,7 @@
     }
     return;
   }
-  Activate(stored.text(), generation, aCommands);
+  Activate(stored.text(), generation, aSource, aCommands);
   if (active_ == nullptr || active_->GetGeneration() != generation) {
     return;
   }
@@ -225,6 +229,7 @@
 void
 ConfigurationWatch::Activate(const std::string& aText,
                              state::Generation aGeneration,
+                             VersionSource aSource,
                              Commands& aCommands)
 {
   auto compiled = protocol::CompileConfiguration(aText, aGeneration);
@@ -241,7 +246,9 @@
               "config",
               "Version in force. generation=" + std::to_string(aGeneration) +
                 " revision=" + std::to_string(revision_) +
-                " routes=" + std::to_string(active_->Routes().size()) });
+                " routes=" + std::to_string(active_->Routes().size()) + " source=" +
+                std::string(
+                  state::FindEnumName(kVersionSourceNames, aSource)) });
 }
 
 void
--- a/Libraries/Coordination/ConfigurationWatch.h
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -7,6 +7,30 @@
 
 namespace teaselhold::coordination {
 
+/// How a node learnt of a version, for its log.
+enum class VersionSource : std::uint8_t
+{
+  /// The watch of the whole configuration.
+  Watch,
+  /// A check for a newer version.
+  Check,
+  /// A read of the whole configuration that the changes made necessary.
+  Read,
+  /// The changes that other nodes wrote.
+  Changes,
+  /// A write of this node for an operator.
+  Apply,
+};
+
+inline constexpr std::array<state::EnumName<VersionSource>, 5>
+  kVersionSourceNames{ {
+    { VersionSource::Watch, "watch" },
+    { VersionSource::Check, "check" },
+    { VersionSource::Read, "read" },
+    { VersionSource::Changes, "changes" },
+    { VersionSource::Apply, "apply" },
+  } };
+
 /// Keeps the configuration up to date by watching the store. A version takes
 /// effect atomically, and never after a newer one.
 class ConfigurationWatch
@@ -52,7 +76,12 @@
   void ApplyChanges(const ConfigurationChangeLog& aLog, Commands& aCommands);
 
   /// Processes a value of the configuration's key.
-  void OnStoredValue(const protocol::StoreEntry& aEntry, Commands& aCommands);
+  void OnStoredValue(const protocol::StoreEntry& aEntry,
+                     VersionSource aSource,
+                     Commands& aCommands);
+
+  /// Returns whether a watch of the configuration is waiting.
+  bool IsWaiting() const { return watchCall_ != 0; }
 
   /// Returns what the last linearizable read said of the newest version, once.
   std::optional<Attestation> TakeAttestation()
@@ -84,6 +113,7 @@
   void StartVersionCheck(state::Instant aNow, Commands& aCommands);
   void Activate(const std::string& aText,
                 state::Generation aGeneration,
+                VersionSource aSource,
                 Commands& aCommands);
 
   StoreCallNumbers& numbers_;
--- a/Libraries/Coordination/DirectApply.cpp
+++ b/Libraries/Coordination/DirectApply.cpp
@@ -68,7 +68,8 @@
                                     "Accepted. generation=" +
                                       std::to_string(stored.generation()) });
     }
-    aConfiguration.OnStoredValue(swap->current, aCommands);
+    aConfiguration.OnStoredValue(
+      swap->current, VersionSource::Apply, aCommands);
   } else if (const auto* error = std::get_if<protocol::StoreError>(&result)) {
     finish.outcome = error->code == protocol::StoreErrorCode::Unknown
                        ? ApplyOutcome::Unknown
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -121,7 +121,7 @@
     follower_.Restart(aNow);
   }
   SelectConfigurationSource(aNow, commands);
-  CheckAfterPeers(aNow);
+  CheckAfterPeers(aNow, commands);
   FollowChanges(aNow, commands);
   VerifyKeys(aNow, commands);
   configuration_.Tick(aNow, commands);
@@ -206,7 +206,7 @@
 }
 
 void
-DirectCore::CheckAfterPeers(state::Instant aNow)
+DirectCore::CheckAfterPeers(state::Instant aNow, Commands& aCommands)
 {
   const auto& active = configuration_.Active();
   if (active == nullptr) {
@@ -219,10 +219,28 @@
   const auto known =
     std::max(active->GetGeneration(), configuration_.RefusedGeneration());
   if (peerVersions_.TakeCheckDue(known, usual, aNow)) {
+    LogBehind(aCommands);
     configuration_.CheckNow(aNow);
   }
 }
 
+void
+DirectCore::LogBehind(Commands& aCommands) const
+{
+  const auto flag = [](bool aIsSet) { return aIsSet ? "yes" : "no"; };
+  const bool isWaiting =
+    isFollowing_ ? follower_.IsWatching() : configuration_.IsWaiting();
+  aCommands.push_back(
+    WriteLog{ LogLevel::Warning,
+              "config",
+              "Other nodes know of a newer version. generation=" +
+                std::to_string(configuration_.Active()->GetGeneration()) +
+                " newest=" + std::to_string(peerVersions_.Newest()) +
+                " following=" + flag(isFollowing_) +
+                " watching=" + flag(isWaiting) +
+                " store_held_back=" + flag(gate_.IsHoldingBack()) });
+}
+
 void
 DirectCore::VerifyKeys(state::Instant aNow, Commands& aCommands)
 {
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -57,7 +57,8 @@
   void MonitorReaders(state::Instant aNow, Commands& aCommands);
   void SelectConfigurationSource(state::Instant aNow, Commands& aCommands);
   state::Duration PollInterval(state::Instant aNow) const;
-  void CheckAfterPeers(state::Instant aNow);
+  void CheckAfterPeers(state::Instant aNow, Commands& aCommands);
+  void LogBehind(Commands& aCommands) const;
   void VerifyKeys(state::Instant aNow, Commands& aCommands);
   void PublishChange(state::ConfigurationPointer aPrevious);
   void FollowChanges(state::Instant aNow, Commands& aCommands);
--- a/Libraries/Coordination/StoreCircuitBreaker.h
+++ b/Libraries/Coordination/StoreCircuitBreaker.h
@@ -32,6 +32,9 @@
   /// Returns true while reads of the store fail.
   bool IsOutage() const { return isOutage_; }
 
+  /// Returns whether calls are held back.
+  bool IsHoldingBack() const { return isFailing_; }
+
   /// Returns true once after each outage. Watches that were open during the
   /// outage may never be answered, so the caller must restart them; queued
   /// watches are dropped.
@@ -44,6 +47,7 @@
 
 private:
   void OnFailure(bool aIsProbe, state::Instant aNow);
+  void LogChange(state::Instant aNow, Commands& aCommands);
   void TrackReads(const Commands& aCommands);
   void QueueCalls(Commands& aCommands);
 
@@ -51,6 +55,9 @@
   RandomSource& random_;
   Backoff backoff_;
   bool isFailing_ = false;
+  /// What the log says, and since when calls are held back.
+  bool wasFailing_ = false;
+  state::Instant failingSince_{ 0 };
   /// A read or a probe has failed, so the fault is more than the lost answer of
   /// a write.
   bool isOutage_ = false;
--- a/Libraries/Coordination/Versions/PeerVersions.h
+++ b/Libraries/Coordination/Versions/PeerVersions.h
@@ -19,6 +19,9 @@
   /// one of them has found would be known here.
   bool IsHearing(state::Instant aNow) const;
 
+  /// Returns the newest generation that another node knew of; 0 if none did.
+  state::Generation Newest() const { return newest_; }
+
   /// Returns whether the store should be asked for a newer version: another
   /// node knows of one, and this node did not get it in the usual way in time.
   /// For the same generation it is due again after twice the time, and so on.
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -10,6 +10,9 @@
 using namespace coordination;
 
 constexpr std::chrono::milliseconds kTickInterval{ 100 };
+/// A tick that is late by this is logged: the process gets too little processor
+/// time, or an event took that long.
+constexpr std::chrono::milliseconds kLateTick{ 500 };
 constexpr std::chrono::seconds kApplyGrace{ 2 };
 /// How long the relays have to answer before a status is put together.
 constexpr std::chrono::milliseconds kStatusGatherTime{ 300 };
@@ -236,6 +239,17 @@
                              : channel_->Counters();
 }
 
+void
+ControlPlane::LogLateness(Clock::Steady::duration aLateness)
+{
+  if (aLateness < kLateTick) {
+    return;
+  }
+  const auto late =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aLateness);
+  spdlog::warn("[control] Late. milliseconds={}", late.count());
+}
+
 void
 ControlPlane::Run()
 {
@@ -243,6 +257,7 @@
   while (!ring_.IsClosed()) {
     const auto now = Clock::Steady::now();
     if (now >= nextTick) {
+      LogLateness(now - nextTick);
       nextTick = now + kTickInterval;
       Handle(Tick{});
     }
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -75,6 +75,7 @@
   struct Executor;
 
   void Run();
+  static void LogLateness(Clock::Steady::duration aLateness);
   void Handle(const coordination::Event& aEvent);
 
   const Clock& clock_;
--- a/Services/teaselholdd/StoreWorker.cpp
+++ b/Services/teaselholdd/StoreWorker.cpp
@@ -68,6 +68,36 @@
   }
 };
 
+/// Names the kind of a call and what it is about.
+struct DescribeVisitor
+{
+  std::string operator()(const StoreGet& aCall) const
+  {
+    return "get key=" + aCall.key;
+  }
+  std::string operator()(const StoreGetIfChanged& aCall) const
+  {
+    return "check key=" + aCall.key;
+  }
+  std::string operator()(const StoreSwap& aCall) const
+  {
+    return "swap key=" + aCall.key;
+  }
+  std::string operator()(const StoreGrant& /*aCall*/) const { return "grant"; }
+  std::string operator()(const StoreKeepAlive& /*aCall*/) const
+  {
+    return "keep-alive";
+  }
+  std::string operator()(const StoreWatch& aCall) const
+  {
+    return "watch key=" + aCall.key;
+  }
+  std::string operator()(const StoreList& aCall) const
+  {
+    return "list prefix=" + aCall.prefix;
+  }
+};
+
 } // namespace
 
 StoreWorker::StoreWorker(std::unique_ptr<protocol::StoreClient> aClient,
@@ -156,11 +186,14 @@
     if (isWatch) {
       SetWatching(true);
     }
+    const auto start = std::chrono::steady_clock::now();
     auto result = Execute(*call);
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - start);
     if (isWatch) {
       SetWatching(false);
     }
-    Count(*call, result);
+    Count(*call, result, time);
     answer_({ call->call, std::move(result) });
   }
 }
@@ -178,7 +211,9 @@
 }
 
 void
-StoreWorker::Count(const CallStore& aCall, const StoreResult& aResult)
+StoreWorker::Count(const CallStore& aCall,
+                   const StoreResult& aResult,
+                   std::chrono::milliseconds aTime)
 {
   const bool isWatch = std::holds_alternative<StoreWatch>(aCall.request);
   ++(isWatch ? watchCount_ : otherCount_);
@@ -188,13 +223,24 @@
   if (isFailure) {
     ++failureCount_;
     if (!failing_.exchange(true)) {
-      spdlog::warn("[store] Call failed. error=\"{}\" reason=\"{}\"",
-                   state::FindEnumName(protocol::kStoreErrorNames, error->code),
-                   error->message);
+      LogFailure(aCall, *error, aTime);
     }
   } else if (error == nullptr && failing_.exchange(false)) {
     spdlog::info("[store] Calls succeed again.");
   }
 }
 
+void
+StoreWorker::LogFailure(const CallStore& aCall,
+                        const protocol::StoreError& aError,
+                        std::chrono::milliseconds aTime) const
+{
+  spdlog::warn("[store] Call failed. error=\"{}\" reason=\"{}\" "
+               "milliseconds={} call={}",
+               state::FindEnumName(protocol::kStoreErrorNames, aError.code),
+               aError.message,
+               aTime.count(),
+               std::visit(DescribeVisitor{}, aCall.request));
+}
+
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/StoreWorker.h
+++ b/Services/teaselholdd/StoreWorker.h
@@ -52,7 +52,11 @@
   coordination::StoreResult Execute(const coordination::CallStore& aCall);
 
   void Count(const coordination::CallStore& aCall,
-             const coordination::StoreResult& aResult);
+             const coordination::StoreResult& aResult,
+             std::chrono::milliseconds aTime);
+  void LogFailure(const coordination::CallStore& aCall,
+                  const protocol::StoreError& aError,
+                  std::chrono::milliseconds aTime) const;
 
   std::unique_ptr<protocol::StoreClient> client_;
   Answer answer_;
