--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -142,6 +142,7 @@
   if (isPublishDue_) {
     Publish(commands);
   }
+  LogHeldBack(aNow, commands);
   gate_.Pass(aNow, commands);
   return commands;
 }
@@ -241,6 +242,28 @@
                 " store_held_back=" + flag(gate_.IsHoldingBack()) });
 }
 
+void
+DirectCore::LogHeldBack(state::Instant aNow, Commands& aCommands)
+{
+  if (gate_.IsHoldingBack() == heldBackSince_.has_value()) {
+    return;
+  }
+  if (!heldBackSince_) {
+    heldBackSince_ = aNow;
+    aCommands.push_back(
+      WriteLog{ LogLevel::Info, "store", "Calls are held back." });
+    return;
+  }
+  const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aNow - *heldBackSince_);
+  heldBackSince_.reset();
+  aCommands.push_back(
+    WriteLog{ LogLevel::Info,
+              "store",
+              "Calls are no longer held back. milliseconds=" +
+                std::to_string(time.count()) });
+}
+
 void
 DirectCore::VerifyKeys(state::Instant aNow, Commands& aCommands)
 {
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -59,6 +59,7 @@
   state::Duration PollInterval(state::Instant aNow) const;
   void CheckAfterPeers(state::Instant aNow, Commands& aCommands);
   void LogBehind(Commands& aCommands) const;
+  void LogHeldBack(state::Instant aNow, Commands& aCommands);
   void VerifyKeys(state::Instant aNow, Commands& aCommands);
   void PublishChange(state::ConfigurationPointer aPrevious);
   void FollowChanges(state::Instant aNow, Commands& aCommands);
@@ -69,6 +70,8 @@
   StoreCallNumbers callNumbers_;
   RandomSource random_;
   StoreCircuitBreaker gate_;
+  /// Since when the log says that calls of the store are held back.
+  std::optional<state::Instant> heldBackSince_;
   ConfigurationWatch configuration_;
   DirectApply apply_;
   PeerVersions peerVersions_;
--- a/Libraries/Coordination/StoreCircuitBreaker.cpp
+++ b/Libraries/Coordination/StoreCircuitBreaker.cpp
@@ -117,9 +117,6 @@
 void
 StoreCircuitBreaker::Pass(state::Instant aNow, Commands& aCommands)
 {
-  if (isFailing_ != wasFailing_) {
-    LogChange(aNow, aCommands);
-  }
   if (!isFailing_) {
     std::ranges::move(queued_, std::back_inserter(aCommands));
     queued_.clear();
@@ -135,26 +132,6 @@
   }
 }
 
-void
-StoreCircuitBreaker::LogChange(state::Instant aNow, Commands& aCommands)
-{
-  wasFailing_ = isFailing_;
-  if (isFailing_) {
-    failingSince_ = aNow;
-    aCommands.push_back(
-      WriteLog{ LogLevel::Info, "store", "Calls are held back." });
-    return;
-  }
-  const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aNow - failingSince_);
-  aCommands.push_back(
-    WriteLog{ LogLevel::Info,
-              "store",
-              "Calls are no longer held back. held=" +
-                std::to_string(queued_.size()) +
-                " milliseconds=" + std::to_string(time.count()) });
-}
-
 void
 StoreCircuitBreaker::TrackReads(const Commands& aCommands)
 {
--- a/Libraries/Coordination/StoreCircuitBreaker.h
+++ b/Libraries/Coordination/StoreCircuitBreaker.h
@@ -47,7 +47,6 @@
 
 private:
   void OnFailure(bool aIsProbe, state::Instant aNow);
-  void LogChange(state::Instant aNow, Commands& aCommands);
   void TrackReads(const Commands& aCommands);
   void QueueCalls(Commands& aCommands);
 
@@ -55,9 +54,6 @@
   RandomSource& random_;
   Backoff backoff_;
   bool isFailing_ = false;
-  /// What the log says, and since when calls are held back.
-  bool wasFailing_ = false;
-  state::Instant failingSince_{ 0 };
   /// A read or a probe has failed, so the fault is more than the lost answer of
   /// a write.
   bool isOutage_ = false;
