Coordination: Give the learning of versions a file of its own

How versions are learnt (selection of the source, other nodes, changes) moves to DirectCoreVersions.cpp, what nodes of the fleet tell each other to DirectFleetPeers.cpp.

--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -56,6 +56,9 @@
   void RestoreDepartures(state::Instant aNow, Commands& aCommands);
   void Register();
   void ReportCrashSuspects(state::Instant aNow);
+
+  // How versions are learnt; in DirectCoreVersions.cpp.
+  static state::Duration FollowerPause(state::Duration aApplyBound);
   void MonitorReaders(state::Instant aNow, Commands& aCommands);
   void SelectConfigurationSource(state::Instant aNow, Commands& aCommands);
   state::Duration PollInterval(state::Instant aNow) const;
@@ -68,10 +71,11 @@
                     VersionSource aSource,
                     Commands& aCommands);
   void LogBehind(Commands& aCommands) const;
-  void LogHeldBack(state::Instant aNow, Commands& aCommands);
   void VerifyKeys(state::Instant aNow, Commands& aCommands);
   void PublishChange(state::ConfigurationPointer aPrevious);
   void FollowChanges(state::Instant aNow, Commands& aCommands);
+
+  void LogHeldBack(state::Instant aNow, Commands& aCommands);
   void Publish(Commands& aCommands);
 
   NodeOptions options_;
--- a/Tests/Coordination/DirectFleet.cpp
+++ b/Tests/Coordination/DirectFleet.cpp
@@ -13,7 +13,6 @@
 
 constexpr state::Duration kStep = 10ms;
 constexpr state::Duration kTickInterval = 100ms;
-constexpr state::Duration kLatency = 5ms;
 constexpr state::Duration kLeaseDuration = 9s;
 /// When a call without an answer ends: by its timeout, and a watch by the
 /// kernel's probes of its connection.
@@ -288,10 +287,10 @@
 }
 
 std::size_t
-DirectFleet::LastFollower() const
+DirectFleet::LastNode(bool aIsReader) const
 {
   auto node = nodes_.size() - 1;
-  while (node > 0 && nodes_[node].core->IsReader()) {
+  while (node > 0 && nodes_[node].core->IsReader() != aIsReader) {
     --node;
   }
   return node;
@@ -335,26 +334,6 @@
   versions_.push_back({ aGeneration, now_ });
 }
 
-void
-DirectFleet::HearFromPeers()
-{
-  if (!hasTraffic_ || now_ < nextTraffic_) {
-    return;
-  }
-  constexpr state::Duration kTrafficInterval = 100ms;
-  nextTraffic_ = now_ + kTrafficInterval;
-  peerOffset_ = peerOffset_ % (nodes_.size() - 1) + 1;
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    auto& node = nodes_[i];
-    const auto& peer = nodes_[(i + peerOffset_) % nodes_.size()];
-    if (node.isAlive && peer.isAlive) {
-      node.newestKnown =
-        std::max({ node.newestKnown, node.inForce, peer.newestKnown });
-      Handle(i, PeerVersionSeen{ node.newestKnown });
-    }
-  }
-}
-
 void
 DirectFleet::Run(state::Duration aTime)
 {
@@ -396,58 +375,6 @@
   }
 }
 
-std::size_t
-DirectFleet::NodeAt(const std::string& aAddress) const
-{
-  constexpr std::size_t kFirstPort = 1000;
-  return std::stoul(aAddress.substr(aAddress.find(':') + 1)) - kFirstPort;
-}
-
-void
-DirectFleet::AnswerQuestions()
-{
-  constexpr state::Duration kHoldTime = 10s;
-  const auto questions = std::move(questions_);
-  questions_.clear();
-  for (const auto& question : questions) {
-    if (now_ - question.asked < kLatency) {
-      questions_.push_back(question);
-      continue;
-    }
-    const auto& node = nodes_[NodeAt(question.address)];
-    const auto role =
-      node.isAlive ? node.core->Role() : ReaderRole::Unavailable;
-    if (question.mayWait && role == ReaderRole::Reading &&
-        now_ - question.asked < kHoldTime) {
-      questions_.push_back(question);
-    } else if (nodes_[question.asker].isAlive) {
-      Handle(question.asker, ReaderAnswered{ question.call, role });
-    }
-  }
-}
-
-void
-DirectFleet::AnswerChangesQuestions()
-{
-  const auto questions = std::move(changesQuestions_);
-  changesQuestions_.clear();
-  for (const auto& asked : questions) {
-    if (now_ - asked.asked < 2 * kLatency) {
-      changesQuestions_.push_back(asked);
-      continue;
-    }
-    const auto& node = nodes_[NodeAt(asked.question.address)];
-    std::string log;
-    if (node.isAlive && node.changes != nullptr) {
-      log = node.changes->After(asked.question.after).Serialize();
-    }
-    if (nodes_[asked.asker].isAlive) {
-      Handle(asked.asker,
-             ChangesAnswered{ asked.question.call, std::move(log) });
-    }
-  }
-}
-
 void
 DirectFleet::Kill(Node& aNode)
 {
--- a/Tests/Coordination/DirectFleet.h
+++ b/Tests/Coordination/DirectFleet.h
@@ -44,10 +44,14 @@
   /// Lets each node hear from one other node each 100 ms, in turn, which newest
   /// generation that one knows.
   void StartTraffic() { hasTraffic_ = true; }
-  /// The store's answers to a node that does not read for the others are lost
-  /// from now on, those to its watches only or all.
-  void SilenceWatches() { Silence({ LastFollower(), true }); }
-  void SilenceStore() { Silence({ LastFollower(), false }); }
+  /// The store's answers to a node are lost from now on, those to its watches
+  /// only or all.
+  /// @param aIsReader it is one that reads for the others.
+  void SilenceWatches(bool aIsReader)
+  {
+    Silence({ LastNode(aIsReader), true });
+  }
+  void SilenceStore(bool aIsReader) { Silence({ LastNode(aIsReader), false }); }
   void Run(state::Duration aTime);
   /// Kills the nodes that are readers at this moment.
   /// @return the number of killed nodes.
@@ -64,6 +68,9 @@
   void ResetCounts();
 
 private:
+  /// Of a call of the store, and of half an exchange between two nodes.
+  static constexpr state::Duration kLatency = std::chrono::milliseconds(5);
+
   struct Connection
   {
     std::deque<CallStore> waiting;
@@ -143,7 +150,7 @@
   bool IsSilenced(std::size_t aNode, std::size_t aConnection) const;
   /// Answers a call of a silenced node at its timeout.
   void Expire(std::size_t aNode, std::size_t aConnection);
-  std::size_t LastFollower() const;
+  std::size_t LastNode(bool aIsReader) const;
   void HearFromPeers();
   void AnswerQuestions();
   void AnswerChangesQuestions();
--- a/Tests/Coordination/DirectFleetTest.cpp
+++ b/Tests/Coordination/DirectFleetTest.cpp
@@ -236,8 +236,9 @@
   DirectFleet fleet(82, kBound, GENERATE(1U, 2U, 3U), 4, makeText(4));
   fleet.StartTraffic();
   fleet.Run(12s);
-  CAPTURE(isLarge, gap.count());
-  fleet.SilenceWatches();
+  const bool isReader = GENERATE(false, true);
+  CAPTURE(isLarge, gap.count(), isReader);
+  fleet.SilenceWatches(isReader);
   for (unsigned i = 0; i < 12; ++i) {
     fleet.WriteVersion(6 + 2 * i, makeText(6 + 2 * i));
     fleet.Run(gap);
@@ -255,8 +256,9 @@
   DirectFleet fleet(82, kBound, GENERATE(1U, 2U, 3U), 4, makeText(4));
   fleet.StartTraffic();
   fleet.Run(12s);
-  CAPTURE(isLarge);
-  fleet.SilenceStore();
+  const bool isReader = GENERATE(false, true);
+  CAPTURE(isLarge, isReader);
+  fleet.SilenceStore(isReader);
   fleet.Run(4s);
   for (unsigned i = 0; i < 6; ++i) {
     fleet.WriteVersion(6 + 2 * i, makeText(6 + 2 * i));
