Coordination: Do not wait for nodes that do not answer a question for changes

After a loss of power half of the known nodes may be silent for up to 9 s. The next question now replaces the one before, and the store is asked after 0.4 s without an answer.

Four tests of their own; they fail without the change.

--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -65,7 +65,7 @@
   } else if (const auto* reader = std::get_if<ReaderAnswered>(&aEvent)) {
     readers_.OnAnswer(*reader, aNow);
   } else if (const auto* changes = std::get_if<ChangesAnswered>(&aEvent)) {
-    OnChangesAnswered(*changes, aNow, commands);
+    OnChangesAnswered(*changes, commands);
   } else if (const auto* rollouts = std::get_if<RolloutsSeen>(&aEvent)) {
     rollouts_.OnSeen(*rollouts);
   } else if (const auto* apply = std::get_if<ApplyRequested>(&aEvent)) {
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -64,9 +64,7 @@
   state::Duration PollInterval(state::Instant aNow) const;
   void CheckAfterPeers(state::Instant aNow, Commands& aCommands);
   std::vector<std::string> PeersToAsk();
-  void OnChangesAnswered(const ChangesAnswered& aAnswer,
-                         state::Instant aNow,
-                         Commands& aCommands);
+  void OnChangesAnswered(const ChangesAnswered& aAnswer, Commands& aCommands);
   void ApplyChanges(const ConfigurationChangeLog& aLog,
                     VersionSource aSource,
                     Commands& aCommands);
--- a/Libraries/Coordination/DirectCoreVersions.cpp
+++ b/Libraries/Coordination/DirectCoreVersions.cpp
@@ -1,5 +1,7 @@
 #include "Coordination/DirectCore.h"
 
+#include "Coordination/ReaderSelection.h"
+
 #include <algorithm>
 
 namespace teaselhold::coordination {
@@ -31,9 +33,11 @@
 constexpr int kReaderPausePercent = 15;
 constexpr int kFollowerPausePercent = 45;
 /// How long a version that other nodes have in force may take to reach this
-/// node in the usual way, in percent of NodeOptions::applyBound beyond the
-/// pauses.
-constexpr int kDeliveryPercent = 10;
+/// node in the usual way, in percent of NodeOptions::applyBound. Nobody tells
+/// of a version before a reader has it, so the pause of readers is over by
+/// then.
+constexpr int kWaitPercent = kSmallConfigurationPausePercent + 10;
+constexpr int kFollowerWaitPercent = kFollowerPausePercent;
 /// The same while calls of the store are held back, so that the version will
 /// not come in the usual way.
 constexpr state::Duration kClosedWayTime = std::chrono::milliseconds(200);
@@ -130,23 +134,20 @@
   if (active == nullptr) {
     return;
   }
-  // Nobody tells of a version before a reader has it, so the pause of readers
-  // is over by then.
-  const auto pause =
-    isFollowing_ ? kFollowerPausePercent : kSmallConfigurationPausePercent;
   const auto usual =
     gate_.IsHoldingBack()
       ? kClosedWayTime
-      : PercentOf(options_.applyBound, pause + kDeliveryPercent);
+      : PercentOf(options_.applyBound,
+                  isFollowing_ ? kFollowerWaitPercent : kWaitPercent);
   // A version that this node refused is not asked for again.
   const auto known =
     std::max(active->GetGeneration(), configuration_.RefusedGeneration());
   if (peerVersions_.TakeCheckDue(known, usual, aNow)) {
     LogBehind(aCommands);
-    peerChanges_.Ask(PeersToAsk(), active->GetGeneration(), aCommands);
-    if (!peerChanges_.IsAsking()) {
-      configuration_.CheckNow(aNow);
-    }
+    peerChanges_.Ask(PeersToAsk(), active->GetGeneration(), aNow, aCommands);
+  }
+  if (peerChanges_.TakeFailed(aNow)) {
+    configuration_.CheckNow(aNow);
   }
 }
 
@@ -160,26 +161,24 @@
       addresses.push_back(record->dataAddress);
     }
   }
-  return random_.Sample(std::move(addresses), kAskedPeers);
+  auto asked = random_.Sample(std::move(addresses), kAskedPeers);
+  const auto readers = ReadersBefore(directory_.Table(), self_.node);
+  if (isFollowing_ && !readers.empty() && !asked.empty()) {
+    // Readers have versions before the others.
+    asked.front() = readers.front();
+  }
+  return asked;
 }
 
 void
 DirectCore::OnChangesAnswered(const ChangesAnswered& aAnswer,
-                              state::Instant aNow,
                               Commands& aCommands)
 {
+  // Nothing is asked before a version is in force.
   const auto& active = configuration_.Active();
-  if (active == nullptr) {
-    return;
-  }
-  if (const auto log =
-        peerChanges_.OnAnswer(aAnswer, active->GetGeneration())) {
+  const auto generation = active == nullptr ? 0 : active->GetGeneration();
+  if (const auto log = peerChanges_.OnAnswer(aAnswer, generation)) {
     ApplyChanges(*log, VersionSource::Peer, aCommands);
-    return;
-  }
-  if (!peerChanges_.IsAsking() &&
-      configuration_.Active()->GetGeneration() < peerVersions_.Newest()) {
-    configuration_.CheckNow(aNow);
   }
 }
 
--- a/Libraries/Coordination/Versions/PeerChanges.cpp
+++ b/Libraries/Coordination/Versions/PeerChanges.cpp
@@ -2,14 +2,21 @@
 
 namespace teaselhold::coordination {
 
+namespace {
+
+/// A node that ended may stay known for seconds.
+constexpr state::Duration kPatience = std::chrono::milliseconds(400);
+
+} // namespace
+
 void
 PeerChanges::Ask(const std::vector<std::string>& aAddresses,
                  state::Generation aActive,
+                 state::Instant aNow,
                  Commands& aCommands)
 {
-  if (IsAsking()) {
-    return;
-  }
+  open_.clear();
+  failTime_ = aNow + kPatience;
   for (const auto& address : aAddresses) {
     const auto call = nextCall_++;
     open_.insert(call);
@@ -17,6 +24,16 @@
   }
 }
 
+bool
+PeerChanges::TakeFailed(state::Instant aNow)
+{
+  if (!failTime_ || (!open_.empty() && aNow < *failTime_)) {
+    return false;
+  }
+  failTime_.reset();
+  return true;
+}
+
 std::optional<ConfigurationChangeLog>
 PeerChanges::OnAnswer(const ChangesAnswered& aAnswer, state::Generation aActive)
 {
@@ -27,6 +44,7 @@
   if (!log || log->NewestGeneration() <= aActive) {
     return std::nullopt;
   }
+  failTime_.reset();
   return log;
 }
 
--- a/Libraries/Coordination/Versions/PeerChanges.h
+++ b/Libraries/Coordination/Versions/PeerChanges.h
@@ -14,15 +14,17 @@
 class PeerChanges
 {
 public:
-  /// Asks nodes, unless questions are open.
+  /// Asks nodes. Answers to earlier questions no longer count.
   /// @param aAddresses their data addresses.
   /// @param aActive the generation in force here.
   void Ask(const std::vector<std::string>& aAddresses,
            state::Generation aActive,
+           state::Instant aNow,
            Commands& aCommands);
 
-  /// Returns whether answers are missing.
-  bool IsAsking() const { return !open_.empty(); }
+  /// Returns true once after each Ask() that brought nothing newer: no node
+  /// could be asked, all have answered, or one has not for some time.
+  bool TakeFailed(state::Instant aNow);
 
   /// Processes an answer.
   /// @return its changes if they lead to a version newer than aActive.
@@ -31,6 +33,9 @@
 
 private:
   std::set<std::uint64_t> open_;
+  /// When Ask() has failed at the latest; empty once that was told, or a node
+  /// had newer changes.
+  std::optional<state::Instant> failTime_;
   std::uint64_t nextCall_ = 1;
 };
 
--- a/Libraries/Coordination/Versions/PeerVersions.cpp
+++ b/Libraries/Coordination/Versions/PeerVersions.cpp
@@ -39,11 +39,14 @@
 }
 
 void
-PeerVersions::Drop(state::Generation aActive)
+PeerVersions::SetActive(state::Generation aActive)
 {
+  if (aActive != active_) {
+    active_ = aActive;
+    checks_ = 0;
+  }
   while (!heard_.empty() && heard_.front().generation <= aActive) {
     heard_.pop_front();
-    checks_ = 0;
   }
 }
 
@@ -52,7 +55,7 @@
                            state::Duration aUsualTime,
                            state::Instant aNow)
 {
-  Drop(aActive);
+  SetActive(aActive);
   if (heard_.empty()) {
     return false;
   }
--- a/Libraries/Coordination/Versions/PeerVersions.h
+++ b/Libraries/Coordination/Versions/PeerVersions.h
@@ -27,8 +27,8 @@
   /// Returns whether this node should ask for newer versions: other nodes know
   /// of one, and this node did not get it in the usual way in time. The time
   /// runs from the oldest version that is missing here, however many came after
-  /// it. While that one stays missing it is due again after twice the time, and
-  /// so on.
+  /// it. While no newer version comes into force it is due again after twice
+  /// the time, and so on.
   /// @param aActive the generation in force here.
   /// @param aUsualTime how long the usual way takes.
   bool TakeCheckDue(state::Generation aActive,
@@ -43,14 +43,15 @@
   };
 
   /// Drops the generations that are in force or older.
-  void Drop(state::Generation aActive);
+  void SetActive(state::Generation aActive);
 
   state::Generation newest_ = 0;
   /// The generations that may be missing here, with the time at which each was
   /// first heard of; oldest first.
   std::deque<Heard> heard_;
-  /// How often a check was due for the oldest one.
+  /// How often a check was due since the version in force.
   unsigned checks_ = 0;
+  state::Generation active_ = 0;
   state::Instant lastSeen_ = state::Instant::min();
 };
 
--- a/Tests/Coordination/Versions/PeerChangesTest.cpp
+++ b/Tests/Coordination/Versions/PeerChangesTest.cpp
@@ -95,6 +95,53 @@
   CHECK(Active(harness) == 7);
 }
 
+TEST_CASE("a node asks the store when the nodes that it asks do not answer")
+{
+  // Guards against a wait for nodes that lost power and are still known.
+  CoreHarness harness;
+  Start(harness);
+  harness.Handle(PeerVersionSeen{ 9 });
+  harness.RunFor(1s);
+  REQUIRE(harness.asked.size() == 2);
+  SECTION("one of the two")
+  {
+    harness.Handle(ChangesAnswered{ harness.asked[0].call, "" });
+  }
+  SECTION("both") {}
+  harness.RunFor(500ms);
+  CHECK(harness.Pending<StoreGetIfChanged>() != nullptr);
+}
+
+TEST_CASE("a node that does not answer keeps no later version away")
+{
+  // Guards against a question that waits for its timeout while versions come.
+  CoreHarness harness;
+  Start(harness);
+  harness.Handle(PeerVersionSeen{ 9 });
+  harness.RunFor(1s);
+  REQUIRE(harness.asked.size() == 2);
+  harness.Handle(ChangesAnswered{ harness.asked[0].call, ChangesTo(9) });
+  REQUIRE(Active(harness) == 9);
+  harness.Handle(PeerVersionSeen{ 11 });
+  harness.RunFor(1s);
+  REQUIRE(harness.asked.size() == 4);
+  CHECK(harness.asked[2].after == 9);
+  // The answer to the earlier question comes late.
+  harness.Handle(ChangesAnswered{ harness.asked[1].call, ChangesTo(10) });
+  CHECK(Active(harness) == 9);
+}
+
+TEST_CASE("a node that knows no other one asks the store")
+{
+  CoreHarness harness;
+  harness.Answer<StoreWatch>(MakeVersion(7, 3));
+  harness.Answer<StoreList>(protocol::StoreListing{ {}, 9 });
+  harness.Handle(PeerVersionSeen{ 9 });
+  harness.RunFor(1s);
+  CHECK(harness.asked.empty());
+  CHECK(harness.Pending<StoreGetIfChanged>() != nullptr);
+}
+
 TEST_CASE("changes that do not fit make a node read the whole configuration")
 {
   CoreHarness harness;
--- a/Tests/Coordination/Versions/PeerVersionsTest.cpp
+++ b/Tests/Coordination/Versions/PeerVersionsTest.cpp
@@ -54,6 +54,18 @@
   CHECK(versions.TakeCheckDue(5, kUsualTime, 3s));
 }
 
+TEST_CASE("a node that was told of a newer version than it got asks again soon")
+{
+  // Guards against a wait that has grown for a version before.
+  PeerVersions versions;
+  versions.OnSeen(8, 0s);
+  CHECK(versions.TakeCheckDue(4, kUsualTime, 1s));
+  CHECK(versions.TakeCheckDue(4, kUsualTime, 2s));
+  CHECK_FALSE(versions.TakeCheckDue(4, kUsualTime, 2100ms));
+  // The node that it asked had only this one.
+  CHECK(versions.TakeCheckDue(6, kUsualTime, 2200ms));
+}
+
 TEST_CASE("a long series of versions keeps the time of the oldest missing one")
 {
   // Guards against a list without a bound.
