Tests: Reset a connection only after its client has connected

Cause: the test. Its server accepts, answers and resets at once. If the client's thread does not run between the kernel's handshake and the reset, the connect itself ends with the reset, which is right.

Change: the server waits until the client has connected. The write still finds the connection reset, and every check is as it was.

--- a/Tests/Transport/Answers/AnswerEndTest.cpp
+++ b/Tests/Transport/Answers/AnswerEndTest.cpp
@@ -1,5 +1,6 @@
 #include "Tests/Transport/Answers/Ask.h"
 
+#include <future>
 #include <thread>
 
 using namespace teaselhold;
@@ -42,8 +43,12 @@
 
 /// Connects, waits until the peer has ended the connection, and only then
 /// sends a request.
+/// @param aConnected set once the connection is known to be open; a reset
+/// before that would fail the connecting.
 AskResult
-AskLate(const std::string& aAddress, const transport::HttpRequest& aRequest)
+AskLate(const std::string& aAddress,
+        const transport::HttpRequest& aRequest,
+        std::promise<void>& aConnected)
 {
   constexpr std::chrono::milliseconds kUntilEnd{ 200 };
   boost::asio::io_context context(1);
@@ -55,6 +60,7 @@
       std::chrono::steady_clock::now() + std::chrono::seconds(20);
     const auto connected = co_await connection.Connect(
       aAddress, deadline, nullptr, std::chrono::milliseconds(0));
+    aConnected.set_value();
     REQUIRE(connected.has_value());
     std::this_thread::sleep_for(kUntilEnd);
     result = co_await connection.Exchange(aRequest, deadline, nullptr, rules);
@@ -118,13 +124,15 @@
     boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
   const auto address =
     "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::promise<void> connected;
   std::thread server([&] {
     auto socket = acceptor.accept();
+    connected.get_future().wait();
     boost::asio::write(socket, boost::asio::buffer(MakeUnframed("200", 700)));
     socket.set_option(boost::asio::socket_base::linger(true, 0));
     socket.close();
   });
-  const auto result = AskLate(address, MakePost(100));
+  const auto result = AskLate(address, MakePost(100), connected);
   server.join();
   REQUIRE_FALSE(result.has_value());
   CHECK(result.error().code == transport::TransportErrorCode::PartialAnswer);
