Coordination: Ask two different nodes for the changes that are missing

A follower asks a reader and one other node. The reader replaced one of the two that were drawn, also when it was the other one of them; then a single node was asked twice, and if it had ended nobody was left.

The other node is drawn from the rest now.

--- a/Libraries/Coordination/DirectCoreVersions.cpp
+++ b/Libraries/Coordination/DirectCoreVersions.cpp
@@ -154,19 +154,23 @@
 std::vector<std::string>
 DirectCore::PeersToAsk()
 {
-  std::vector<std::string> addresses;
+  std::vector<std::string> asked;
+  if (isFollowing_) {
+    // Readers have versions before the others.
+    asked = ReadersBefore(directory_.Table(), self_.node);
+    asked.resize(std::min<std::size_t>(asked.size(), 1));
+  }
+  std::vector<std::string> others;
   for (const auto* record : directory_.Table().All()) {
     if (record->state == state::EndpointState::Ready &&
-        record->node != self_.node) {
-      addresses.push_back(record->dataAddress);
+        record->node != self_.node &&
+        std::ranges::find(asked, record->dataAddress) == asked.end()) {
+      others.push_back(record->dataAddress);
     }
   }
-  auto asked = random_.Sample(std::move(addresses), kAskedPeers);
-  const auto readers = ReadersBefore(directory_.Table(), self_.node);
-  if (isFollowing_ && !readers.empty() && !asked.empty()) {
-    // Readers have versions before the others.
-    asked.front() = readers.front();
-  }
+  const auto missing = kAskedPeers - asked.size();
+  std::ranges::move(random_.Sample(std::move(others), missing),
+                    std::back_inserter(asked));
   return asked;
 }
 
--- a/Tests/Coordination/LargeConfigurationTest.cpp
+++ b/Tests/Coordination/LargeConfigurationTest.cpp
@@ -51,6 +51,7 @@
     auto record = MakeRecord(name, EndpointState::Ready);
     record.dataCentre = "one";
     record.capacity = 50;
+    record.dataAddress = std::string("10.0.0.9:") + name;
     listing.items.push_back(MakeItem(record, 8));
   }
   return listing;
@@ -92,6 +93,20 @@
   CHECK(harness.Pending<StoreGet>() == nullptr);
 }
 
+TEST_CASE("a follower asks a reader and another node for what it misses")
+{
+  // Guards against two questions to the same node, which may have ended.
+  NodeOptions options;
+  options.identity = { "me", 1, "visits", "one", "one", "10.0.0.1:80", "", 0 };
+  options.randomSeed = GENERATE(range(1U, 20U));
+  CoreHarness harness(options);
+  MakeFollower(harness);
+  harness.Handle(PeerVersionSeen{ 9 });
+  harness.RunFor(1s);
+  REQUIRE(harness.asked.size() == 2);
+  CHECK(harness.asked[0].address != harness.asked[1].address);
+}
+
 TEST_CASE("a follower that cannot apply the changes reads the full text")
 {
   CoreHarness harness;
