Coordination: Keep only changes that were applied for other nodes

A node kept the changes that it got for others before it had applied them. One that did not fit stayed in the list, and until the version in force had reached its generation the node had nothing for others: a single change with a wrong high generation would have ended that for good.

The changes are kept once they have led to their newest version. It replaces the test of RecentChanges that took a log that was never applied, which cannot happen now: it checks the same at the core, and what comes after.

--- a/Libraries/Coordination/DirectCoreVersions.cpp
+++ b/Libraries/Coordination/DirectCoreVersions.cpp
@@ -191,8 +191,10 @@
                          VersionSource aSource,
                          Commands& aCommands)
 {
-  recentChanges_.OnLog(aLog);
   configuration_.ApplyChanges(aLog, aSource, aCommands);
+  if (configuration_.Active()->GetGeneration() == aLog.NewestGeneration()) {
+    recentChanges_.OnLog(aLog);
+  }
 }
 
 void
--- a/Libraries/Coordination/Versions/RecentChanges.cpp
+++ b/Libraries/Coordination/Versions/RecentChanges.cpp
@@ -23,10 +23,7 @@
                                          0 };
     log_.Append(&previous, { aCurrent->Text(), generation, aStoreRevision });
   }
-  // A log may hold a change that could not be applied here.
-  if (log_.NewestGeneration() == generation) {
-    current_ = std::make_shared<const ConfigurationChangeLog>(log_);
-  }
+  current_ = std::make_shared<const ConfigurationChangeLog>(log_);
 }
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/Versions/RecentChanges.h
+++ b/Libraries/Coordination/Versions/RecentChanges.h
@@ -13,8 +13,8 @@
 public:
   using Pointer = std::shared_ptr<const ConfigurationChangeLog>;
 
-  /// Takes a log that is about to be applied, so that its changes need not be
-  /// computed again.
+  /// Takes a log that was applied, so that its changes need not be computed
+  /// again.
   void OnLog(const ConfigurationChangeLog& aLog);
 
   /// Records that a version came into force.
--- a/Tests/Coordination/Versions/PeerChangesTest.cpp
+++ b/Tests/Coordination/Versions/PeerChangesTest.cpp
@@ -158,6 +158,26 @@
   CHECK(harness.Pending<StoreGet>() != nullptr);
 }
 
+TEST_CASE("changes that do not fit are not given to others later")
+{
+  // Guards against a node that has nothing for others until its version has
+  // reached that of a change which it could not apply.
+  CoreHarness harness;
+  Start(harness);
+  harness.Handle(PeerVersionSeen{ 9 });
+  harness.RunFor(1s);
+  REQUIRE(harness.asked.size() == 2);
+  wire::ConfigurationChanges changes;
+  changes.add_changes()->set_generation(1000);
+  harness.Handle(
+    ChangesAnswered{ harness.asked[0].call, changes.SerializeAsString() });
+  harness.RunFor(100ms);
+  harness.Answer<StoreGet>(MakeVersion(9, 5));
+  REQUIRE(Active(harness) == 9);
+  REQUIRE(harness.recentChanges != nullptr);
+  CHECK(harness.recentChanges->After(7).NewestGeneration() == 9);
+}
+
 TEST_CASE("an answer that nobody waits for changes nothing")
 {
   CoreHarness harness;
--- a/Tests/Coordination/Versions/RecentChangesTest.cpp
+++ b/Tests/Coordination/Versions/RecentChangesTest.cpp
@@ -75,19 +75,6 @@
   CHECK(Lead(receiver, 5) == 8);
 }
 
-TEST_CASE("changes that could not be applied are not given to others")
-{
-  // Guards against a node that tells of a version that it does not have.
-  RecentChanges sender;
-  sender.OnVersion(MakeVersion(3), MakeVersion(5), 11);
-  sender.OnVersion(MakeVersion(5), MakeVersion(8), 14);
-  RecentChanges receiver;
-  receiver.OnVersion(MakeVersion(2), MakeVersion(3), 10);
-  receiver.OnLog(*sender.Current());
-  receiver.OnVersion(MakeVersion(3), MakeVersion(4), 10);
-  CHECK(receiver.Current()->NewestGeneration() == 3);
-}
-
 TEST_CASE("a short text that changed as a whole is given whole")
 {
   // Guards against small configurations of which nothing is left to compare.
