Log: Tell by which way a version came while a watch waited

The logs could not tell the hypotheses apart. New at a node: a warning when a version comes by a check or from another node while its own watch of the store has waited for 200 ms or more (a silent watch), and one when the store shows an older revision than before (a store from an earlier copy). A repeated line says how long ago the last of them was, since it is written up to 10 s later. Too little processor time has its line already ([control] Late).

No decision changes. daemon_tests and the coordination tests without a part pass.

--- a/Libraries/Coordination/ChangeFollower.cpp
+++ b/Libraries/Coordination/ChangeFollower.cpp
@@ -26,6 +26,7 @@
     return;
   }
   watchCall_ = numbers_.Next();
+  watchSent_ = aNow;
   aCommands.push_back(
     CallStore{ watchCall_,
                StoreWatch{ protocol::kChangesKey, revision_, kMaxWatchWait } });
--- a/Libraries/Coordination/ChangeFollower.h
+++ b/Libraries/Coordination/ChangeFollower.h
@@ -37,6 +37,12 @@
   /// Returns true if a watch is pending. Further watches are queued behind it.
   bool IsWatching() const { return watchCall_ != 0; }
 
+  /// Returns since when a watch has been pending; nullopt if none is.
+  std::optional<state::Instant> WaitingSince() const
+  {
+    return IsWatching() ? std::optional(watchSent_) : std::nullopt;
+  }
+
   /// @return false if the answer is not for a call of this object.
   bool OnStoreAnswer(const StoreAnswered& aAnswer, state::Instant aNow);
 
@@ -52,6 +58,7 @@
   std::optional<ConfigurationChangeLog> log_;
   std::uint64_t revision_ = 0;
   std::uint64_t watchCall_ = 0;
+  state::Instant watchSent_{ 0 };
   /// Whether the first watch has been answered, so that the existing changes
   /// are known.
   bool isFirstWatchAnswered_ = false;
--- a/Libraries/Coordination/ConfigurationWatch.cpp
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -110,6 +110,7 @@
   nextWatch_ =
     aNow + (isChanged && !isFirst ? pauseAfterChange_ : state::Duration{ 0 });
   if (isChanged) {
+    LogOlderRevision(entry->revision, aCommands);
     OnStoredValue(*entry, VersionSource::Watch, aCommands);
     if (isFirst) {
       // It was read; a watch may miss changes, and attests nothing.
@@ -121,6 +122,20 @@
   return true;
 }
 
+void
+ConfigurationWatch::LogOlderRevision(std::uint64_t aRevision,
+                                     Commands& aCommands) const
+{
+  if (aRevision >= revision_) {
+    return;
+  }
+  aCommands.push_back(WriteLog{
+    LogLevel::Warning,
+    "config",
+    "The store shows an older revision than before. revision=" +
+      std::to_string(aRevision) + " known=" + std::to_string(revision_) });
+}
+
 void
 ConfigurationWatch::OnRead(const StoreResult& aResult,
                            state::Instant aNow,
@@ -133,6 +148,7 @@
     return;
   }
   readBackoff_.Reset();
+  LogOlderRevision(entry->revision, aCommands);
   // A version check that found no newer revision may have begun before the
   // changes that require a full read, so that read is still due.
   isFullReadDue_ =
@@ -239,6 +255,7 @@
     return;
   }
   active_ = std::move(*compiled);
+  activeSource_ = aSource;
   refusedGeneration_ = 0;
   refusedReason_.clear();
   aCommands.push_back(WriteLog{
--- a/Libraries/Coordination/ConfigurationWatch.h
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -88,6 +88,13 @@
   /// Returns whether a watch of the configuration is waiting.
   bool IsWaiting() const { return watchCall_ != 0; }
 
+  /// Returns since when a watch of the configuration has been waiting; nullopt
+  /// if none is.
+  std::optional<state::Instant> WaitingSince() const
+  {
+    return IsWaiting() ? std::optional(watchSent_) : std::nullopt;
+  }
+
   /// Returns what the last linearizable read said of the newest version, once.
   std::optional<Attestation> TakeAttestation()
   {
@@ -97,6 +104,9 @@
   /// @return nullptr until a version is in force.
   const state::ConfigurationPointer& Active() const { return active_; }
 
+  /// Returns how this node learnt of the version in force.
+  VersionSource ActiveSource() const { return activeSource_; }
+
   std::uint64_t Revision() const { return revision_; }
   /// Returns the revision of the stored value that is in force.
   std::uint64_t ActiveRevision() const { return activeRevision_; }
@@ -114,6 +124,9 @@
   state::Generation InForceAt(std::uint64_t aRevision) const;
   void Attest(state::Generation aGeneration, state::Instant aSent);
 
+  /// Logs a value that is older in the store than one that was seen there.
+  void LogOlderRevision(std::uint64_t aRevision, Commands& aCommands) const;
+
   void OnRead(const StoreResult& aResult,
               state::Instant aNow,
               Commands& aCommands);
@@ -148,6 +161,7 @@
   std::uint64_t revision_ = 0;
   bool isStoreReachable_ = false;
   state::ConfigurationPointer active_;
+  VersionSource activeSource_ = VersionSource::Watch;
   /// The revision of the stored value that is in force.
   std::uint64_t activeRevision_ = 0;
   std::optional<Attestation> attestation_;
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -45,6 +45,9 @@
 /// then.
 constexpr int kWaitPercent = kSmallConfigurationPausePercent + 10;
 constexpr int kFollowerWaitPercent = kFollowerPausePercent;
+/// A watch that has waited for less than this may still be on its way to the
+/// store.
+constexpr state::Duration kWatchReportTime = std::chrono::milliseconds(200);
 
 /// @return true if only the readers read this version in full.
 bool
@@ -147,6 +150,7 @@
   isPublishDue_ = crashGuard_.Expire(aNow) || isPublishDue_ ||
                   configuration_.Active() != published_;
   if (isPublishDue_) {
+    LogMissedVersion(aNow, commands);
     Publish(commands);
   }
   LogHeldBack(aNow, commands);
@@ -295,6 +299,31 @@
   }
 }
 
+void
+DirectCore::LogMissedVersion(state::Instant aNow, Commands& aCommands) const
+{
+  const auto source = configuration_.ActiveSource();
+  const auto since =
+    isFollowing_ ? follower_.WaitingSince() : configuration_.WaitingSince();
+  const bool isReported = source == VersionSource::Watch ||
+                          source == VersionSource::Changes ||
+                          source == VersionSource::Apply;
+  if (published_ == configuration_.Active() || isReported || !since ||
+      aNow - *since < kWatchReportTime) {
+    return;
+  }
+  const auto waited =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - *since);
+  aCommands.push_back(WriteLog{
+    LogLevel::Warning,
+    "config",
+    "A version came in another way than by the watch that waits for it. "
+    "generation=" +
+      std::to_string(configuration_.Active()->GetGeneration()) + " source=" +
+      std::string(state::FindEnumName(kVersionSourceNames, source)) +
+      " watch_milliseconds=" + std::to_string(waited.count()) });
+}
+
 void
 DirectCore::LogHeldBack(state::Instant aNow, Commands& aCommands)
 {
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -66,6 +66,8 @@
   void VerifyKeys(state::Instant aNow, Commands& aCommands);
   void PublishChange(state::ConfigurationPointer aPrevious);
   void FollowChanges(state::Instant aNow, Commands& aCommands);
+  /// Logs that a version came in another way while a watch waited for it.
+  void LogMissedVersion(state::Instant aNow, Commands& aCommands) const;
   void LogHeldBack(state::Instant aNow, Commands& aCommands);
   void Publish(Commands& aCommands);
 
--- a/Services/teaselholdd/Logs.cpp
+++ b/Services/teaselholdd/Logs.cpp
@@ -105,11 +105,17 @@
 
   void WriteSummaries()
   {
-    for (const auto& summary : limiter_.TakeSummaries(Clock::now())) {
+    const auto now = Clock::now();
+    for (const auto& summary : limiter_.TakeSummaries(now)) {
       const auto level =
         static_cast<spdlog::level::level_enum>(summary.line.front());
-      const auto line = summary.line.substr(1) +
-                        " repeated=" + std::to_string(summary.suppressed);
+      const auto sinceLast =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                              summary.last);
+      const auto line =
+        summary.line.substr(1) +
+        " repeated=" + std::to_string(summary.suppressed) +
+        " last_milliseconds_ago=" + std::to_string(sinceLast.count());
       Write({ "", level, line });
     }
   }
--- a/Services/teaselholdd/RepeatLimiter.cpp
+++ b/Services/teaselholdd/RepeatLimiter.cpp
@@ -8,10 +8,11 @@
   const auto known = entries_.find(aLine);
   if (known != entries_.end()) {
     ++known->second.suppressed;
+    known->second.last = aNow;
     return false;
   }
   if (entries_.size() < kMaxLines) {
-    entries_.emplace(aLine, Entry{ aNow, 0 });
+    entries_.emplace(aLine, Entry{ aNow, 0, aNow });
   }
   return true;
 }
@@ -27,8 +28,8 @@
     } else if (entry.suppressed == 0) {
       place = entries_.erase(place);
     } else {
-      summaries.push_back({ line, entry.suppressed });
-      entry = { aNow, 0 };
+      summaries.push_back({ line, entry.suppressed, entry.last });
+      entry = { aNow, 0, aNow };
       ++place;
     }
   }
--- a/Services/teaselholdd/RepeatLimiter.h
+++ b/Services/teaselholdd/RepeatLimiter.h
@@ -24,6 +24,8 @@
     std::string line;
     /// How often the line was suppressed in the interval.
     std::uint64_t suppressed = 0;
+    /// When it was last suppressed.
+    Time last;
   };
 
   explicit RepeatLimiter(std::chrono::milliseconds aInterval)
@@ -42,6 +44,7 @@
   {
     Time start;
     std::uint64_t suppressed = 0;
+    Time last;
   };
 
   std::chrono::milliseconds interval_;
--- a/Tests/Services/teaselholdd/RepeatLimiterTest.cpp
+++ b/Tests/Services/teaselholdd/RepeatLimiterTest.cpp
@@ -30,6 +30,7 @@
   REQUIRE(first.size() == 1);
   CHECK(first[0].line == "a");
   CHECK(first[0].suppressed == 2);
+  CHECK(first[0].last == kStart + 2s);
   CHECK_FALSE(limiter.Admit("a", kStart + 11s));
   CHECK(limiter.TakeSummaries(kStart + 20s).at(0).suppressed == 1);
 }
