Tests: Let the watches of a fleet go silent for good

Where the other end's kernel answers probes nothing ends it before 27 s. The model can now play that, and ends an open watch when a node begins another one, as StoreWorker does.

--- a/Tests/Coordination/DirectFleet.cpp
+++ b/Tests/Coordination/DirectFleet.cpp
@@ -18,6 +18,8 @@
 /// kernel's probes of its connection.
 constexpr state::Duration kCallTimeout = 1s;
 constexpr state::Duration kWatchTimeout = 3s;
+/// What the client allows an answer beyond the wait of its watch.
+constexpr state::Duration kWatchGrace = 2s;
 /// What a full link adds to an answer.
 constexpr state::Duration kLateAnswer = 1200ms;
 /// A link of 10 Mbit/s.
@@ -144,10 +146,52 @@
 DirectFleet::Submit(std::size_t aNode, CallStore aCall)
 {
   const auto connection = ConnectionOf(aCall);
+  if (connection == kWatchConnection) {
+    EndWatch(aNode);
+  }
   nodes_[aNode].connections[connection].waiting.push_back(std::move(aCall));
   StartNext(aNode, connection);
 }
 
+void
+DirectFleet::EndWatch(std::size_t aNode)
+{
+  auto& connection = nodes_[aNode].connections[kWatchConnection];
+  if (connection.running && connection.end != state::Instant{ 0 }) {
+    connection.end = state::Instant{ 0 };
+    answers_.emplace(
+      now_,
+      Answer{ aNode,
+              kWatchConnection,
+              protocol::StoreError{ protocol::StoreErrorCode::Cancelled,
+                                    "the call was ended" } });
+  }
+}
+
+void
+DirectFleet::SilenceWatches(double aShare)
+{
+  const auto count =
+    static_cast<std::size_t>(aShare * static_cast<double>(nodes_.size()));
+  for (std::size_t i = 0; i < count; ++i) {
+    auto& connection = nodes_[i].connections[kWatchConnection];
+    if (connection.running && connection.end != state::Instant{ 0 }) {
+      connection.isSilent = true;
+      connection.end += kWatchGrace;
+    }
+  }
+}
+
+std::size_t
+DirectFleet::SilentWatches() const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(nodes_, [](const Node& aNode) {
+      const auto& connection = aNode.connections[kWatchConnection];
+      return connection.isSilent && connection.end != state::Instant{ 0 };
+    }));
+}
+
 void
 DirectFleet::StartNext(std::size_t aNode, std::size_t aConnection)
 {
@@ -158,6 +202,7 @@
   connection.running = std::move(connection.waiting.front());
   connection.waiting.pop_front();
   connection.end = state::Instant{ 0 };
+  connection.isSilent = false;
   const auto* watch = std::get_if<StoreWatch>(&connection.running->request);
   calls_.watches += watch != nullptr ? 1 : 0;
   const bool isFirst =
@@ -327,7 +372,8 @@
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     auto& connection = nodes_[i].connections[kWatchConnection];
     if (!nodes_[i].isAlive || IsLost(i, kWatchConnection) ||
-        !connection.running || connection.end == state::Instant{ 0 }) {
+        !connection.running || connection.end == state::Instant{ 0 } ||
+        connection.isSilent) {
       continue;
     }
     const auto& watch = std::get<StoreWatch>(connection.running->request);
@@ -391,10 +437,7 @@
       auto& connection = node.connections[kWatchConnection];
       if (connection.running && connection.end != state::Instant{ 0 } &&
           now_ >= connection.end) {
-        connection.end = state::Instant{ 0 };
-        const auto& watch = std::get<StoreWatch>(connection.running->request);
-        Reply(
-          i, kWatchConnection, protocol::StoreEntry{ "", watch.knownRevision });
+        EndWait(i);
       }
       if (now_ >= node.nextTick) {
         node.nextTick = now_ + kTickInterval;
@@ -404,6 +447,22 @@
   }
 }
 
+void
+DirectFleet::EndWait(std::size_t aNode)
+{
+  auto& connection = nodes_[aNode].connections[kWatchConnection];
+  connection.end = state::Instant{ 0 };
+  const auto& watch = std::get<StoreWatch>(connection.running->request);
+  if (connection.isSilent) {
+    Reply(aNode,
+          kWatchConnection,
+          protocol::StoreError{ protocol::StoreErrorCode::Unknown, "" });
+    return;
+  }
+  Reply(
+    aNode, kWatchConnection, protocol::StoreEntry{ "", watch.knownRevision });
+}
+
 void
 DirectFleet::Kill(Node& aNode)
 {
--- a/Tests/Coordination/DirectFleet.h
+++ b/Tests/Coordination/DirectFleet.h
@@ -59,6 +59,13 @@
   /// Harms the store's answers to one node from now on.
   /// @param aIsReader it is one that reads for the others.
   void HarmStore(StoreFault aFault, bool aIsReader);
+  /// Lets the connections on which watches wait go silent for good at the given
+  /// share of the nodes, from the first one on. Their kernels still answer
+  /// probes, so only the end of its wait ends such a watch. New connections
+  /// work.
+  void SilenceWatches(double aShare);
+  /// Returns the number of open watches whose connections are silent.
+  std::size_t SilentWatches() const;
   /// Suspends a node that does not read for the others. The time until it
   /// resumes does not count for WorstLag().
   void Suspend(state::Duration aTime);
@@ -87,6 +94,8 @@
     std::optional<CallStore> running;
     /// When an open watch ends without a change; 0 if no watch is open.
     state::Instant end{ 0 };
+    /// Nothing that the store sends to the open watch arrives.
+    bool isSilent = false;
   };
 
   struct Answer
@@ -158,6 +167,10 @@
   void Reply(std::size_t aNode, std::size_t aConnection, StoreResult aResult);
   void WakeWatches();
   bool IsLost(std::size_t aNode, std::size_t aConnection) const;
+  /// Ends the open watch of a node without an answer.
+  void EndWatch(std::size_t aNode);
+  /// Ends a watch whose wait is over.
+  void EndWait(std::size_t aNode);
   /// Ends a call without an answer at its timeout.
   void Expire(std::size_t aNode, std::size_t aConnection);
   bool IsSuspended(const Node& aNode) const { return now_ < aNode.resumed; }
