Coordination: Check the store for newer versions in turns, and tell of the checks

Cause: a version that no watch reports waits for some node's check. Checks were two a second in the mean, at times drawn by each node for itself. Nodes that are told of a version all check at the same moment, and drew their next check from the same interval (5 s with 10 nodes, 41 s with 82), so after one such version no node checked for seconds, and then all did. And a node that no requests reach was told nothing: it checked each 3 to 5 s.

Change: CheckSchedule. Nodes tell each other in their answers when the store was last checked (Teaselhold-Checked; the time is never later than it was, as with attestations). The first node in the common order checks 18 to 22% of the bound after that, the next ones only if it did not, followers of a large configuration last, as a check costs them a read of the whole. CheckNews: a node that knows of no check for 34% of the bound asks one of the first nodes, then any other, over the question for changes that exists; a question and its answer now tell versions and checks as all messages between nodes do. A watch that has just begun counts as a check, so quick versions cost none.

Tests changed, none weakened: KeyVerificationTest hears of checks five times a second, as a node in a fleet does, and its own name no longer comes first in the order, which is the one that checks; DirectCoreTest answers the checks that a node alone in its fleet now makes, and looks ten times in place of one; CoreHarness keeps questions for the last check apart. PeerVersions::IsHearing() and the poll intervals had no other use.

--- a/Libraries/Coordination/ConfigurationWatch.cpp
+++ b/Libraries/Coordination/ConfigurationWatch.cpp
@@ -13,14 +13,6 @@
 
 } // namespace
 
-void
-ConfigurationWatch::SetWatching(bool aIsWatching,
-                                state::Duration aCheckInterval)
-{
-  isWatching_ = aIsWatching;
-  checkInterval_ = aCheckInterval;
-}
-
 void
 ConfigurationWatch::Restart(state::Instant aNow)
 {
@@ -34,24 +26,12 @@
 void
 ConfigurationWatch::StartVersionCheck(state::Instant aNow, Commands& aCommands)
 {
-  if (readCall_ != 0 || revision_ == 0) {
-    return;
-  }
-  // The first check is at a random time, so that nodes that start together
-  // spread their checks. The interval grows as a starting node discovers the
-  // others, and the next check then gets a new random time. Otherwise all nodes
-  // would check within the short initial interval, and none of them again until
-  // the long one has passed.
-  if (2 * scheduledInterval_ < checkInterval_ ||
-      scheduledInterval_ > 2 * checkInterval_) {
-    scheduledInterval_ = checkInterval_;
-    nextCheck_ = aNow + random_.Between(state::Duration{ 0 }, checkInterval_);
-  }
-  if (aNow < nextCheck_) {
+  const bool isDue =
+    checks_.IsRequested() || (checks_.IsDue(aNow) && !IsWatchNew(aNow));
+  if (readCall_ != 0 || revision_ == 0 || isFullReadDue_ || !isDue) {
     return;
   }
-  nextCheck_ = aNow + random_.Between(checkInterval_ - checkInterval_ / 4,
-                                      checkInterval_ + checkInterval_ / 4);
+  checks_.OnAttempt(aNow);
   readCall_ = numbers_.Next();
   isVersionCheck_ = true;
   readSent_ = aNow;
@@ -61,10 +41,16 @@
     readCall_, StoreGetIfChanged{ protocol::kConfigurationKey, revision_ } });
 }
 
+bool
+ConfigurationWatch::IsWatchNew(state::Instant aNow) const
+{
+  return isWatching_ &&
+         (IsWaiting() ? aNow - watchSent_ < reportTime_ : aNow < nextWatch_);
+}
+
 void
 ConfigurationWatch::Tick(state::Instant aNow, Commands& aCommands)
 {
-  StartVersionCheck(aNow, aCommands);
   if (isFullReadDue_ && readCall_ == 0 && aNow >= nextRead_) {
     readCall_ = numbers_.Next();
     isVersionCheck_ = false;
@@ -72,6 +58,7 @@
     aCommands.push_back(
       CallStore{ readCall_, StoreGet{ protocol::kConfigurationKey } });
   }
+  StartVersionCheck(aNow, aCommands);
   if (!isWatching_ || watchCall_ != 0 || aNow < nextWatch_) {
     return;
   }
@@ -105,6 +92,12 @@
   watchBackoff_.Reset();
   const bool isFirst = revision_ == 0;
   const bool isChanged = entry->revision != revision_;
+  // Other nodes are told of the time until which it shows all versions for
+  // certain.
+  OnChecked(watchSent_);
+  if (isChanged) {
+    checks_.OnCheck(aNow);
+  }
   // The first answer is the initial read, not a change, so the watch follows
   // without a pause.
   nextWatch_ =
@@ -136,6 +129,13 @@
       std::to_string(aRevision) + " known=" + std::to_string(revision_) });
 }
 
+void
+ConfigurationWatch::OnChecked(state::Instant aSent)
+{
+  checks_.OnCheck(aSent);
+  checked_ = aSent;
+}
+
 void
 ConfigurationWatch::OnRead(const StoreResult& aResult,
                            state::Instant aNow,
@@ -148,6 +148,7 @@
     return;
   }
   readBackoff_.Reset();
+  OnChecked(readSent_);
   LogOlderRevision(entry->revision, aCommands);
   // A version check that found no newer revision may have begun before the
   // changes that require a full read, so that read is still due.
--- a/Libraries/Coordination/ConfigurationWatch.h
+++ b/Libraries/Coordination/ConfigurationWatch.h
@@ -4,6 +4,7 @@
 #include "Coordination/ConfigurationChangeLog.h"
 #include "Coordination/NodeEvents.h"
 #include "Coordination/StoreCallNumbers.h"
+#include "Coordination/Versions/CheckSchedule.h"
 
 namespace teaselhold::coordination {
 
@@ -41,22 +42,32 @@
 public:
   ConfigurationWatch(StoreCallNumbers& aNumbers, RandomSource& aRandom)
     : numbers_(aNumbers)
+    , checks_(aRandom)
     , random_(aRandom)
   {
   }
 
   /// Chooses whether to watch the whole configuration. Nodes that receive
-  /// changes in another way only check periodically for a newer version.
-  /// @param aCheckInterval the mean time between two checks; each is randomized
-  /// by a quarter.
-  void SetWatching(bool aIsWatching, state::Duration aCheckInterval);
+  /// changes in another way only check for a newer version.
+  void SetWatching(bool aIsWatching) { isWatching_ = aIsWatching; }
 
   /// Abandons a pending watch, which may never be answered, and retries without
   /// backoff.
   void Restart(state::Instant aNow);
 
-  /// Makes the check for a newer version due now.
-  void CheckNow(state::Instant aNow) { nextCheck_ = aNow; }
+  /// Sets how long the store may take to report a version to a watch. Before
+  /// that time a new watch is as good as a check.
+  void SetReportTime(state::Duration aTime) { reportTime_ = aTime; }
+
+  /// When this node checks for a newer version.
+  CheckSchedule& Checks() { return checks_; }
+
+  /// Returns the time of the last check that this node made and that it has not
+  /// told others of, once.
+  std::optional<state::Instant> TakeChecked()
+  {
+    return std::exchange(checked_, std::nullopt);
+  }
 
   /// Sets the pause between a change and the next watch. Changes within this
   /// time of each other are fetched by a single call.
@@ -127,10 +138,15 @@
   /// Logs a value that is older in the store than one that was seen there.
   void LogOlderRevision(std::uint64_t aRevision, Commands& aCommands) const;
 
+  /// Records a linearizable read that was sent at this time.
+  void OnChecked(state::Instant aSent);
+
   void OnRead(const StoreResult& aResult,
               state::Instant aNow,
               Commands& aCommands);
   void StartVersionCheck(state::Instant aNow, Commands& aCommands);
+  /// Returns whether a watch has just begun, or will as soon as its pause ends.
+  bool IsWatchNew(state::Instant aNow) const;
   void Activate(const std::string& aText,
                 state::Generation aGeneration,
                 VersionSource aSource,
@@ -139,10 +155,9 @@
   StoreCallNumbers& numbers_;
   bool isWatching_ = true;
   state::Duration pauseAfterChange_{ 0 };
-  state::Duration checkInterval_{ std::chrono::seconds(4) };
-  /// The interval from which nextCheck_ was drawn.
-  state::Duration scheduledInterval_{ 0 };
-  state::Instant nextCheck_{ 0 };
+  state::Duration reportTime_{ 0 };
+  CheckSchedule checks_;
+  std::optional<state::Instant> checked_;
   std::uint64_t watchCall_ = 0;
   std::uint64_t readCall_ = 0;
   /// The pending read is a check for a newer version rather than a full read.
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -20,17 +20,9 @@
 constexpr std::size_t kLargeConfigurationBytes = std::size_t{ 128 } * 1024;
 /// Hosts that start together have written their records within this time.
 constexpr state::Duration kFleetStartTime = std::chrono::seconds(3);
-/// A watch may miss a change that is made while the store drops its history, so
-/// nodes also poll for missed versions. The nodes of a fleet together poll once
-/// per kFleetPollInterval, and learn from each other's messages of a version
-/// that one has found; a single node polls at most once per kMinPollInterval.
-constexpr state::Duration kFleetPollInterval = std::chrono::milliseconds(500);
-constexpr state::Duration kMinPollInterval = std::chrono::seconds(4);
-/// The store connection serves one watch at a time. A new reader whose watch of
-/// the configuration is queued behind its watch of the changes polls at this
-/// interval until the latter ends.
-constexpr state::Duration kNewReaderPollInterval =
-  std::chrono::milliseconds(800);
+/// The interval of a node that does not know its turn to check for a newer
+/// version.
+constexpr state::Duration kLoneCheckInterval = std::chrono::seconds(4);
 /// How long changes are batched before they are read, in percent of
 /// NodeOptions::applyBound: by a node that reads a small configuration for
 /// itself, by a reader, and by a follower. The pauses of reader and follower
@@ -45,9 +37,11 @@
 /// then.
 constexpr int kWaitPercent = kSmallConfigurationPausePercent + 10;
 constexpr int kFollowerWaitPercent = kFollowerPausePercent;
-/// A watch that has waited for less than this may still be on its way to the
-/// store.
-constexpr state::Duration kWatchReportTime = std::chrono::milliseconds(200);
+/// How long a pending watch may take to report a version that others have, with
+/// a small configuration and at a follower, for which a reader writes the
+/// changes first.
+constexpr int kReportPercent = 20;
+constexpr int kFollowerReportPercent = 30;
 
 /// @return true if only the readers read this version in full.
 bool
@@ -73,6 +67,7 @@
   , configuration_(callNumbers_, random_)
   , apply_(callNumbers_)
   , catchUp_(options_.identity.name, random_)
+  , checkNews_(random_)
   , keyVerification_(options_.strictRevokeBound, random_)
   , follower_(callNumbers_,
               random_,
@@ -111,10 +106,7 @@
   } else if (const auto* crash = std::get_if<CrashObserved>(&aEvent)) {
     OnCrash(crash->fingerprint);
   } else if (const auto* seen = std::get_if<PeerVersionSeen>(&aEvent)) {
-    catchUp_.OnSeen(seen->generation, aNow);
-    if (seen->attestation) {
-      keyVerification_.Add(*seen->attestation);
-    }
+    OnPeerVersionSeen(*seen, aNow);
   } else if (const auto* reader = std::get_if<ReaderAnswered>(&aEvent)) {
     readers_.OnAnswer(*reader, aNow);
   } else if (const auto* changes = std::get_if<ChangesAnswered>(&aEvent)) {
@@ -129,12 +121,24 @@
     follower_.Restart(aNow);
   }
   SelectConfigurationSource(aNow, commands);
-  if (catchUp_.Tick(Progress(), directory_.Table(), aNow, commands)) {
-    configuration_.CheckNow(aNow);
+  const auto progress = Progress();
+  if (catchUp_.Tick(progress, directory_.Table(), aNow, commands)) {
+    configuration_.Checks().Request();
+  }
+  if (isFleetKnown_) {
+    checkNews_.Tick(configuration_.Checks().LastCheck(),
+                    { readers_.Reader(), readers_.Candidates() },
+                    progress.active,
+                    options_.applyBound,
+                    aNow,
+                    commands);
   }
   FollowChanges(aNow, commands);
   VerifyKeys(aNow, commands);
   configuration_.Tick(aNow, commands);
+  if (const auto checked = configuration_.TakeChecked()) {
+    commands.push_back(ShareCheck{ *checked });
+  }
   publisher_.Tick(aNow, commands);
   directory_.Tick(aNow, commands);
   RestoreDepartures(aNow, commands);
@@ -167,7 +171,7 @@
   readers_.Tick(isWanted, aNow, aCommands);
   if (readers_.IsSubstitute() && !wasSubstitute) {
     // The readers may have missed a version before they were lost.
-    configuration_.CheckNow(aNow);
+    configuration_.Checks().Request();
   }
 }
 
@@ -197,24 +201,44 @@
     aCommands.push_back(SetReaderRole{ publishedRole_ });
   }
   gate_.SetFleetSize(directory_.Table().Size());
-  configuration_.SetWatching(!isFollowing_, PollInterval(aNow));
+  configuration_.SetWatching(!isFollowing_);
+  configuration_.SetReportTime(PercentOf(options_.applyBound, kReportPercent));
+  SetCheckTurn();
   configuration_.SetPauseAfterChange(
     PercentOf(options_.applyBound,
               isLarge ? kReaderPausePercent : kSmallConfigurationPausePercent));
 }
 
-state::Duration
-DirectCore::PollInterval(state::Instant aNow) const
+void
+DirectCore::SetCheckTurn()
+{
+  auto& checks = configuration_.Checks();
+  if (isFleetKnown_) {
+    checks.SetTurn(
+      { readers_.Candidates().size(), directory_.Table().Size(), isFollowing_ },
+      options_.applyBound);
+  } else {
+    checks.SetInterval(kLoneCheckInterval);
+  }
+}
+
+void
+DirectCore::OnPeerVersionSeen(const PeerVersionSeen& aSeen, state::Instant aNow)
 {
-  if (!isFollowing_ && follower_.IsWatching()) {
-    return kNewReaderPollInterval;
+  catchUp_.OnSeen(aSeen.generation, aNow);
+  if (aSeen.attestation) {
+    keyVerification_.Add(*aSeen.attestation);
   }
-  if (!isFollowing_ && !catchUp_.IsHearing(aNow)) {
-    return kMinPollInterval;
+  if (aSeen.checked) {
+    configuration_.Checks().OnCheck(*aSeen.checked);
   }
-  const auto nodes =
-    static_cast<state::Duration::rep>(directory_.Table().Size());
-  return std::max(kMinPollInterval, kFleetPollInterval * nodes);
+}
+
+std::optional<state::Instant>
+DirectCore::WatchingSince() const
+{
+  return isFollowing_ ? follower_.WaitingSince()
+                      : configuration_.WaitingSince();
 }
 
 VersionProgress
@@ -230,8 +254,10 @@
     options_.applyBound, isFollowing_ ? kFollowerWaitPercent : kWaitPercent);
   progress.isFollowing = isFollowing_;
   progress.reader = readers_.Reader();
-  progress.isWatching =
-    isFollowing_ ? follower_.IsWatching() : configuration_.IsWaiting();
+  progress.watchingSince = WatchingSince();
+  progress.reportTime =
+    PercentOf(options_.applyBound,
+              isFollowing_ ? kFollowerReportPercent : kReportPercent);
   progress.isHeldBack = gate_.IsHoldingBack();
   return progress;
 }
@@ -243,7 +269,11 @@
   // Nothing is asked before a version is in force.
   const auto& active = configuration_.Active();
   const auto generation = active == nullptr ? 0 : active->GetGeneration();
-  if (const auto log = catchUp_.OnAnswer(aAnswer, generation)) {
+  auto log = catchUp_.OnAnswer(aAnswer, generation);
+  if (!log) {
+    log = CheckNews::OnAnswer(aAnswer, generation);
+  }
+  if (log) {
     ApplyChanges(*log, VersionSource::Peer, aCommands);
   }
 }
@@ -270,7 +300,7 @@
     aCommands.push_back(ShareAttestation{ *attestation });
   }
   if (keyVerification_.Tick(configuration_.Active(), aNow, aCommands)) {
-    configuration_.CheckNow(aNow);
+    configuration_.Checks().Request();
   }
 }
 
@@ -283,6 +313,8 @@
   follower_.Tick(isFleetKnown_, aNow, aCommands);
   const auto generation = configuration_.Active()->GetGeneration();
   if (const auto log = follower_.TakeNewer(generation)) {
+    // A reader is alive, and so is the own watch.
+    configuration_.Checks().OnCheck(aNow);
     ApplyChanges(*log, VersionSource::Changes, aCommands);
   }
 }
@@ -309,7 +341,7 @@
                           source == VersionSource::Changes ||
                           source == VersionSource::Apply;
   if (published_ == configuration_.Active() || isReported || !since ||
-      aNow - *since < kWatchReportTime) {
+      aNow - *since < Progress().reportTime) {
     return;
   }
   const auto waited =
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -12,6 +12,7 @@
 #include "Coordination/ReaderMonitor.h"
 #include "Coordination/Rollouts/RolloutKeeper.h"
 #include "Coordination/StoreCircuitBreaker.h"
+#include "Coordination/Versions/CheckNews.h"
 #include "Coordination/Versions/PeerCatchUp.h"
 #include "Coordination/Versions/RecentChanges.h"
 
@@ -57,7 +58,9 @@
   void ReportCrashSuspects(state::Instant aNow);
   void MonitorReaders(state::Instant aNow, Commands& aCommands);
   void SelectConfigurationSource(state::Instant aNow, Commands& aCommands);
-  state::Duration PollInterval(state::Instant aNow) const;
+  void SetCheckTurn();
+  void OnPeerVersionSeen(const PeerVersionSeen& aSeen, state::Instant aNow);
+  std::optional<state::Instant> WatchingSince() const;
   VersionProgress Progress() const;
   void OnChangesAnswered(const ChangesAnswered& aAnswer, Commands& aCommands);
   void ApplyChanges(const ConfigurationChangeLog& aLog,
@@ -81,6 +84,7 @@
   ConfigurationWatch configuration_;
   DirectApply apply_;
   PeerCatchUp catchUp_;
+  CheckNews checkNews_;
   RecentChanges recentChanges_;
   KeyVerification keyVerification_;
   ChangeFollower follower_;
--- a/Libraries/Coordination/NodeEvents.h
+++ b/Libraries/Coordination/NodeEvents.h
@@ -115,6 +115,8 @@
   state::Generation generation;
   /// The latest that was heard of a newest version, if nodes tell it.
   std::optional<Attestation> attestation = std::nullopt;
+  /// When a node last checked the store for a newer version, if one told it.
+  std::optional<state::Instant> checked = std::nullopt;
 };
 
 /// What the data plane knows of roll-outs, learnt from other nodes and judged
@@ -278,6 +280,13 @@
   Attestation attestation;
 };
 
+/// This node has checked the store for a newer version; the time is that of
+/// sending the call. Other nodes then need not check.
+struct ShareCheck
+{
+  state::Instant time;
+};
+
 /// What the control plane knows of roll-outs.
 struct SetRollouts
 {
@@ -346,6 +355,7 @@
                              AskChanges,
                              SetRecentChanges,
                              ShareAttestation,
+                             ShareCheck,
                              SetRollouts>;
 using Commands = std::vector<Command>;
 
--- a/Libraries/Coordination/ReaderMonitor.h
+++ b/Libraries/Coordination/ReaderMonitor.h
@@ -19,6 +19,8 @@
   /// one, in the order in which they take over.
   void SetCandidates(std::vector<std::string> aCandidates);
 
+  const std::vector<std::string>& Candidates() const { return candidates_; }
+
   /// Sends the questions that are due.
   /// @param aIsWanted false if this node has no use for readers or could not
   ///        replace them.
--- a/Libraries/Coordination/Versions/PeerCatchUp.cpp
+++ b/Libraries/Coordination/Versions/PeerCatchUp.cpp
@@ -59,14 +59,15 @@
 PeerCatchUp::Log(const VersionProgress& aProgress, Commands& aCommands) const
 {
   const auto flag = [](bool aIsSet) { return aIsSet ? "yes" : "no"; };
-  aCommands.push_back(WriteLog{
-    LogLevel::Warning,
-    "config",
-    "Other nodes know of a newer version. generation=" +
-      std::to_string(aProgress.active) +
-      " newest=" + std::to_string(versions_.Newest()) + " following=" +
-      flag(aProgress.isFollowing) + " watching=" + flag(aProgress.isWatching) +
-      " store_held_back=" + flag(aProgress.isHeldBack) });
+  aCommands.push_back(
+    WriteLog{ LogLevel::Warning,
+              "config",
+              "Other nodes know of a newer version. generation=" +
+                std::to_string(aProgress.active) +
+                " newest=" + std::to_string(versions_.Newest()) +
+                " following=" + flag(aProgress.isFollowing) +
+                " watching=" + flag(aProgress.watchingSince.has_value()) +
+                " store_held_back=" + flag(aProgress.isHeldBack) });
 }
 
 } // namespace teaselhold::coordination
--- a/Libraries/Coordination/Versions/PeerCatchUp.h
+++ b/Libraries/Coordination/Versions/PeerCatchUp.h
@@ -20,8 +20,10 @@
   bool isFollowing = false;
   /// The data address of a reader that is known to be alive; empty if none is.
   std::string reader;
-  /// Its watch of the store waits.
-  bool isWatching = false;
+  /// Since when its watch of the store has been pending; nullopt if none is.
+  std::optional<state::Instant> watchingSince;
+  /// How long a pending watch may take to report a version that others have.
+  state::Duration reportTime{ 0 };
   /// Its calls of the store are held back.
   bool isHeldBack = false;
 };
@@ -44,12 +46,6 @@
     versions_.OnSeen(aGeneration, aNow);
   }
 
-  /// Returns whether this node hears from other nodes.
-  bool IsHearing(state::Instant aNow) const
-  {
-    return versions_.IsHearing(aNow);
-  }
-
   /// Asks other nodes if a version is missing for too long.
   /// @return true if they had nothing newer, so that the store is to be asked.
   bool Tick(const VersionProgress& aProgress,
--- a/Libraries/Coordination/Versions/PeerVersions.cpp
+++ b/Libraries/Coordination/Versions/PeerVersions.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// The data plane reports what it saw once a second.
-constexpr state::Duration kHearingTime = std::chrono::milliseconds(2500);
-
 /// Bounds the calls for a generation that the store does not have.
 constexpr unsigned kMaxDoublings = 10;
 
@@ -20,7 +17,6 @@
 void
 PeerVersions::OnSeen(state::Generation aGeneration, state::Instant aNow)
 {
-  lastSeen_ = aNow;
   if (aGeneration <= newest_) {
     return;
   }
@@ -32,12 +28,6 @@
   }
 }
 
-bool
-PeerVersions::IsHearing(state::Instant aNow) const
-{
-  return lastSeen_ != state::Instant::min() && aNow - lastSeen_ < kHearingTime;
-}
-
 void
 PeerVersions::SetActive(state::Generation aActive)
 {
--- a/Libraries/Coordination/Versions/PeerVersions.h
+++ b/Libraries/Coordination/Versions/PeerVersions.h
@@ -9,18 +9,14 @@
 
 /// Learns from the requests and answers of other nodes that a newer version of
 /// the configuration exists. A watch of the store may miss a change without an
-/// error, so without this each node has to poll the store for itself; with it,
-/// the nodes of the fleet share the polls. Not thread-safe.
+/// error, so without this each node has to check the store for itself; with it,
+/// the nodes of the fleet share the checks. Not thread-safe.
 class PeerVersions
 {
 public:
   /// Records the newest generation that another node knows.
   void OnSeen(state::Generation aGeneration, state::Instant aNow);
 
-  /// Returns whether this node hears from other nodes, so that a version that
-  /// one of them has found would be known here.
-  bool IsHearing(state::Instant aNow) const;
-
   /// Returns the newest generation that another node knew of; 0 if none did.
   state::Generation Newest() const { return newest_; }
 
@@ -52,7 +48,6 @@
   /// How often a check was due since the version in force.
   unsigned checks_ = 0;
   state::Generation active_ = 0;
-  state::Instant lastSeen_ = state::Instant::min();
 };
 
 } // namespace teaselhold::coordination
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -13,6 +13,10 @@
 /// and the milliseconds from the time at which it was the newest to the arrival
 /// of the request, negative if that arrived first.
 inline constexpr const char* kNewest = "Teaselhold-Newest";
+/// In answers between nodes: the milliseconds from the last check of the store
+/// for a newer version, by any node, to the arrival of the request, negative if
+/// that arrived first.
+inline constexpr const char* kChecked = "Teaselhold-Checked";
 inline constexpr const char* kTenant = "Teaselhold-Tenant";
 /// The key of the caller's client account, where callers need one.
 inline constexpr const char* kAccountKey = "Teaselhold-Key";
--- a/Services/teaselholdd/ChangesExchange.h
+++ b/Services/teaselholdd/ChangesExchange.h
@@ -3,6 +3,7 @@
 #include "Coordination/ConfigurationChangeLog.h"
 #include "Coordination/NodeEvents.h"
 #include "Services/teaselholdd/AdmissionQueue.h"
+#include "Services/teaselholdd/VersionExchange.h"
 #include "Transport/HttpClientPool.h"
 
 #include <functional>
@@ -17,7 +18,12 @@
 public:
   using Sink = std::function<void(coordination::ChangesAnswered)>;
 
-  ChangesExchange(boost::asio::io_context& aContext, Sink aSink);
+  /// @param aVersions told in the questions and answers, as in all messages
+  ///        between nodes.
+  ChangesExchange(boost::asio::io_context& aContext,
+                  const Clock& aClock,
+                  VersionExchange& aVersions,
+                  Sink aSink);
 
   /// Sets what this node answers from now on.
   void Set(std::shared_ptr<const coordination::ConfigurationChangeLog> aChanges)
@@ -29,12 +35,14 @@
   void Ask(const coordination::AskChanges& aQuestion);
 
   /// Answers the question of another node.
-  Response Serve(const Request& aQuestion) const;
+  Response Serve(const Request& aQuestion);
 
 private:
   Awaitable<void> SendQuestion(coordination::AskChanges aQuestion);
 
   boost::asio::io_context& context_;
+  const Clock& clock_;
+  VersionExchange& versions_;
   Sink sink_;
   transport::HttpClientPool pool_;
   std::shared_ptr<const coordination::ConfigurationChangeLog> changes_;
--- a/Services/teaselholdd/ControlPlane.cpp
+++ b/Services/teaselholdd/ControlPlane.cpp
@@ -106,6 +106,10 @@
   {
     plane.sinks_.attested(aCommand.attestation);
   }
+  void operator()(const ShareCheck& aCommand) const
+  {
+    plane.sinks_.checked(aCommand.time);
+  }
   void operator()(const SetRollouts& aCommand) const
   {
     plane.sinks_.setRollouts(aCommand);
--- a/Services/teaselholdd/ControlPlane.h
+++ b/Services/teaselholdd/ControlPlane.h
@@ -35,6 +35,8 @@
     std::function<void(const coordination::AskChanges&)> askChanges;
     std::function<void(const coordination::SetRecentChanges&)> setRecentChanges;
     std::function<void(const coordination::Attestation&)> attested;
+    /// This node checked the store at this time.
+    std::function<void(state::Instant)> checked;
     std::function<void(const coordination::SetRollouts&)> setRollouts;
   };
 
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -90,7 +90,7 @@
   , departures_(context_, std::move(aDepartureSink))
   , replicator_(context_, settings_, aIncarnation, departures_)
   , readers_(context_, std::move(aReaderSink))
-  , changes_(context_, std::move(aChangesSink))
+  , changes_(context_, aClock, versions_, std::move(aChangesSink))
   , quotas_(context_, settings_, aClock, aIncarnation)
   , upstreamSide_(context_,
                   settings_,
@@ -338,6 +338,12 @@
   asio::post(context_, [this, aAttestation] { versions_.Add(aAttestation); });
 }
 
+void
+DataPlane::OnChecked(state::Instant aTime)
+{
+  asio::post(context_, [this, aTime] { versions_.AddCheck(aTime); });
+}
+
 void
 DataPlane::TakeSettings(const Settings& aSettings)
 {
--- a/Services/teaselholdd/DataPlane.h
+++ b/Services/teaselholdd/DataPlane.h
@@ -57,6 +57,9 @@
   /// Takes what a read of the store said. Safe on any thread.
   void OnAttested(const coordination::Attestation& aAttestation);
 
+  /// Takes that this node checked the store. Safe on any thread.
+  void OnChecked(state::Instant aTime);
+
   /// Takes what the control plane knows of roll-outs. Safe on any thread.
   void SetRollouts(coordination::SetRollouts aRollouts);
 
--- a/Services/teaselholdd/NodeHop.cpp
+++ b/Services/teaselholdd/NodeHop.cpp
@@ -126,6 +126,7 @@
     co_return Exchange{ Unknown{ UnknownReason::CrossedAnswer }, {}, 0 };
   }
   versions_.LearnAttested(*answer, sent);
+  versions_.LearnChecked(*answer, sent);
   versions_.Learn(*answer);
   const auto outcome = ReadOutcome(*answer);
   co_return Exchange{ outcome, std::move(*answer), 0 };
--- a/Services/teaselholdd/UpstreamSide.cpp
+++ b/Services/teaselholdd/UpstreamSide.cpp
@@ -447,6 +447,7 @@
   SetHeader(aExchange.response, headers::kLoad, FormatLoadReport(report));
   versions_.Tell(aExchange.response);
   versions_.TellAttested(aExchange.response, aArrived);
+  versions_.TellChecked(aExchange.response, aArrived);
   versions_.Rollouts().Report(aExchange.response, settings_.service);
 }
 
--- a/Services/teaselholdd/VersionExchange.cpp
+++ b/Services/teaselholdd/VersionExchange.cpp
@@ -16,6 +16,10 @@
 /// part of the bound of keys is reported at once.
 constexpr int kReportsPerBound = 5;
 
+/// Two nodes know of the same check with times that differ by less, as each
+/// message takes some time.
+constexpr state::Duration kCheckStep = std::chrono::milliseconds(100);
+
 /// Reads milliseconds, which may be negative. Longer ages than a day, in either
 /// direction, are no ages.
 std::optional<std::chrono::milliseconds>
@@ -61,13 +65,19 @@
   // The control plane then need not ask the store.
   const bool isMuchYounger =
     attested && attested->time - reported_ >= keyRule_.bound / kReportsPerBound;
-  if (*generation <= newest_ && now < nextReport_ && !isMuchYounger) {
+  const bool isChecked = checked_ - reportedCheck_ >= kCheckStep;
+  if (*generation <= newest_ && now < nextReport_ && !isMuchYounger &&
+      !isChecked) {
     return;
   }
   newest_ = std::max(newest_, *generation);
   nextReport_ = now + kReportInterval;
   reported_ = attested ? attested->time : reported_;
-  sink_({ newest_, attested });
+  reportedCheck_ = checked_;
+  sink_({ newest_,
+          attested,
+          checked_ == state::Instant{ 0 } ? std::nullopt
+                                          : std::optional(checked_) });
 }
 
 void
@@ -99,4 +109,22 @@
   }
 }
 
+void
+VersionExchange::TellChecked(HttpFields& aAnswer, state::Instant aArrived) const
+{
+  if (checked_ != state::Instant{ 0 }) {
+    const auto age =
+      std::chrono::ceil<std::chrono::milliseconds>(aArrived - checked_);
+    SetHeader(aAnswer, headers::kChecked, std::to_string(age.count()));
+  }
+}
+
+void
+VersionExchange::LearnChecked(const HttpFields& aAnswer, state::Instant aSent)
+{
+  if (const auto age = ParseAge(ReadHeader(aAnswer, headers::kChecked))) {
+    AddCheck(aSent - *age);
+  }
+}
+
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/VersionExchange.h
+++ b/Services/teaselholdd/VersionExchange.h
@@ -6,6 +6,7 @@
 #include "Services/teaselholdd/RolloutExchange.h"
 #include "State/Configuration.h"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 
@@ -19,9 +20,9 @@
 class VersionExchange
 {
 public:
-  /// Called with what other nodes know: at once when the generation rises or
-  /// the attestation is much younger, and otherwise about once a second while
-  /// messages arrive.
+  /// Called with what other nodes know: at once when the generation rises, the
+  /// attestation is much younger or another check of the store was made, and
+  /// otherwise about once a second while messages arrive.
   using Sink = std::function<void(const coordination::PeerVersionSeen&)>;
 
   VersionExchange(const Clock& aClock,
@@ -62,6 +63,16 @@
   /// @param aSent when the request was sent.
   void LearnAttested(const HttpFields& aAnswer, state::Instant aSent);
 
+  /// Takes that this node checked the store for a newer version at this time.
+  void AddCheck(state::Instant aTime) { checked_ = std::max(checked_, aTime); }
+
+  /// Writes into an answer when the store was last checked.
+  void TellChecked(HttpFields& aAnswer, state::Instant aArrived) const;
+
+  /// Takes what another node's answer says of it, as with LearnAttested().
+  /// @param aSent when the request was sent.
+  void LearnChecked(const HttpFields& aAnswer, state::Instant aSent);
+
   /// @param aActive the generation in force.
   bool MayUseKeys(state::Generation aActive, state::Instant aNow) const
   {
@@ -78,6 +89,9 @@
   state::Instant nextReport_{ 0 };
   /// The time of the last attestation that was reported.
   state::Instant reported_{ 0 };
+  /// When the store was last checked; the epoch if that is not known.
+  state::Instant checked_{ 0 };
+  state::Instant reportedCheck_{ 0 };
 };
 
 } // namespace teaselhold::daemon
--- a/Services/teaselholdd/main.cpp
+++ b/Services/teaselholdd/main.cpp
@@ -205,6 +205,7 @@
       [&](const coordination::Attestation& aAttestation) {
         dataPlane.OnAttested(aAttestation);
       },
+      [&](state::Instant aTime) { dataPlane.OnChecked(aTime); },
       [&](const coordination::SetRollouts& aRollouts) {
         dataPlane.SetRollouts(aRollouts);
       } });
--- a/Tests/Coordination/Accounts/KeyVerificationTest.cpp
+++ b/Tests/Coordination/Accounts/KeyVerificationTest.cpp
@@ -130,13 +130,15 @@
   protocol::StoreListing listing{ {}, 9 };
   for (int i = 0; i < 100; ++i) {
     listing.items.push_back(
-      MakeItem(MakeRecord("n" + std::to_string(i), EndpointState::Ready), 8));
+      MakeItem(MakeRecord("a" + std::to_string(i), EndpointState::Ready), 8));
   }
   harness.Answer<StoreList>(listing);
   std::size_t polls = 0;
-  for (int i = 0; i < 40; ++i) {
-    harness.Handle(PeerVersionSeen{ 7, Attestation{ 7, harness.now - 700ms } });
-    harness.RunFor(1s);
+  // Others check more than twice a second.
+  for (int i = 0; i < 200; ++i) {
+    harness.Handle(PeerVersionSeen{
+      7, Attestation{ 7, harness.now - 700ms }, harness.now - 300ms });
+    harness.RunFor(200ms);
     if (harness.Pending<StoreGetIfChanged>() != nullptr) {
       ++polls;
       harness.Answer<StoreGetIfChanged>(protocol::StoreEntry{ "", 3 });
--- a/Tests/Coordination/CoreHarness.h
+++ b/Tests/Coordination/CoreHarness.h
@@ -71,7 +71,7 @@
       } else if (const auto* reader = std::get_if<AskReader>(&command)) {
         askedReaders.push_back(*reader);
       } else if (const auto* ask = std::get_if<AskChanges>(&command)) {
-        asked.push_back(*ask);
+        (ask->call == CheckNews::kCall ? askedNews : asked).push_back(*ask);
       } else if (const auto* recent = std::get_if<SetRecentChanges>(&command)) {
         recentChanges = recent->changes;
       } else if (const auto* log = std::get_if<WriteLog>(&command)) {
@@ -168,8 +168,10 @@
   std::optional<RestoreUpstream> restored;
   std::uint64_t savedNumber = 0;
   std::vector<std::string> logs;
-  /// Questions to other nodes for their changes, and whether they read.
+  /// Questions to other nodes for the changes that are missing here, for the
+  /// last check, and whether they read.
   std::vector<AskChanges> asked;
+  std::vector<AskChanges> askedNews;
   std::vector<AskReader> askedReaders;
   std::shared_ptr<const ConfigurationChangeLog> recentChanges;
   /// What the last read said of the newest version.
--- a/Tests/Coordination/DirectCoreTest.cpp
+++ b/Tests/Coordination/DirectCoreTest.cpp
@@ -147,7 +147,8 @@
   // The checks at random times after the start.
   harness.RunFor(4s);
   harness.Answer<StoreGetIfChanged>(protocol::StoreEntry{ "", 3 });
-  harness.Handle(PeerVersionSeen{ 8 });
+  harness.Answer<StoreGetIfChanged>(protocol::StoreEntry{ "", 3 });
+  harness.Handle(PeerVersionSeen{ 8, std::nullopt, harness.now });
   harness.RunFor(200ms);
   CHECK(harness.Pending<StoreGetIfChanged>() == nullptr);
   harness.RunFor(1s);
@@ -155,7 +156,10 @@
   harness.Answer<StoreGetIfChanged>(MakeVersion(8, 6));
   CHECK(harness.snapshot->configuration->GetGeneration() == 8);
   // The same word about a version in force asks for nothing.
-  harness.Handle(PeerVersionSeen{ 8 });
-  harness.RunFor(1s);
-  CHECK(harness.Pending<StoreGetIfChanged>() == nullptr);
+  harness.Answer<StoreGetIfChanged>(protocol::StoreEntry{ "", 6 });
+  for (int i = 0; i < 10; ++i) {
+    harness.Handle(PeerVersionSeen{ 8, std::nullopt, harness.now });
+    harness.RunFor(100ms);
+    CHECK(harness.Pending<StoreGetIfChanged>() == nullptr);
+  }
 }
--- a/Tests/Coordination/DirectFleet.cpp
+++ b/Tests/Coordination/DirectFleet.cpp
@@ -119,6 +119,8 @@
       node.changes = changes->changes;
     } else if (const auto* question = std::get_if<AskChanges>(&command)) {
       changesQuestions_.push_back({ aNode, *question, now_ });
+    } else if (const auto* check = std::get_if<ShareCheck>(&command)) {
+      node.checked = std::max(node.checked, check->time);
     } else if (const auto* publish = std::get_if<PublishSnapshot>(&command)) {
       const auto& configuration = publish->snapshot->configuration;
       if (configuration != nullptr) {
--- a/Tests/Coordination/DirectFleet.h
+++ b/Tests/Coordination/DirectFleet.h
@@ -131,6 +131,8 @@
     state::Instant nextTick{ 0 };
     state::Generation inForce = 0;
     state::Generation newestKnown = 0;
+    /// When the store was last checked, as far as this node knows.
+    state::Instant checked{ 0 };
     std::shared_ptr<const ConfigurationChangeLog> changes;
     bool isAlive = true;
     /// When it resumes after its last suspension.
@@ -176,6 +178,9 @@
   bool IsSuspended(const Node& aNode) const { return now_ < aNode.resumed; }
   std::size_t LastNode(bool aIsReader) const;
   void HearFromPeers();
+  /// Lets a node take what a message of another one says.
+  /// @param aIsAnswer whether it is an answer, which tells of checks as well.
+  void Hear(std::size_t aNode, const Node& aPeer, bool aIsAnswer);
   void AnswerQuestions();
   void AnswerChangesQuestions();
   std::size_t NodeAt(const std::string& aAddress) const;
--- a/Tests/Coordination/DirectFleetPeers.cpp
+++ b/Tests/Coordination/DirectFleetPeers.cpp
@@ -20,13 +20,24 @@
     const auto& peer = nodes_[(i + peerOffset_) % nodes_.size()];
     if (node.isAlive && peer.isAlive && !IsSuspended(node) &&
         !IsSuspended(peer)) {
-      node.newestKnown =
-        std::max({ node.newestKnown, node.inForce, peer.newestKnown });
-      Handle(i, PeerVersionSeen{ node.newestKnown });
+      Hear(i, peer, true);
     }
   }
 }
 
+void
+DirectFleet::Hear(std::size_t aNode, const Node& aPeer, bool aIsAnswer)
+{
+  auto& node = nodes_[aNode];
+  node.newestKnown = std::max(
+    { node.newestKnown, node.inForce, aPeer.newestKnown, aPeer.inForce });
+  if (aIsAnswer) {
+    node.checked = std::max(node.checked, aPeer.checked - kLatency);
+  }
+  Handle(aNode,
+         PeerVersionSeen{ node.newestKnown, std::nullopt, node.checked });
+}
+
 std::size_t
 DirectFleet::NodeAt(const std::string& aAddress) const
 {
@@ -70,9 +81,14 @@
     }
     const auto& node = nodes_[NodeAt(asked.question.address)];
     std::string log;
-    if (node.isAlive && node.changes != nullptr) {
+    const bool isAnswered = node.isAlive && !IsSuspended(node);
+    if (isAnswered && node.changes != nullptr) {
       log = node.changes->After(asked.question.after).Serialize();
     }
+    if (isAnswered) {
+      Hear(NodeAt(asked.question.address), nodes_[asked.asker], false);
+      Hear(asked.asker, node, true);
+    }
     if (nodes_[asked.asker].isAlive) {
       Handle(asked.asker,
              ChangesAnswered{ asked.question.call, std::move(log) });
--- a/Tests/Coordination/Versions/SilentWatchTest.cpp
+++ b/Tests/Coordination/Versions/SilentWatchTest.cpp
@@ -77,8 +77,7 @@
   CHECK(fleet.WorstLag() < kBound);
 }
 
-TEST_CASE("nodes without requests have versions in time on silent watches",
-          "[known-red]")
+TEST_CASE("nodes without requests have versions in time on silent watches")
 {
   const std::size_t nodes = GENERATE(10, 82);
   const auto share = GENERATE(0.5, 1.0);
@@ -104,8 +103,7 @@
   CHECK(fleet.SilentWatches() == 0);
 }
 
-TEST_CASE("nodes that checked for the same version spread their next checks",
-          "[known-red]")
+TEST_CASE("nodes that checked for the same version spread their next checks")
 {
   SilencedFleet fleet(GENERATE(10, 82), false, GENERATE(1U, 2U, 3U));
   fleet.StartTraffic();
--- a/Tests/Services/teaselholdd/ChangesExchangeTest.cpp
+++ b/Tests/Services/teaselholdd/ChangesExchangeTest.cpp
@@ -32,11 +32,33 @@
     context.run_for(100ms);
   }
 
+  static VersionExchange MakeVersions(const Clock& aClock,
+                                      VersionExchange::Sink aSink)
+  {
+    return { aClock, {}, std::move(aSink), {}, {} };
+  }
+
   boost::asio::io_context context;
+  Clock clock;
   std::string address = tests::FreeAddress();
   std::optional<coordination::ChangesAnswered> answer;
-  ChangesExchange asked{ context, [](coordination::ChangesAnswered) {} };
+  std::optional<coordination::PeerVersionSeen> heardByAsked;
+  std::optional<coordination::PeerVersionSeen> heard;
+  VersionExchange versionsOfAsked =
+    MakeVersions(clock, [this](const coordination::PeerVersionSeen& aSeen) {
+      heardByAsked = aSeen;
+    });
+  VersionExchange versions =
+    MakeVersions(clock, [this](const coordination::PeerVersionSeen& aSeen) {
+      heard = aSeen;
+    });
+  ChangesExchange asked{ context,
+                         clock,
+                         versionsOfAsked,
+                         [](coordination::ChangesAnswered) {} };
   ChangesExchange asking{ context,
+                          clock,
+                          versions,
                           [this](coordination::ChangesAnswered aAnswer) {
                             answer = std::move(aAnswer);
                           } };
@@ -102,3 +124,24 @@
   question.set(protocol::headers::kAfter, after);
   CHECK(pair.asked.Serve(question).body().empty());
 }
+
+TEST_CASE("a question and its answer tell of versions and of the last check")
+{
+  // Guards against nodes that hear of neither because no requests reach them.
+  Pair pair;
+  // Clocks of nodes begin at their start.
+  pair.context.run_for(20ms);
+  const auto checked = pair.clock.Now();
+  pair.versionsOfAsked.AddCheck(checked);
+  pair.versionsOfAsked.SetOwn(9);
+  pair.versions.SetOwn(11);
+  pair.Ask(pair.address, 5);
+  REQUIRE(pair.heard);
+  CHECK(pair.heard->generation == 11);
+  REQUIRE(pair.heard->checked);
+  // It is never told as later than it was.
+  CHECK(*pair.heard->checked <= checked);
+  CHECK(*pair.heard->checked > state::Instant{ 0 });
+  REQUIRE(pair.heardByAsked);
+  CHECK(pair.heardByAsked->generation == 11);
+}
