Reader: End questions on connections that went silent

Cause: a follower learns of the loss of its reader by a broken connection, else by the end of its question after 10.5 s. The kernel at the other end, or a proxy's, answers the probes of a connection whose process never will answer. A node that is to take over and waits in this way tells others that it follows, and they ask it three times before they pass it over.

Ruled out: a hold of 2 s for all. 195 nodes would ask 96 times a second, about 12 KB/s at each reader.

Change: a reader names the time for which it holds the next question back, 1 s for each that it holds, 10 s at most, so about one a second ends at each reader, and the asker waits no longer than that and 0.5 s. A follower that is asked for its part gives up its own question and looks for a reader, unless that question is younger than 0.5 s. Those who search use new connections. A node that names no time is asked with the 10 s of before. No call of the store is added; with 14 nodes there are about four questions a second in place of one, with 40 followers or more as many as before.

--- a/Libraries/Coordination/ReaderMonitor.cpp
+++ b/Libraries/Coordination/ReaderMonitor.cpp
@@ -16,9 +16,19 @@
 constexpr state::Duration kRetryInterval = std::chrono::milliseconds(200);
 /// A substitute looks for a reader that has returned at this interval.
 constexpr state::Duration kSubstituteInterval = std::chrono::seconds(1);
+/// For each question that a reader holds back.
+constexpr std::chrono::milliseconds kWaitPerQuestion{ 1000 };
 
 } // namespace
 
+std::chrono::milliseconds
+ReaderMonitor::WaitFor(std::size_t aQuestions)
+{
+  const auto wait =
+    kWaitPerQuestion * static_cast<std::int64_t>(aQuestions + 1);
+  return std::min(wait, kMaxWait);
+}
+
 void
 ReaderMonitor::SetCandidates(std::vector<std::string> aCandidates)
 {
--- a/Libraries/Coordination/ReaderMonitor.h
+++ b/Libraries/Coordination/ReaderMonitor.h
@@ -15,6 +15,20 @@
 class ReaderMonitor
 {
 public:
+  /// The longest time for which a question is held back. Each costs about 500
+  /// bytes with its answer, and a reader of a large fleet gets those of its
+  /// share of the nodes.
+  static constexpr std::chrono::milliseconds kMaxWait{ 10000 };
+  /// A follower that is asked for its role checks its own reader, unless its
+  /// question there is younger than this.
+  static constexpr std::chrono::milliseconds kMinAgeForCheck{ 500 };
+
+  /// Returns for how long a reader should hold a question back. The fewer it
+  /// holds, the shorter, so that about one a second ends at each reader and
+  /// followers whose connections went silent ask anew soon.
+  /// @param aQuestions the number of others that it holds back.
+  static std::chrono::milliseconds WaitFor(std::size_t aQuestions);
+
   /// Sets the data addresses of the nodes that are to read rather than this
   /// one, in the order in which they take over.
   void SetCandidates(std::vector<std::string> aCandidates);
--- a/Libraries/Protocol/Headers.h
+++ b/Libraries/Protocol/Headers.h
@@ -72,6 +72,9 @@
 inline constexpr const char* kReaderPath = "/.teaselhold/reader";
 inline constexpr const char* kReaderWaitPath = "/.teaselhold/reader-wait";
 inline constexpr const char* kReader = "Teaselhold-Reader";
+/// Milliseconds for which the next question should be held back (answer), or
+/// this one may be (request).
+inline constexpr const char* kReaderWait = "Teaselhold-Reader-Wait";
 /// Asks for the changes of the configuration that lead from Teaselhold-After to
 /// the generation in force. The answer's body is a serialized
 /// ConfigurationChanges; it has none if there is nothing newer.
--- a/Services/teaselholdd/DataPlane.cpp
+++ b/Services/teaselholdd/DataPlane.cpp
@@ -208,7 +208,8 @@
 {
   const bool mayWait = IsNodeCall(aRequest, protocol::headers::kReaderWaitPath);
   if (mayWait || IsNodeCall(aRequest, protocol::headers::kReaderPath)) {
-    return readers_.Serve(mayWait, std::move(aCancellation));
+    return readers_.Serve(
+      std::move(aRequest), mayWait, std::move(aCancellation));
   }
   if (IsNodeCall(aRequest, protocol::headers::kChangesPath)) {
     return ServeChanges(std::move(aRequest));
--- a/Services/teaselholdd/ReaderExchange.cpp
+++ b/Services/teaselholdd/ReaderExchange.cpp
@@ -1,5 +1,6 @@
 #include "Services/teaselholdd/ReaderExchange.h"
 
+#include "Coordination/ReaderMonitor.h"
 #include "Protocol/Headers.h"
 #include "Services/teaselholdd/HttpHeaders.h"
 
@@ -10,11 +11,9 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 namespace headers = protocol::headers;
+using coordination::ReaderMonitor;
 using coordination::ReaderRole;
 
-/// How long a question is held back. Each costs about 500 bytes with its
-/// answer, and a reader of a large fleet gets those of its share of the nodes.
-constexpr std::chrono::seconds kHoldTime{ 10 };
 constexpr std::chrono::milliseconds kAnswerTime{ 500 };
 
 /// Time after which bytes that the peer's host does not acknowledge end a
@@ -30,6 +29,17 @@
   return options;
 }
 
+/// @return the longest time if the message names none.
+std::chrono::milliseconds
+ReadWait(const HttpFields& aMessage)
+{
+  const auto wait = ReadNumber<std::uint32_t>(aMessage, headers::kReaderWait);
+  return std::clamp(wait ? std::chrono::milliseconds(*wait)
+                         : ReaderMonitor::kMaxWait,
+                    ReaderMonitor::WaitFor(0),
+                    ReaderMonitor::kMaxWait);
+}
+
 } // namespace
 
 ReaderExchange::ReaderExchange(asio::io_context& aContext, Sink aSink)
@@ -81,25 +91,53 @@
   const auto* path = aMayWait ? headers::kReaderWaitPath : headers::kReaderPath;
   Request question(http::verb::get, path, 11);
   question.set(http::field::host, aAddress);
-  auto deadline = std::chrono::steady_clock::now() + kAnswerTime;
-  deadline += aMayWait ? kHoldTime : kHoldTime * 0;
+  const auto start = std::chrono::steady_clock::now();
+  const auto cancellation = std::make_shared<transport::Cancellation>();
+  auto deadline = start + kAnswerTime;
+  if (aMayWait) {
+    const auto known = waits_.find(aAddress);
+    const auto wait =
+      known != waits_.end() ? known->second : ReaderMonitor::kMaxWait;
+    SetHeader(question, headers::kReaderWait, std::to_string(wait.count()));
+    deadline += wait;
+    openQuestion_ = OpenQuestion{ cancellation, start };
+  } else {
+    // Those who search for a reader may do so because connections are silent.
+    pool_.CloseIdle(aAddress);
+  }
   const auto answer =
-    co_await pool_.Send(aAddress, question, deadline, nullptr);
+    co_await pool_.Send(aAddress, question, deadline, cancellation);
+  if (openQuestion_ && openQuestion_->cancellation == cancellation) {
+    openQuestion_.reset();
+  }
   auto role = ReaderRole::Unavailable;
+  waits_.erase(aAddress);
   if (answer) {
     const auto name = ReadHeader(*answer, headers::kReader);
     role = state::FindEnumValue(coordination::kReaderRoleNames, name)
              .value_or(ReaderRole::Unavailable);
+    waits_[aAddress] = ReadWait(*answer);
   }
   sink_({ aCall, role });
 }
 
+void
+ReaderExchange::CheckReader()
+{
+  if (openQuestion_ &&
+      std::chrono::steady_clock::now() - openQuestion_->since >=
+        ReaderMonitor::kMinAgeForCheck) {
+    openQuestion_->cancellation->Cancel();
+  }
+}
+
 asio::awaitable<Response>
-ReaderExchange::Serve(bool aMayWait,
+ReaderExchange::Serve(Request aQuestion,
+                      bool aMayWait,
                       transport::CancellationPointer aCancellation)
 {
   if (aMayWait && role_ == ReaderRole::Reading) {
-    const auto timer = std::make_shared<Timer>(context_, kHoldTime);
+    const auto timer = std::make_shared<Timer>(context_, ReadWait(aQuestion));
     const transport::Cancellation::Scope scope(std::move(aCancellation),
                                                [timer] { timer->cancel(); });
     holds_.insert(timer);
@@ -108,10 +146,17 @@
       asio::redirect_error(asio::use_awaitable, error));
     holds_.erase(timer);
   }
+  if (!aMayWait && role_ == ReaderRole::Following) {
+    CheckReader();
+  }
   Response response;
   SetHeader(response,
             headers::kReader,
             state::FindEnumName(coordination::kReaderRoleNames, role_));
+  if (role_ == ReaderRole::Reading) {
+    const auto wait = ReaderMonitor::WaitFor(holds_.size());
+    SetHeader(response, headers::kReaderWait, std::to_string(wait.count()));
+  }
   co_return response;
 }
 
--- a/Services/teaselholdd/ReaderExchange.h
+++ b/Services/teaselholdd/ReaderExchange.h
@@ -6,6 +6,7 @@
 #include "Transport/HttpServer.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -31,18 +32,30 @@
   /// Asks a node; the sink gets its answer.
   void Ask(const coordination::AskReader& aQuestion);
 
-  /// Serves the question of another node.
+  /// Serves the question of another node. One that may not wait makes a node
+  /// that follows check its own reader: others are looking for one, and the
+  /// connection of its own question may have gone silent.
   /// @param aMayWait the answer may be held back while this node reads.
-  Awaitable<Response> Serve(bool aMayWait,
+  Awaitable<Response> Serve(Request aQuestion,
+                            bool aMayWait,
                             transport::CancellationPointer aCancellation);
 
 private:
   using Timer = boost::asio::steady_timer;
+  using Milliseconds = std::chrono::milliseconds;
+
+  /// The question of this node that another one holds back.
+  struct OpenQuestion
+  {
+    transport::CancellationPointer cancellation;
+    std::chrono::steady_clock::time_point since;
+  };
 
   Awaitable<void> SendQuestion(std::uint64_t aCall,
                                std::string aAddress,
                                bool aMayWait);
   void EndHolds();
+  void CheckReader();
 
   boost::asio::io_context& context_;
   Sink sink_;
@@ -51,6 +64,9 @@
   bool isStopped_ = false;
   /// One for each question that is held back.
   std::set<std::shared_ptr<Timer>> holds_;
+  std::optional<OpenQuestion> openQuestion_;
+  /// How long a node holds the next question back, by address, as it said.
+  std::map<std::string, Milliseconds> waits_;
 };
 
 } // namespace teaselhold::daemon
--- a/Tests/Coordination/DirectFleet.cpp
+++ b/Tests/Coordination/DirectFleet.cpp
@@ -113,8 +113,7 @@
     if (auto* call = std::get_if<CallStore>(&command)) {
       Submit(aNode, std::move(*call));
     } else if (const auto* ask = std::get_if<AskReader>(&command)) {
-      questions_.push_back(
-        { aNode, ask->call, ask->address, ask->mayWait, now_ });
+      AskReaderRole(aNode, *ask);
     } else if (const auto* changes = std::get_if<SetRecentChanges>(&command)) {
       node.changes = changes->changes;
     } else if (const auto* question = std::get_if<AskChanges>(&command)) {
--- a/Tests/Coordination/DirectFleet.h
+++ b/Tests/Coordination/DirectFleet.h
@@ -66,6 +66,10 @@
   void SilenceWatches(double aShare);
   /// Returns the number of open watches whose connections are silent.
   std::size_t SilentWatches() const;
+  /// Lets the connections on which questions wait at readers go silent for
+  /// good. Their kernels still answer probes, so only the end of its wait ends
+  /// such a question. New connections work.
+  void SilenceReaderQuestions();
   /// Suspends a node that does not read for the others. The time until it
   /// resumes does not count for WorstLag().
   void Suspend(state::Duration aTime);
@@ -113,6 +117,12 @@
     std::string address;
     bool mayWait;
     state::Instant asked;
+    /// For how long the asked node may hold it back.
+    state::Duration wait{ 0 };
+    /// No answer arrives.
+    bool isSilent = false;
+    /// The asker has given it up.
+    bool isCancelled = false;
   };
 
   /// A question of one node to another for its changes.
@@ -132,6 +142,8 @@
     state::Generation inForce = 0;
     state::Generation newestKnown = 0;
     std::shared_ptr<const ConfigurationChangeLog> changes;
+    /// How long a reader holds the next question back, by address.
+    std::map<std::string, state::Duration> readerWaits;
     bool isAlive = true;
     /// When it resumes after its last suspension.
     state::Instant resumed{ 0 };
@@ -176,7 +188,11 @@
   bool IsSuspended(const Node& aNode) const { return now_ < aNode.resumed; }
   std::size_t LastNode(bool aIsReader) const;
   void HearFromPeers();
+  void AskReaderRole(std::size_t aAsker, const AskReader& aQuestion);
   void AnswerQuestions();
+  void AnswerQuestion(const Question& aQuestion, ReaderRole aRole);
+  /// Ends the question that a node keeps open at a reader.
+  void GiveUpOpenQuestion(std::size_t aAsker);
   void AnswerChangesQuestions();
   std::size_t NodeAt(const std::string& aAddress) const;
   void Kill(Node& aNode);
--- a/Tests/Coordination/DirectFleetPeers.cpp
+++ b/Tests/Coordination/DirectFleetPeers.cpp
@@ -34,10 +34,33 @@
   return std::stoul(aAddress.substr(aAddress.find(':') + 1)) - kFirstPort;
 }
 
+void
+DirectFleet::SilenceReaderQuestions()
+{
+  for (auto& question : questions_) {
+    question.isSilent = question.mayWait;
+  }
+}
+
+void
+DirectFleet::AskReaderRole(std::size_t aAsker, const AskReader& aQuestion)
+{
+  const auto& waits = nodes_[aAsker].readerWaits;
+  const auto known = waits.find(aQuestion.address);
+  const state::Duration wait =
+    known != waits.end() ? known->second : ReaderMonitor::kMaxWait;
+  questions_.push_back({ aAsker,
+                         aQuestion.call,
+                         aQuestion.address,
+                         aQuestion.mayWait,
+                         now_,
+                         aQuestion.mayWait ? wait : 0s });
+}
+
 void
 DirectFleet::AnswerQuestions()
 {
-  constexpr state::Duration kHoldTime = 10s;
+  constexpr state::Duration kAnswerTime = 500ms;
   const auto questions = std::move(questions_);
   questions_.clear();
   for (const auto& question : questions) {
@@ -46,14 +69,49 @@
       questions_.push_back(question);
       continue;
     }
-    const auto& node = nodes_[NodeAt(question.address)];
-    const auto role =
-      node.isAlive ? node.core->Role() : ReaderRole::Unavailable;
-    if (question.mayWait && role == ReaderRole::Reading &&
-        now_ - question.asked < kHoldTime) {
+    const auto asked = NodeAt(question.address);
+    const auto& node = nodes_[asked];
+    const auto role = node.isAlive && !question.isSilent
+                        ? node.core->Role()
+                        : ReaderRole::Unavailable;
+    const bool isHeld =
+      question.isSilent
+        ? now_ - question.asked < question.wait + kAnswerTime
+        : role == ReaderRole::Reading && now_ - question.asked < question.wait;
+    if (isHeld && !question.isCancelled) {
       questions_.push_back(question);
-    } else if (nodes_[question.asker].isAlive) {
-      Handle(question.asker, ReaderAnswered{ question.call, role });
+      continue;
+    }
+    if (!question.mayWait && role == ReaderRole::Following) {
+      GiveUpOpenQuestion(asked);
+    }
+    AnswerQuestion(question,
+                   question.isCancelled ? ReaderRole::Unavailable : role);
+  }
+}
+
+void
+DirectFleet::AnswerQuestion(const Question& aQuestion, ReaderRole aRole)
+{
+  auto& asker = nodes_[aQuestion.asker];
+  if (!asker.isAlive) {
+    return;
+  }
+  const auto held = std::ranges::count_if(questions_, [&](const auto& aOther) {
+    return aOther.mayWait && aOther.address == aQuestion.address;
+  });
+  asker.readerWaits[aQuestion.address] =
+    ReaderMonitor::WaitFor(static_cast<std::size_t>(held));
+  Handle(aQuestion.asker, ReaderAnswered{ aQuestion.call, aRole });
+}
+
+void
+DirectFleet::GiveUpOpenQuestion(std::size_t aAsker)
+{
+  for (auto& question : questions_) {
+    if (question.asker == aAsker && question.mayWait &&
+        now_ - question.asked >= ReaderMonitor::kMinAgeForCheck) {
+      question.isCancelled = true;
     }
   }
 }
--- a/Tests/Coordination/DirectFleetTest.cpp
+++ b/Tests/Coordination/DirectFleetTest.cpp
@@ -102,6 +102,34 @@
   CHECK(fleet.WorstLag() < kBound);
 }
 
+TEST_CASE("followers notice the loss of all readers although the connections "
+          "of their questions are silent")
+{
+  // Guards against versions that wait for the end of a question that is held
+  // back for 10 s at a reader that is gone.
+  const std::size_t nodes = GENERATE(9U, 20U, kNodes);
+  const bool hasTraffic = GENERATE(true, false);
+  DirectFleet fleet(nodes, kBound, GENERATE(1U, 2U, 3U), 4, MakeText(4));
+  if (hasTraffic) {
+    fleet.StartTraffic();
+  }
+  fleet.Run(12s);
+  Write(fleet, 6);
+  fleet.Run(4s);
+  const auto wait = GENERATE(0ms, 700ms);
+  CAPTURE(nodes, hasTraffic, wait.count());
+  fleet.SilenceReaderQuestions();
+  // Machines are judged 3 s after their connections went silent.
+  fleet.Run(3200ms);
+  REQUIRE(fleet.KillReaders() > 0);
+  fleet.Run(wait);
+  Write(fleet, 8);
+  fleet.Run(1s);
+  Write(fleet, 10);
+  fleet.Run(5s);
+  CHECK(fleet.WorstLag() < kBound);
+}
+
 TEST_CASE("substitutes of the readers keep few nodes reading")
 {
   // Guards against a loss of the readers after which every node reads the whole
