StoreConnection: Give up an answer that stops in its body

A connection to the store that goes silent for good while the body of a configuration, a listing or a watch's answer arrives holds up that call and those behind it on the connection for 5 s. Machines are judged 3 s after the silence began, with a bound of 2 s for a version that was acknowledged before it (CONFIG).

Cause: from the end of the head on, only the time for a whole body, 5 s, ends a read. The kernel at the other end, or a proxy's, answers the probes of the connection.

Evidence: the new test, a store that stops 10 bytes before the end of a body: the read ended after 5.00 s before.

Ruled out: a shorter time for the whole body, which a busy link needs.

The bound of 5 s for the whole stays. Answers of other nodes and of upstreams are bounded by their requests' deadlines, as before.

--- a/Libraries/Transport/Answers/AnswerReader.cpp
+++ b/Libraries/Transport/Answers/AnswerReader.cpp
@@ -93,6 +93,9 @@
                        AnswerParser& aParser,
                        const AnswerBounds& aBounds)
 {
+  using Steady = std::chrono::steady_clock;
+  const auto end =
+    Steady::now() + aBounds.bodyTimeout.value_or(std::chrono::milliseconds(0));
   AnswerMemory::Share share(aBounds.memory);
   MemoryShare processShare(aBounds.holder);
   while (!aParser.IsDone()) {
@@ -105,6 +108,12 @@
     if (step && !share.GrowTo(aParser.BodyBytes())) {
       co_return Fail(AnswerFault::NoMemory);
     }
+    if (aBounds.bodyTimeout) {
+      aStream.expires_at(
+        aBounds.stallTimeout
+          ? std::min(end, Steady::now() + *aBounds.stallTimeout)
+          : end);
+    }
     if (step && !aParser.IsDone()) {
       step = co_await ReadMore(aStream, aParser);
     }
@@ -124,9 +133,6 @@
   if (!head || aParser.IsDone()) {
     co_return head;
   }
-  if (aBounds.bodyTimeout) {
-    aStream.expires_after(*aBounds.bodyTimeout);
-  }
   auto body = co_await ReadBody(aStream, aParser, aBounds);
   co_return body;
 }
--- a/Libraries/Transport/Answers/AnswerReader.h
+++ b/Libraries/Transport/Answers/AnswerReader.h
@@ -22,6 +22,8 @@
   /// From the end of the head to the end of the answer, in place of the
   /// stream's time.
   std::optional<std::chrono::milliseconds> bodyTimeout;
+  /// Longest time without a byte of the body; needs a bodyTimeout.
+  std::optional<std::chrono::milliseconds> stallTimeout{};
 };
 
 /// Which answer is read.
--- a/Tests/Platform/BrokenStoreAnswersTest.cpp
+++ b/Tests/Platform/BrokenStoreAnswersTest.cpp
@@ -178,3 +178,37 @@
   fixture.CheckNextRead();
   CHECK(fixture.server.Requests() == 2);
 }
+
+TEST_CASE("an answer of the store that stops in its body is given up soon")
+{
+  // Guards against a read of the configuration that waits for 5 s for the rest
+  // of a body on a connection that went silent.
+  auto answer = MakeWhole();
+  answer.bytes.resize(answer.bytes.size() - 10);
+  Fixture fixture(std::move(answer));
+  const auto start = std::chrono::steady_clock::now();
+  const auto entry = fixture.client.Get("a/key", 1s);
+  CHECK_FALSE(entry.has_value());
+  // The next read has to end before machines are judged, 3 s after the silence
+  // began.
+  CHECK(std::chrono::steady_clock::now() - start < 2s);
+  fixture.CheckNextRead();
+}
+
+TEST_CASE("an answer of the store that arrives slowly is read whole")
+{
+  // Guards against a read that is given up although bytes arrive, as on a full
+  // link.
+  const auto whole = MakeWhole();
+  const auto cut = whole.bytes.size() - 10;
+  auto slow = whole;
+  slow.bytes.resize(cut);
+  slow.pause = 1s;
+  slow.lateBytes = whole.bytes.substr(cut);
+  const AnswerServer server({ slow });
+  platform::StoreClient client{ server.Address(),
+                                platform::ConfigurationOwner::Product };
+  const auto entry = client.Get("a/key", 500ms);
+  REQUIRE(entry.has_value());
+  CHECK(entry->value == "one");
+}
