--- a/Tests/Coordination/DirectFleet.h
+++ b/Tests/Coordination/DirectFleet.h
@@ -66,6 +66,10 @@
   void SilenceWatches(double aShare);
   /// Returns the number of open watches whose connections are silent.
   std::size_t SilentWatches() const;
+  /// Lets the connections on which questions wait at readers go silent for
+  /// good. Their kernels still answer probes, so only the end of its wait ends
+  /// such a question. New connections work.
+  void SilenceReaderQuestions();
   /// Suspends a node that does not read for the others. The time until it
   /// resumes does not count for WorstLag().
   void Suspend(state::Duration aTime);
@@ -113,6 +117,12 @@
     std::string address;
     bool mayWait;
     state::Instant asked;
+    /// For how long the asked node may hold it back.
+    state::Duration wait{ 0 };
+    /// No answer arrives.
+    bool isSilent = false;
+    /// The asker has given it up.
+    bool isCancelled = false;
   };
 
   /// A question of one node to another for its changes.
@@ -134,6 +144,8 @@
     /// When the store was last checked, as far as this node knows.
     state::Instant checked{ 0 };
     std::shared_ptr<const ConfigurationChangeLog> changes;
+    /// How long a reader holds the next question back, by address.
+    std::map<std::string, state::Duration> readerWaits;
     bool isAlive = true;
     /// When it resumes after its last suspension.
     state::Instant resumed{ 0 };
@@ -181,7 +193,11 @@
   /// Lets a node take what a message of another one says.
   /// @param aIsAnswer whether it is an answer, which tells of checks as well.
   void Hear(std::size_t aNode, const Node& aPeer, bool aIsAnswer);
+  void AskReaderRole(std::size_t aAsker, const AskReader& aQuestion);
   void AnswerQuestions();
+  void AnswerQuestion(const Question& aQuestion, ReaderRole aRole);
+  /// Ends the question that a node keeps open at a reader.
+  void GiveUpOpenQuestion(std::size_t aAsker);
   void AnswerChangesQuestions();
   std::size_t NodeAt(const std::string& aAddress) const;
   void Kill(Node& aNode);
