--- a/Tests/Services/PlatformMesh.cpp
+++ b/Tests/Services/PlatformMesh.cpp
@@ -15,17 +15,29 @@
 
 namespace {
 
-constexpr const char* kConfiguration = R"({"version":"r1",
-"services":[{"name":"backends"},{"name":"callers"}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
-"headerTimeout":"3s","idleTimeout":"15000ms"},
-"virtualHosts":[{"host":"mesh.example","paths":[
-{"name":"r-1","prefix":"/safe/","kind":"safe","timeout":"5s",
-"targetLatency":"5s","priority":1,"maxAttempts":1,"service":"backends"},
-{"name":"r-2","prefix":"/ready/","kind":"safe","timeout":"5s",
-"targetLatency":"5s","priority":1,"maxAttempts":1,"service":"backends"},
-{"name":"r-3","prefix":"/upload/","kind":"upload","timeout":"5s",
-"targetLatency":"5s","priority":1,"maxAttempts":1,"service":"backends"}]}]})";
+std::string
+MakeRoute(const std::string& aName,
+          const std::string& aPrefix,
+          const std::string& aKind)
+{
+  return R"({"name":")" + aName + R"(","prefix":")" + aPrefix +
+         R"(","kind":")" + aKind +
+         R"(","timeout":"5s","targetLatency":"5s","priority":1,)"
+         R"("maxAttempts":1,"service":"backends"})";
+}
+
+std::string
+MakeConfiguration(const std::string& aVersion, const std::string& aMoreRoutes)
+{
+  return R"({"version":")" + aVersion +
+         R"(","services":[{"name":"backends"},{"name":"callers"}],)"
+         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,)"
+         R"("headerTimeout":"3s","idleTimeout":"15000ms"},)"
+         R"("virtualHosts":[{"host":"mesh.example","paths":[)" +
+         MakeRoute("r-1", "/safe/", "safe") + "," +
+         MakeRoute("r-2", "/ready/", "safe") + "," +
+         MakeRoute("r-3", "/upload/", "upload") + aMoreRoutes + "]}]}";
+}
 
 constexpr std::chrono::milliseconds kHeartbeat{ 200 };
 
@@ -53,6 +65,9 @@
 
 } // namespace
 
+const std::string PlatformMesh::kNewerConfiguration =
+  MakeConfiguration("r5", "," + MakeRoute("r-4", "/added/", "safe"));
+
 PlatformMesh::PlatformMesh(AnswerServer::Script aScript)
   : storeAddress_(FreeAddress())
   , upstream_(WithReadiness(std::move(aScript)))
@@ -64,7 +79,8 @@
     Program("store_stand_in"),
     std::vector<std::string>{ "--address=" + storeAddress_ },
     folder_ + "/store.log");
-  WriteConfiguration();
+  WriteConfiguration(MakeConfiguration("r1", ""));
+  farStore_ = std::make_unique<TcpRelay>(storeAddress_);
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     StartNode(i);
   }
@@ -81,19 +97,20 @@
 {
   announcer_ = {};
   nodes_ = {};
+  farStore_.reset();
   store_.reset();
   std::error_code error;
   std::filesystem::remove_all(folder_, error);
 }
 
 void
-PlatformMesh::WriteConfiguration()
+PlatformMesh::WriteConfiguration(const std::string& aConfiguration)
 {
   const nlohmann::json transaction{
     { "expected", nlohmann::json::array() },
     { "puts",
       { { { "key", "op/config" },
-          { "value", absl::Base64Escape(kConfiguration) } } } },
+          { "value", absl::Base64Escape(aConfiguration) } } } },
     { "deletes", nlohmann::json::array() }
   };
   REQUIRE(WaitUntil([&] {
@@ -117,7 +134,9 @@
        "distribution = direct\ncaller_address = "
     << callers_[aIndex] << "\ndata_address = " << dataAddresses_[aIndex]
     << "\nannouncement_address = " << announcements_[aIndex]
-    << "\n[store]\naddress = " << storeAddress_ << "\n[upstream]\naddress = "
+    << "\n[store]\naddress = "
+    << (aIndex == 0 ? storeAddress_ : farStore_->Address())
+    << "\n[upstream]\naddress = "
     << (aIndex == 0 ? upstream_.Address() : FreeAddress())
     << "\npaced = no\n[rollouts]\nenabled = no\n";
   nodes_[aIndex] =
--- a/Tests/Services/PlatformMesh.h
+++ b/Tests/Services/PlatformMesh.h
@@ -2,6 +2,7 @@
 
 #include "Tests/Services/Mesh.h"
 #include "Tests/Support/AnswerServer.h"
+#include "Tests/Support/TcpRelay.h"
 
 #include <thread>
 
@@ -22,12 +23,19 @@
   PlatformMesh& operator=(const PlatformMesh&) = delete;
 
   /// Sends a request to the node beside the upstream, or to the far one.
-  /// @param aPath below /safe/, which may be repeated, or /upload/.
+  /// @param aPath below /safe/, which may be repeated, /upload/ or, with the
+  /// newer configuration, /added/.
   CallResult Send(bool aIsFar,
                   const std::string& aMethod,
                   const std::string& aPath,
                   const std::string& aBody = "");
 
+  /// Writes a newer configuration, which also has a route for /added/.
+  void WriteNewerConfiguration() { WriteConfiguration(kNewerConfiguration); }
+
+  /// Cuts the far node off from the store.
+  void CutStoreOfFarNode() { farStore_->Cut(); }
+
   const AnswerServer& Upstream() const { return upstream_; }
 
   /// Kills the node beside the upstream and answers at its address in its
@@ -40,7 +48,9 @@
 
 private:
   void StartNode(std::size_t aIndex);
-  void WriteConfiguration();
+  static const std::string kNewerConfiguration;
+
+  void WriteConfiguration(const std::string& aConfiguration);
   void Announce(const std::stop_token& aEnd);
   bool Carries(bool aIsFar);
 
@@ -51,6 +61,7 @@
   std::array<std::string, 2> announcements_;
   std::array<std::string, 2> dataAddresses_;
   std::unique_ptr<Process> store_;
+  std::unique_ptr<TcpRelay> farStore_;
   std::array<std::unique_ptr<Process>, 2> nodes_;
   unsigned nextRequest_ = 0;
   /// Ends first, so that it does not call what is gone.
