--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -57,6 +57,8 @@
   void RestoreDepartures(state::Instant aNow, Commands& aCommands);
   void Register();
   void ReportCrashSuspects(state::Instant aNow);
+  /// Returns for how long a follower batches changes before it reads them.
+  static state::Duration FollowerPause(state::Duration aBound);
   void MonitorReaders(state::Instant aNow, Commands& aCommands);
   void SelectConfigurationSource(state::Instant aNow, Commands& aCommands);
   void SetCheckTurn();
