--- a/Tests/Platform/EarlierCopyTest.cpp
+++ b/Tests/Platform/EarlierCopyTest.cpp
@@ -139,3 +139,16 @@
   CHECK_FALSE(refused->swapped);
   CHECK(refused->current.revision == written->current.revision);
 }
+
+TEST_CASE("a write replaces no value whose revision was given out again")
+{
+  RestoredStore restored(1);
+  restored.store.Restore(restored.copy, kKey, { "three", "four" });
+  // Another call has shown that the store came back.
+  REQUIRE(restored.client->List("a/", protocol::ReadConsistency::Stale, 1s));
+  const auto written = restored.client->CompareAndSwap(
+    kConfigurationKey, restored.known.revision, "five", 0, 1s);
+  REQUIRE(written);
+  CHECK_FALSE(written->swapped);
+  CHECK(written->current.value == "four");
+}
