--- a/Tests/Coordination/DirectCoreTest.cpp
+++ b/Tests/Coordination/DirectCoreTest.cpp
@@ -151,12 +151,15 @@
   harness.Handle(PeerVersionSeen{ 8, std::nullopt, harness.now });
   harness.RunFor(200ms);
   CHECK(harness.Pending<StoreGetIfChanged>() == nullptr);
-  harness.RunFor(1s);
+  // No check is due because of the time of the last one.
+  for (int i = 0; i < 10; ++i) {
+    harness.Handle(PeerVersionSeen{ 8, std::nullopt, harness.now });
+    harness.RunFor(100ms);
+  }
   REQUIRE(harness.Pending<StoreGetIfChanged>() != nullptr);
   harness.Answer<StoreGetIfChanged>(MakeVersion(8, 6));
   CHECK(harness.snapshot->configuration->GetGeneration() == 8);
   // The same word about a version in force asks for nothing.
-  harness.Answer<StoreGetIfChanged>(protocol::StoreEntry{ "", 6 });
   for (int i = 0; i < 10; ++i) {
     harness.Handle(PeerVersionSeen{ 8, std::nullopt, harness.now });
     harness.RunFor(100ms);
