Tests: Lose the nodes that check first together with all watches

A node may put its check off to 85% of the bound because it heard of one, and then waits 20% for its watch.

--- a/Tests/Coordination/Versions/SilentWatchTest.cpp
+++ b/Tests/Coordination/Versions/SilentWatchTest.cpp
@@ -113,3 +113,27 @@
     CHECK(fleet.Counts().polls > 0);
   }
 }
+
+TEST_CASE(
+  "a version just after the loss of the nodes that check first is in time",
+  "[known-red]")
+{
+  const std::size_t nodes = GENERATE(10, 82);
+  const bool hasTraffic = GENERATE(true, false);
+  const auto killedShare = GENERATE(0.05, 0.5, 0.8);
+  const auto delay = GENERATE(200ms, 510ms, 1500ms);
+  CAPTURE(nodes, hasTraffic, killedShare, delay.count());
+  SilencedFleet fleet(nodes, false, GENERATE(range(1U, 7U)));
+  if (hasTraffic) {
+    fleet.StartTraffic();
+  }
+  fleet.Run(12s);
+  fleet.SilenceWatches(1.0);
+  fleet.Run(kSilence);
+  const auto readers = 4.0 / static_cast<double>(nodes);
+  fleet.KillShareWithReaders(std::max(killedShare, readers));
+  fleet.Run(delay);
+  fleet.WriteNext();
+  fleet.Run(5s);
+  CHECK(fleet.WorstLag() < kBound);
+}
