Coordination: Keep the orders and states of roll-outs through an earlier copy

What callers would see: after the store came back from an earlier copy, the verdict on a bad version could be reversed, or an order from before the newest one be carried out again, so that callers get answers of a bad version (EXPOSURE).

Cause: the number of an order and the revision of its state are the store's, and are compared as if it gave each number once.

An order that is shown or written again in another era, with the same target and duration, is the same order and keeps its state. An order of the copy that was replaced by a later one is not taken: what is written after the return has a higher revision than all of the copy. A state that the copy lacks or holds in an earlier form is kept and written again.

Evidence: three new tests of RolloutKeeperTest, with eight ways through them.

What remains: an operator who orders the same target anew, for the same time, between the copy and the return is taken for one who writes the order again.

--- a/Libraries/Coordination/Rollouts/RolloutBook.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutBook.cpp
@@ -1,7 +1,10 @@
 #include "Coordination/Rollouts/RolloutBook.h"
 
+#include "Protocol/StoreRevision.h"
+
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace teaselhold::coordination {
 
@@ -75,12 +78,57 @@
                 : std::string_view("ordered");
 }
 
+bool
+Rollout::IsOwn(const protocol::RolloutStatus& aStatus) const
+{
+  if (aStatus.target != target) {
+    return false;
+  }
+  if (aStatus.order == order) {
+    return true;
+  }
+  const bool isOfEarlierEra =
+    protocol::EraOf(aStatus.order) < protocol::EraOf(order);
+  return isOfEarlierEra &&
+         (earlierPositions.empty() ||
+          std::ranges::find(earlierPositions, aStatus.order) !=
+            earlierPositions.end());
+}
+
+bool
+Rollout::IsRepeatedBy(const Rollout& aOther) const
+{
+  return protocol::EraOf(order) != protocol::EraOf(aOther.order) &&
+         target == aOther.target && duration == aOther.duration;
+}
+
+bool
+Rollout::HasReplaced(const Rollout& aOther) const
+{
+  // What is written after the return has a higher revision than all of the
+  // copy.
+  return protocol::EraOf(aOther.order) > protocol::EraOf(order) &&
+         protocol::RevisionInEra(aOther.order) <= replacedRevision;
+}
+
+bool
+Rollout::IsAheadOf(const Rollout& aOther) const
+{
+  const auto stage = [](const Rollout& aRollout) {
+    return !aRollout.stored     ? 0
+           : aRollout.IsFinal() ? std::numeric_limits<int>::max()
+                                : 1 + static_cast<int>(*aRollout.stored);
+  };
+  return stage(*this) > stage(aOther);
+}
+
 bool
 Rollout::IsSame(const Rollout& aOther) const
 {
   return service == aOther.service && target == aOther.target &&
          order == aOther.order && stored == aOther.stored &&
-         storedRevision == aOther.storedRevision && isBad == aOther.isBad;
+         storedRevision == aOther.storedRevision && isBad == aOther.isBad &&
+         isStateLost == aOther.isStateLost;
 }
 
 bool
@@ -95,23 +143,64 @@
     return false;
   }
   auto& known = found->second;
-  if (aRollout.order != known.order) {
-    if (aRollout.order < known.order) {
-      return false;
-    }
-    known = aRollout;
-    return true;
-  }
   const auto before = known;
-  known.begin = std::min(known.begin, aRollout.begin);
-  known.isBad = known.isBad || aRollout.isBad;
-  if (aRollout.storedRevision > known.storedRevision) {
-    known.stored = aRollout.stored;
-    known.storedRevision = aRollout.storedRevision;
+  if (aRollout.order == known.order) {
+    MergeSame(aRollout, known);
+  } else if (known.HasReplaced(aRollout)) {
+    return false;
+  } else if (known.IsRepeatedBy(aRollout)) {
+    MergeRepeated(aRollout, known);
+  } else if (aRollout.order > known.order) {
+    known = aRollout;
+    known.replacedRevision = protocol::RevisionInEra(before.order);
   }
   return !known.IsSame(before);
 }
 
+void
+RolloutBook::MergeRepeated(const Rollout& aRollout, Rollout& aKnown)
+{
+  const auto [earlier, later] = std::minmax(aRollout.order, aKnown.order);
+  auto& positions = aKnown.earlierPositions;
+  if (std::ranges::find(positions, earlier) == positions.end()) {
+    positions.push_back(earlier);
+  }
+  aKnown.order = later;
+  MergeSame(aRollout, aKnown);
+}
+
+void
+RolloutBook::MergeSame(const Rollout& aRollout, Rollout& aKnown)
+{
+  aKnown.begin = std::min(aKnown.begin, aRollout.begin);
+  aKnown.isBad = aKnown.isBad || aRollout.isBad;
+  if (aRollout.storedRevision <= aKnown.storedRevision) {
+    return;
+  }
+  const bool isNewEra = protocol::EraOf(aRollout.storedRevision) >
+                        protocol::EraOf(aKnown.storedRevision);
+  aKnown.storedRevision = aRollout.storedRevision;
+  if (aKnown.IsAheadOf(aRollout) && (isNewEra || aKnown.IsFinal())) {
+    aKnown.isStateLost = true;
+  } else {
+    aKnown.stored = aRollout.stored;
+    aKnown.isStateLost = false;
+  }
+}
+
+bool
+RolloutBook::LoseState(const std::string& aService, std::uint64_t aRevision)
+{
+  const auto found = rollouts_.find(aService);
+  const bool isLost =
+    found != rollouts_.end() && found->second.stored &&
+    protocol::EraOf(found->second.storedRevision) < protocol::EraOf(aRevision);
+  if (isLost) {
+    found->second.isStateLost = true;
+  }
+  return isLost;
+}
+
 bool
 RolloutBook::MergeStored(const std::string& aService,
                          const std::optional<protocol::RolloutStatus>& aStatus,
@@ -121,11 +210,12 @@
   if (found == rollouts_.end() || aRevision <= found->second.storedRevision) {
     return false;
   }
-  auto& known = found->second;
-  known.storedRevision = aRevision;
-  const bool isOwn =
-    aStatus && aStatus->order == known.order && aStatus->target == known.target;
-  known.stored = isOwn ? std::optional(aStatus->state) : std::nullopt;
+  auto stored = found->second;
+  stored.storedRevision = aRevision;
+  stored.stored = aStatus && stored.IsOwn(*aStatus)
+                    ? std::optional(aStatus->state)
+                    : std::nullopt;
+  MergeSame(stored, found->second);
   return true;
 }
 
--- a/Libraries/Coordination/Rollouts/RolloutBook.h
+++ b/Libraries/Coordination/Rollouts/RolloutBook.h
@@ -24,6 +24,12 @@
   std::uint64_t storedRevision = 0;
   /// Some node found the target version bad. Holds until the next order.
   bool isBad = false;
+  /// Positions of this order in earlier eras of the store, as far as known.
+  std::vector<std::uint64_t> earlierPositions = {};
+  /// Revision within its era of the order that this one replaced.
+  std::uint64_t replacedRevision = 0;
+  /// The store came back without the state, so it is written again.
+  bool isStateLost = false;
 
   bool IsFinal() const
   {
@@ -34,6 +40,21 @@
   /// @return the stored state, or "ordered" if there is none.
   std::string_view StateName() const;
 
+  /// Returns whether a state names this order. In a later era a state of an
+  /// earlier one counts if the target is the same.
+  bool IsOwn(const protocol::RolloutStatus& aStatus) const;
+
+  /// Returns whether another order is this one, which the store shows or the
+  /// operator has written again after the return of an earlier copy.
+  bool IsRepeatedBy(const Rollout& aOther) const;
+
+  /// Returns whether another order was replaced by this one and is back with an
+  /// earlier copy of the store.
+  bool HasReplaced(const Rollout& aOther) const;
+
+  /// Returns whether the state is a later one than that of another roll-out.
+  bool IsAheadOf(const Rollout& aOther) const;
+
   /// Compares everything but the times.
   bool IsSame(const Rollout& aOther) const;
 };
@@ -41,7 +62,8 @@
 /// The newest roll-out of each service. Knowledge from the store, from other
 /// nodes and from this node is merged in any order with the same result: a
 /// later order replaces an earlier one, a state of a higher revision an earlier
-/// one, and a node's finding that the version is bad is never taken back.
+/// one, and a node's finding that the version is bad is never taken back. No
+/// return of the store from an earlier copy takes a state back.
 class RolloutBook
 {
 public:
@@ -54,6 +76,11 @@
                    const std::optional<protocol::RolloutStatus>& aStatus,
                    std::uint64_t aRevision);
 
+  /// Records that the store has no state of a service at this position.
+  /// @return true if it had one in an earlier era, which is to be written
+  /// again.
+  bool LoseState(const std::string& aService, std::uint64_t aRevision);
+
   /// @return true if the service has a roll-out and it was not known as bad.
   bool MarkBad(const std::string& aService, std::uint64_t aOrder);
 
@@ -67,6 +94,9 @@
   std::uint32_t Digest() const;
 
 private:
+  static void MergeRepeated(const Rollout& aRollout, Rollout& aKnown);
+  static void MergeSame(const Rollout& aRollout, Rollout& aKnown);
+
   std::map<std::string, Rollout, std::less<>> rollouts_;
 };
 
--- a/Libraries/Coordination/Rollouts/RolloutKeeper.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutKeeper.cpp
@@ -1,5 +1,7 @@
 #include "Coordination/Rollouts/RolloutKeeper.h"
 
+#include "Protocol/StoreRevision.h"
+
 #include <algorithm>
 
 namespace teaselhold::coordination {
@@ -64,6 +66,9 @@
 std::optional<RolloutState>
 RolloutKeeper::NextState(const Rollout& aRollout, state::Instant aNow) const
 {
+  if (aRollout.isStateLost) {
+    return aRollout.stored;
+  }
   if (aRollout.IsFinal()) {
     return std::nullopt;
   }
@@ -147,13 +152,13 @@
     call_ = numbers_.Next();
     pending_ = Call::Write;
     pendingService_ = rollout.service;
-    aCommands.push_back(
-      CallStore{ call_,
-                 StoreSwap{ StateKey(rollout.service),
-                            rollout.storedRevision,
-                            protocol::FormatRolloutStatus(
-                              { *next, rollout.target, rollout.order }),
-                            0 } });
+    aCommands.push_back(CallStore{
+      call_,
+      StoreSwap{
+        StateKey(rollout.service),
+        absentStates_.contains(rollout.service) ? 0 : rollout.storedRevision,
+        protocol::FormatRolloutStatus({ *next, rollout.target, rollout.order }),
+        0 } });
     return;
   }
 }
@@ -163,7 +168,7 @@
 {
   bool isUnfinished = false;
   for (const auto& rollout : book_.All()) {
-    isUnfinished = isUnfinished || !rollout.IsFinal();
+    isUnfinished = isUnfinished || !rollout.IsFinal() || rollout.isStateLost;
     if (rollout.stored != RolloutState::Promoting) {
       promotingSince_.erase(rollout.service);
     } else {
@@ -250,10 +255,14 @@
 RolloutKeeper::OnOrders(const protocol::StoreListing& aListing,
                         state::Instant aNow)
 {
+  const bool isNewEra =
+    readRevision_ != 0 &&
+    protocol::EraOf(aListing.revision) > protocol::EraOf(readRevision_);
   readRevision_ = std::max(pendingRevision_, aListing.revision);
   // Without orders there are no states to know. An order that comes later finds
   // its state by the first write or by other nodes.
-  areStatesKnown_ = areStatesKnown_ || aListing.items.empty();
+  const bool isWithoutOrders = aListing.items.empty() && book_.IsEmpty();
+  areStatesKnown_ = (areStatesKnown_ && !isNewEra) || isWithoutOrders;
   for (const auto& item : aListing.items) {
     const auto service = ServiceOf(item.key, protocol::kRolloutOrderPrefix);
     const auto order = protocol::ParseRolloutOrder(item.value);
@@ -273,19 +282,35 @@
 void
 RolloutKeeper::OnStates(const protocol::StoreListing& aListing)
 {
+  std::set<std::string> listed;
   for (const auto& item : aListing.items) {
     const auto service = ServiceOf(item.key, protocol::kRolloutStatePrefix);
-    if (service && book_.MergeStored(*service,
-                                     protocol::ParseRolloutStatus(item.value),
-                                     item.revision)) {
+    if (!service) {
+      continue;
+    }
+    listed.insert(*service);
+    absentStates_.erase(*service);
+    if (book_.MergeStored(
+          *service, protocol::ParseRolloutStatus(item.value), item.revision)) {
       isPublishDue_ = true;
     }
   }
+  for (const auto& rollout : book_.All()) {
+    if (!listed.contains(rollout.service) &&
+        book_.LoseState(rollout.service, aListing.revision)) {
+      absentStates_.insert(rollout.service);
+    }
+  }
 }
 
 void
 RolloutKeeper::OnSwapped(const protocol::SwapResult& aSwap)
 {
+  if (aSwap.current.revision == 0) {
+    absentStates_.insert(pendingService_);
+    return;
+  }
+  absentStates_.erase(pendingService_);
   if (book_.MergeStored(pendingService_,
                         protocol::ParseRolloutStatus(aSwap.current.value),
                         aSwap.current.revision)) {
--- a/Libraries/Coordination/Rollouts/RolloutKeeper.h
+++ b/Libraries/Coordination/Rollouts/RolloutKeeper.h
@@ -92,6 +92,8 @@
   state::Instant nextCall_{ 0 };
   Backoff backoff_{ kInitialStoreRetryDelay, kMaxStoreRetryDelay };
   std::map<std::string, Wish> wishes_;
+  /// Services whose states the store has lost, as it last showed.
+  std::set<std::string> absentStates_;
   /// When the roll-out of a service was first known to be promoting.
   std::map<std::string, state::Instant> promotingSince_;
   bool isPublishDue_ = false;
--- a/Tests/Coordination/Rollouts/RolloutKeeperTest.cpp
+++ b/Tests/Coordination/Rollouts/RolloutKeeperTest.cpp
@@ -1,4 +1,5 @@
 #include "Coordination/Rollouts/RolloutKeeper.h"
+#include "Protocol/StoreRevision.h"
 
 #include <catch2/catch.hpp>
 
@@ -23,7 +24,20 @@
   std::uint64_t Put(const std::string& aKey, const std::string& aValue)
   {
     items[aKey] = { aValue, ++revision };
-    return revision;
+    return Position(revision);
+  }
+
+  /// Comes back from an earlier copy and begins a new era.
+  void Return(const Store& aCopy)
+  {
+    const auto next = era + 1;
+    *this = aCopy;
+    era = next;
+  }
+
+  std::uint64_t Position(std::uint64_t aRevision) const
+  {
+    return protocol::MakePosition(era, aRevision);
   }
 
   StoreResult Execute(const CallStore& aCall)
@@ -31,22 +45,25 @@
     if (const auto* list = std::get_if<StoreList>(&aCall.request)) {
       ++reads;
       protocol::StoreListing listing;
-      listing.revision = revision;
+      listing.revision = Position(revision);
       for (const auto& [key, item] : items) {
         if (key.starts_with(list->prefix)) {
-          listing.items.push_back({ key, item.value, item.revision });
+          listing.items.push_back({ key, item.value, Position(item.revision) });
         }
       }
       return listing;
     }
     const auto& swap = std::get<StoreSwap>(aCall.request);
     ++writes;
-    auto& item = items[swap.key];
-    const bool isExpected = item.revision == swap.expectedRevision;
-    if (isExpected) {
-      item = { swap.value, ++revision };
+    const auto found = items.find(swap.key);
+    const auto current = found == items.end() ? Item() : found->second;
+    if (Position(current.revision) != swap.expectedRevision) {
+      return protocol::SwapResult{
+        false, { current.value, Position(current.revision) }
+      };
     }
-    return protocol::SwapResult{ isExpected, { item.value, item.revision } };
+    const auto written = Put(swap.key, swap.value);
+    return protocol::SwapResult{ true, { swap.value, written } };
   }
 
   std::optional<protocol::RolloutStatus> Status()
@@ -56,6 +73,7 @@
   }
 
   std::map<std::string, Item> items;
+  std::uint64_t era = 0;
   std::uint64_t revision = 10;
   int reads = 0;
   int writes = 0;
@@ -123,16 +141,36 @@
     }
   }
 
-  void Order()
+  void Order(const std::string& aTarget = "v2")
+  {
+    store.Put(std::string(protocol::kRolloutOrderPrefix) + kService,
+              protocol::FormatRolloutOrder({ aTarget, 15s }));
+    TellOrders();
+  }
+
+  void TellOrders()
   {
-    const auto revision =
-      store.Put(std::string(protocol::kRolloutOrderPrefix) + kService,
-                protocol::FormatRolloutOrder({ "v2", 15s }));
     for (auto& node : nodes) {
-      node->keeper.OnOrdersRevision(revision);
+      node->keeper.OnOrdersRevision(store.Position(store.revision));
     }
   }
 
+  /// The store comes back from an earlier copy, which the watch of each node
+  /// shows.
+  void Return(const Store& aCopy)
+  {
+    store.Return(aCopy);
+    TellOrders();
+  }
+
+  RolloutState StateAt(std::size_t aNode) const
+  {
+    const auto* rollout = nodes[aNode]->keeper.Book().Find(kService);
+    REQUIRE(rollout != nullptr);
+    REQUIRE(rollout->stored);
+    return *rollout->stored;
+  }
+
   void Run(state::Duration aTime)
   {
     const auto end = now + aTime;
@@ -320,3 +358,82 @@
   CHECK(fleet.store.Status()->state == RolloutState::Running);
   CHECK(fleet.store.Status()->order > first);
 }
+
+TEST_CASE("a verdict that an earlier copy of the store lacks is written again")
+{
+  // Guards against a verdict that is reversed because the store lost it.
+  const bool isBad = GENERATE(true, false);
+  const auto verdict =
+    isBad ? RolloutState::RolledBack : RolloutState::Completed;
+  Fleet fleet(3);
+  const auto empty = fleet.store;
+  fleet.Order();
+  const auto ordered = fleet.store;
+  fleet.Run(3s);
+  const auto running = fleet.store;
+  for (auto& node : fleet.nodes) {
+    node->Find(isBad);
+  }
+  fleet.Run(11s);
+  REQUIRE(fleet.store.Status()->state == verdict);
+  SECTION("the copy holds an earlier state")
+  {
+    fleet.Return(running);
+  }
+  SECTION("the copy holds the order alone")
+  {
+    fleet.Return(ordered);
+  }
+  SECTION("the order is written again")
+  {
+    fleet.Return(empty);
+    fleet.Run(500ms);
+    fleet.Order();
+  }
+  fleet.Run(4s);
+  REQUIRE(fleet.store.Status());
+  CHECK(fleet.store.Status()->state == verdict);
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    CHECK(fleet.StateAt(i) == verdict);
+  }
+}
+
+TEST_CASE("an order that was replaced does not return with an earlier copy")
+{
+  // Guards against a node that follows the order before the newest one until
+  // the operator has written that again.
+  Fleet fleet(2);
+  fleet.Order("v2");
+  fleet.Run(2s);
+  const auto copy = fleet.store;
+  fleet.Order("v3");
+  fleet.Run(2s);
+  fleet.Return(copy);
+  fleet.Run(1500ms);
+  CHECK(fleet.nodes[0]->keeper.Book().Find(kService)->target == "v3");
+  fleet.Order("v3");
+  fleet.Run(2500ms);
+  REQUIRE(fleet.store.Status());
+  CHECK(fleet.store.Status()->target == "v3");
+  CHECK(fleet.store.Status()->state == RolloutState::Running);
+}
+
+TEST_CASE("an order after an earlier copy replaces a finished roll-out")
+{
+  // Guards against an order that is taken for one that was carried out because
+  // the store gave its revision out again.
+  Fleet fleet(2);
+  fleet.Order("v2");
+  const auto copy = fleet.store;
+  fleet.Run(2s);
+  fleet.nodes[0]->Find(true);
+  fleet.Run(2s);
+  REQUIRE(fleet.store.Status()->state == RolloutState::RolledBack);
+  fleet.Return(copy);
+  fleet.Run(2500ms);
+  REQUIRE(fleet.store.Status()->state == RolloutState::RolledBack);
+  fleet.Order("v3");
+  fleet.Run(2500ms);
+  CHECK(fleet.store.Status()->target == "v3");
+  CHECK(fleet.store.Status()->state == RolloutState::Running);
+}
