Platform: Tell the revisions of all keys of different eras apart

Whoever looks only for an absent record does not see an older one.

A stale answer may be from before the return whatever era it names, so the first listing of an era is an exact one, and so is the one after four stale answers in a row that were older than the latest listing. A node whose record is another one in the store registers again under a new lease. The return is logged once by each node ("The store came back from an earlier copy.").

Ruled out: leases carry no era. A lease of an earlier era that the store has given out again to another node is renewed by both; the record that it no longer carries is missed by the next listing, and is then written under a new lease.

--- a/Libraries/Coordination/NodeDirectory.cpp
+++ b/Libraries/Coordination/NodeDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "Coordination/DepartureLog.h"
 #include "Coordination/EndpointCodec.h"
+#include "Protocol/StoreRevision.h"
 
 #include <algorithm>
 #include <set>
@@ -21,6 +22,11 @@
 /// polling interval later; OnRecordMissing() allows for the longer intervals of
 /// large fleets.
 constexpr state::Duration kRemovalGracePeriod = std::chrono::milliseconds(3000);
+/// A stale answer is seconds old at most. After this many that were older than
+/// the latest listing, the store itself has gone back.
+constexpr unsigned kMaxOlderAnswers = 4;
+/// Spreads the exact listings of a fleet that notices a new era.
+constexpr int kExactListingSpread = 4;
 
 std::string
 NodeNameFromKey(const std::string& aKey)
@@ -68,8 +74,10 @@
   listCall_ = callNumbers_.Next();
   // The first listing must not miss the record of a previous process of this
   // node.
-  const auto consistency = isListed_ ? protocol::ReadConsistency::Stale
-                                     : protocol::ReadConsistency::Linearizable;
+  isExactListing_ = isExactListingDue_;
+  const auto consistency = isExactListing_
+                             ? protocol::ReadConsistency::Linearizable
+                             : protocol::ReadConsistency::Stale;
   aCommands.push_back(
     CallStore{ listCall_, StoreList{ protocol::kNodePrefix, consistency } });
 }
@@ -89,29 +97,69 @@
     return true;
   }
   backoff_.Reset();
-  // A stale answer may be older than the previous one.
-  if (listing->revision >= listedRevision_) {
-    OnListing(*listing, aNow, aCommands);
-  }
+  OnAnswer(*listing, aNow, aCommands);
   const auto interval = PollInterval();
-  nextListing_ = aNow + random_.Between(interval - interval / 4, interval);
+  nextListing_ =
+    aNow +
+    (isExactListingDue_
+       ? random_.Between(state::Duration{ 0 }, interval / kExactListingSpread)
+       : random_.Between(interval - interval / 4, interval));
   return true;
 }
 
+void
+NodeDirectory::OnAnswer(const protocol::StoreListing& aListing,
+                        state::Instant aNow,
+                        Commands& aCommands)
+{
+  if (!isExactListing_ && !IsUsable(aListing)) {
+    return;
+  }
+  olderAnswers_ = 0;
+  isExactListingDue_ = false;
+  OnListing(aListing, aNow, aCommands);
+}
+
+bool
+NodeDirectory::IsUsable(const protocol::StoreListing& aListing)
+{
+  // A stale answer of a new era may show what was before it.
+  if (protocol::EraOf(aListing.revision) > protocol::EraOf(listedRevision_)) {
+    isExactListingDue_ = true;
+    return false;
+  }
+  if (aListing.revision >= listedRevision_) {
+    return true;
+  }
+  ++olderAnswers_;
+  isExactListingDue_ = olderAnswers_ >= kMaxOlderAnswers;
+  return false;
+}
+
 void
 NodeDirectory::OnListing(const protocol::StoreListing& aListing,
                          state::Instant aNow,
                          Commands& aCommands)
 {
+  if (aListing.revision < listedRevision_) {
+    // What was known is of a history that the store no longer has.
+    for (auto& [key, revision] : revisions_) {
+      revision = 0;
+    }
+  }
   std::set<std::string> listed;
   for (const auto& item : aListing.items) {
     if (const auto node = NodeOfDepartures(item.key)) {
-      OnDepartures(*node, item.value);
+      OnDepartures(*node, ParseDepartures(item.value));
       continue;
     }
     listed.insert(item.key);
     OnRecord(item.key, item.value, item.revision);
   }
+  if (isListed_ &&
+      protocol::EraOf(aListing.revision) != protocol::EraOf(listedRevision_)) {
+    LogNewEra(aListing, aCommands);
+  }
   std::vector<std::string> missing;
   for (const auto& [key, revision] : revisions_) {
     if (!listed.contains(key)) {
@@ -133,6 +181,20 @@
   isListed_ = true;
 }
 
+void
+NodeDirectory::LogNewEra(const protocol::StoreListing& aListing,
+                         Commands& aCommands) const
+{
+  aCommands.push_back(WriteLog{
+    LogLevel::Warning,
+    "store",
+    "The store came back from an earlier copy. era=" +
+      std::to_string(protocol::EraOf(aListing.revision)) + " revision=" +
+      std::to_string(protocol::RevisionInEra(aListing.revision)) +
+      " earlier_revision=" +
+      std::to_string(protocol::RevisionInEra(listedRevision_)) });
+}
+
 void
 NodeDirectory::OnRecord(const std::string& aKey,
                         const std::string& aValue,
@@ -146,6 +208,7 @@
   removalTimes_.erase(aKey);
   if (aKey == ownKey_) {
     ownRevision_ = aRevision;
+    ownValue_ = aValue;
     LearnFromOwnRecord(aValue);
     return;
   }
@@ -169,10 +232,10 @@
 }
 
 void
-NodeDirectory::OnDepartures(const std::string& aNode, const std::string& aValue)
+NodeDirectory::OnDepartures(const std::string& aNode,
+                            const state::DepartureSet& aDepartures)
 {
-  const auto departures = ParseDepartures(aValue);
-  for (const auto& run : departures.Runs()) {
+  for (const auto& run : aDepartures.Runs()) {
     AddDeparture(aNode, run);
   }
 }
--- a/Libraries/Coordination/NodeDirectory.h
+++ b/Libraries/Coordination/NodeDirectory.h
@@ -62,12 +62,23 @@
   /// absent.
   std::uint64_t OwnRevision() const { return ownRevision_; }
 
+  /// Returns the value of the latest known own record, which may be absent now.
+  const std::string& OwnValue() const { return ownValue_; }
+
   /// Returns the revision of the latest listing that did not contain this
   /// node's own record.
   std::uint64_t OwnAbsentRevision() const { return ownAbsentRevision_; }
 
 private:
   state::Duration PollInterval() const;
+  /// Takes a listing unless it is older than the latest one.
+  void OnAnswer(const protocol::StoreListing& aListing,
+                state::Instant aNow,
+                Commands& aCommands);
+  /// Returns whether a stale answer may show the store as it is now.
+  bool IsUsable(const protocol::StoreListing& aListing);
+  void LogNewEra(const protocol::StoreListing& aListing,
+                 Commands& aCommands) const;
   void OnListing(const protocol::StoreListing& aListing,
                  state::Instant aNow,
                  Commands& aCommands);
@@ -77,7 +88,8 @@
   void OnRecordMissing(const std::string& aKey,
                        std::uint64_t aRevision,
                        state::Instant aNow);
-  void OnDepartures(const std::string& aNode, const std::string& aValue);
+  void OnDepartures(const std::string& aNode,
+                    const state::DepartureSet& aDepartures);
   void EraseExpired(state::Instant aNow, Commands& aCommands);
 
   std::string ownKey_;
@@ -92,8 +104,14 @@
   state::DepartureSet ownDepartures_;
   bool isOwnDeparturesChanged_ = false;
   std::uint64_t ownRevision_ = 0;
+  std::string ownValue_;
   std::uint64_t ownAbsentRevision_ = 0;
   std::uint64_t listedRevision_ = 0;
+  /// Stale answers in a row that were older than the latest listing.
+  unsigned olderAnswers_ = 0;
+  /// The next listing must show the store as it is now.
+  bool isExactListingDue_ = true;
+  bool isExactListing_ = false;
   std::uint64_t listCall_ = 0;
   state::Instant nextListing_{ 0 };
   bool isListed_ = false;
--- a/Libraries/Coordination/NodeRegistration.cpp
+++ b/Libraries/Coordination/NodeRegistration.cpp
@@ -54,6 +54,13 @@
                 "Record was removed from the store; registering again." });
     ResetRegistration();
   }
+  if (IsReplaced(aDirectory)) {
+    aCommands.push_back(
+      WriteLog{ LogLevel::Info,
+                "membership",
+                "Record in the store is another one; registering again." });
+    ResetRegistration();
+  }
   if (lease_ == 0) {
     pending_ = Pending::Grant;
     SendCall(aCommands, StoreGrant{ kLeaseDuration });
@@ -70,6 +77,13 @@
   }
 }
 
+bool
+NodeRegistration::IsReplaced(const NodeDirectory& aDirectory) const
+{
+  return !storedValue_.empty() && aDirectory.OwnRevision() > revision_ &&
+         aDirectory.OwnValue() != storedValue_;
+}
+
 bool
 NodeRegistration::OnStoreAnswer(const StoreAnswered& aAnswer,
                                 state::Instant aNow,
--- a/Libraries/Coordination/NodeRegistration.h
+++ b/Libraries/Coordination/NodeRegistration.h
@@ -36,6 +36,9 @@
   void OnRenewed(const StoreResult& aResult,
                  state::Instant aNow,
                  Commands& aCommands);
+  /// Returns whether the store holds another record than the one that this
+  /// process wrote, as after its return from an earlier copy.
+  bool IsReplaced(const NodeDirectory& aDirectory) const;
   void ResetRegistration();
   void SendCall(Commands& aCommands, decltype(CallStore::request) aRequest);
 
