Coordination: Write departures again that the store has lost

Cause: only the process that wrote a departure wrote it again. The other nodes had seen it in their listings, but took the next listing as the whole truth; with the writer's process the departure was gone from the store, from which the restarted node learns it.

Change: at the first listing of a new era each node compares what the listing before it showed. The departures that are missing are written again by the readers, a few nodes of each fleet, and by the node beside the upstream. The log line of the return counts them.

Weighed: every node writes (6,500 writes for each departure, too many for the store's rate); the first to notice writes (no order among them without calls). Readers: 650 departures of a data centre in the lost seconds are 650 writes by each, one after the other.

What remains: a departure that was acknowledged, written and lost before any other node listed it (0.8 to 2.5 s), and whose writer is killed before its next listing, is known to nobody.

--- a/Libraries/Coordination/DepartureLog.cpp
+++ b/Libraries/Coordination/DepartureLog.cpp
@@ -63,6 +63,17 @@
   nextAttempt_ = std::min(nextAttempt_, aNow);
 }
 
+void
+DepartureLog::Restore(const std::string& aNode,
+                      const state::DepartureSet& aDepartures,
+                      state::Instant aNow)
+{
+  auto& unsaved = unsaved_[aNode];
+  unsaved.departures.Merge(aDepartures);
+  unsaved.expiry = std::max(unsaved.expiry, aNow + kLeaseDuration);
+  nextAttempt_ = std::min(nextAttempt_, aNow);
+}
+
 void
 DepartureLog::Tick(state::Instant aNow, Commands& aCommands)
 {
--- a/Libraries/Coordination/DepartureLog.h
+++ b/Libraries/Coordination/DepartureLog.h
@@ -38,6 +38,11 @@
   /// that its upstream has long ended.
   void Add(const UpstreamDeparted& aDeparture, state::Instant aNow);
 
+  /// Writes departures again that the store has lost.
+  void Restore(const std::string& aNode,
+               const state::DepartureSet& aDepartures,
+               state::Instant aNow);
+
   /// Compares a listing of the nodes with what was written. A key that was
   /// removed before its lease ended, as by an operator of the store, is written
   /// again.
--- a/Libraries/Coordination/DirectCore.cpp
+++ b/Libraries/Coordination/DirectCore.cpp
@@ -249,6 +249,7 @@
           std::get_if<protocol::StoreListing>(&aAnswer.result)) {
       departures_.OnListing(*listing, aNow);
     }
+    RestoreLostDepartures(aNow);
     return;
   }
   const bool isHandled = follower_.OnStoreAnswer(aAnswer, aNow) ||
@@ -260,6 +261,18 @@
   }
 }
 
+void
+DirectCore::RestoreLostDepartures(state::Instant aNow)
+{
+  // The few readers know what all nodes know, so that each departure is written
+  // a few times rather than once by each node.
+  for (const auto& [node, departures] : directory_.TakeLostDepartures()) {
+    if (isReader_ || node == self_.node) {
+      departures_.Restore(node, departures, aNow);
+    }
+  }
+}
+
 void
 DirectCore::OnRegistrationAnswer(const StoreAnswered& aAnswer,
                                  state::Instant aNow,
--- a/Libraries/Coordination/DirectCore.h
+++ b/Libraries/Coordination/DirectCore.h
@@ -51,6 +51,8 @@
   void OnStoreAnswer(const StoreAnswered& aAnswer,
                      state::Instant aNow,
                      Commands& aCommands);
+  /// Writes the departures again that the store has lost.
+  void RestoreLostDepartures(state::Instant aNow);
   void OnRegistrationAnswer(const StoreAnswered& aAnswer,
                             state::Instant aNow,
                             Commands& aCommands);
--- a/Libraries/Coordination/NodeDirectory.cpp
+++ b/Libraries/Coordination/NodeDirectory.cpp
@@ -148,9 +148,11 @@
     }
   }
   std::set<std::string> listed;
+  DeparturesByNode departures;
   for (const auto& item : aListing.items) {
     if (const auto node = NodeOfDepartures(item.key)) {
-      OnDepartures(*node, ParseDepartures(item.value));
+      departures[*node] = ParseDepartures(item.value);
+      OnDepartures(*node, departures[*node]);
       continue;
     }
     listed.insert(item.key);
@@ -158,8 +160,9 @@
   }
   if (isListed_ &&
       protocol::EraOf(aListing.revision) != protocol::EraOf(listedRevision_)) {
-    LogNewEra(aListing, aCommands);
+    OnNewEra(aListing, departures, aCommands);
   }
+  listedDepartures_ = std::move(departures);
   std::vector<std::string> missing;
   for (const auto& [key, revision] : revisions_) {
     if (!listed.contains(key)) {
@@ -182,9 +185,18 @@
 }
 
 void
-NodeDirectory::LogNewEra(const protocol::StoreListing& aListing,
-                         Commands& aCommands) const
+NodeDirectory::OnNewEra(const protocol::StoreListing& aListing,
+                        const DeparturesByNode& aDepartures,
+                        Commands& aCommands)
 {
+  for (const auto& [node, known] : listedDepartures_) {
+    const auto found = aDepartures.find(node);
+    auto kept =
+      found == aDepartures.end() ? state::DepartureSet() : found->second;
+    if (kept.Merge(known)) {
+      lostDepartures_[node].Merge(known);
+    }
+  }
   aCommands.push_back(WriteLog{
     LogLevel::Warning,
     "store",
@@ -192,7 +204,8 @@
       std::to_string(protocol::EraOf(aListing.revision)) + " revision=" +
       std::to_string(protocol::RevisionInEra(aListing.revision)) +
       " earlier_revision=" +
-      std::to_string(protocol::RevisionInEra(listedRevision_)) });
+      std::to_string(protocol::RevisionInEra(listedRevision_)) +
+      " lost_departures=" + std::to_string(lostDepartures_.size()) });
 }
 
 void
--- a/Libraries/Coordination/NodeDirectory.h
+++ b/Libraries/Coordination/NodeDirectory.h
@@ -19,6 +19,8 @@
 class NodeDirectory
 {
 public:
+  using DeparturesByNode = std::map<std::string, state::DepartureSet>;
+
   NodeDirectory(std::string aOwnNode,
                 StoreCallNumbers& aCallNumbers,
                 RandomSource& aRandom);
@@ -69,6 +71,13 @@
   /// node's own record.
   std::uint64_t OwnAbsentRevision() const { return ownAbsentRevision_; }
 
+  /// Returns the departures that the store held and lost as it came back from
+  /// an earlier copy, once.
+  DeparturesByNode TakeLostDepartures()
+  {
+    return std::exchange(lostDepartures_, {});
+  }
+
 private:
   state::Duration PollInterval() const;
   /// Takes a listing unless it is older than the latest one.
@@ -77,8 +86,10 @@
                 Commands& aCommands);
   /// Returns whether a stale answer may show the store as it is now.
   bool IsUsable(const protocol::StoreListing& aListing);
-  void LogNewEra(const protocol::StoreListing& aListing,
-                 Commands& aCommands) const;
+  /// Begins a new era of the store with its first listing.
+  void OnNewEra(const protocol::StoreListing& aListing,
+                const DeparturesByNode& aDepartures,
+                Commands& aCommands);
   void OnListing(const protocol::StoreListing& aListing,
                  state::Instant aNow,
                  Commands& aCommands);
@@ -107,6 +118,9 @@
   std::string ownValue_;
   std::uint64_t ownAbsentRevision_ = 0;
   std::uint64_t listedRevision_ = 0;
+  /// What the latest listing showed.
+  DeparturesByNode listedDepartures_;
+  DeparturesByNode lostDepartures_;
   /// Stale answers in a row that were older than the latest listing.
   unsigned olderAnswers_ = 0;
   /// The next listing must show the store as it is now.
--- a/Tests/Platform/ListedKeysEarlierCopyTest.cpp
+++ b/Tests/Platform/ListedKeysEarlierCopyTest.cpp
@@ -141,3 +141,28 @@
   one.RunFor(2s);
   CHECK(store.HasDeparture("one", kFirstRun));
 }
+
+TEST_CASE("a departure outlives an earlier copy and the node that wrote it")
+{
+  EarlierCopyStore store;
+  ConnectedCore other(store.store, "other");
+  other.Announce(kSecondRun);
+  other.RunFor(1s);
+  stand_in::StoreState copy{ 0, 0 };
+  {
+    ConnectedCore one(store.store, "one");
+    one.Announce(kFirstRun);
+    one.RunFor(1s);
+    copy = store.store.Copy();
+    one.Depart("one", kFirstRun);
+    one.RunFor(1s);
+  }
+  store.WriteMuch();
+  other.RunFor(2s);
+  REQUIRE(store.HasDeparture("one", kFirstRun));
+  store.Return(copy);
+  other.RunFor(2s);
+  CHECK(store.HasDeparture("one", kFirstRun));
+  REQUIRE(other.Find("one") != nullptr);
+  CHECK(other.Find("one")->state == EndpointState::Gone);
+}
