Platform: Let no write win by a revision that was given out again

What callers would see: two nodes believe that their write of one key took effect, such as two different states of a roll-out.

Evidence: "a write that is the first call after an earlier copy has not won" failed before (it had won). What remains: the write itself took effect and replaced a value. Nothing in the published protocol makes a write conditional on the era. The value's own writer notices by its next read.

--- a/Tests/Platform/EarlierCopyTest.cpp
+++ b/Tests/Platform/EarlierCopyTest.cpp
@@ -152,3 +152,20 @@
   CHECK_FALSE(written->swapped);
   CHECK(written->current.value == "four");
 }
+
+TEST_CASE("a write that is the first call after an earlier copy has not won")
+{
+  // Guards against a write that counts as won because its condition held by
+  // accident, so that nobody looks what it replaced.
+  RestoredStore restored(1);
+  restored.store.Restore(restored.copy, kKey, { "three", "four" });
+  const auto written = restored.client->CompareAndSwap(
+    kConfigurationKey, restored.known.revision, "five", 0, 1s);
+  REQUIRE_FALSE(written);
+  CHECK(written.error().code == StoreErrorCode::Unknown);
+  const auto again = restored.client->CompareAndSwap(
+    kConfigurationKey, restored.known.revision, "six", 0, 1s);
+  REQUIRE(again);
+  CHECK_FALSE(again->swapped);
+  CHECK(again->current.value == "five");
+}
