Protocol: Keep an accepted configuration in a form of its own

The moved route stayed with its old service and the withdrawn key still opened it, for good; a node that started then had no configuration at all (CONFIG).

Cause: on the platform the operator's document took a detour through the product's own text for people. The digests of all keys of an account became one line; IniDocument::kMaxLineBytes (16 KiB) refuses it from 249 keys on, and with it the whole version. This limit is one of a family: names of 63 plain characters, hosts without a port, prefixes without spaces, times of at least 1 ms, a weight above 0, unique section names, 2,000 services, 20,000 routes, 8 MiB; and each contradiction between two items. All of them are right for a text that a person applies and can correct at once, and wrong for a version that the store has acknowledged.

Is it allowed? PROTOCOL.md: "The store accepts only valid configurations", and the acknowledgement is "from which all bounds are measured". No page limits keys, names or weights but `maxValueBytes`.

Change: the adapter decodes the document into ConfigurationParts and writes them with ConfigurationEncoding, which has no limits of its own: escaped names of any bytes, a line for each key, sections of about 64 keys, so that a withdrawn key of a large account stays a small change. Sections are as before, so deltas, digests and the log of changes work unchanged. Operators' texts keep all their checks, and cannot be taken for this form. Where one item cannot be understood or contradicts another, it harms only what uses it, with a note in the log: the table is in design.md, section 8.

Tests that changed: three cases of "an unreadable document gives a defect" (a kind, a time-out and a weight of one route) and "a route to a service that is not listed is refused as a whole" held that such an item refuses the version. That was the fault. They now hold what the item does and that all others are in force; the defects of a whole document stay.

Weighed: longer lines and quoted names in the text (the next limit is met the same way); protobuf between nodes (deltas, digests and logs would be written anew, for the same bytes).

--- a/Libraries/Protocol/ConfigurationText.cpp
+++ b/Libraries/Protocol/ConfigurationText.cpp
@@ -1,5 +1,6 @@
 #include "Protocol/ConfigurationText.h"
 
+#include "Protocol/Configurations/ConfigurationEncoding.h"
 #include "Protocol/IniDocument.h"
 #include "Protocol/Suggestion.h"
 
@@ -23,14 +24,6 @@
 constexpr double kMaxRequestsPerSecond = 1e6;
 constexpr std::chrono::milliseconds kMaxTimeout = std::chrono::minutes(10);
 
-bool
-IsDigest(std::string_view aText)
-{
-  constexpr std::size_t kDigits = 64;
-  return aText.size() == kDigits &&
-         aText.find_first_not_of("0123456789abcdef") == std::string_view::npos;
-}
-
 bool
 IsName(std::string_view aText)
 {
@@ -61,15 +54,46 @@
   return parts;
 }
 
+using Compiled =
+  tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>;
+
+Compiled
+BuildParts(ConfigurationParts aParts,
+           std::string_view aText,
+           state::Generation aGeneration)
+{
+  state::ConfigurationBuilder builder;
+  builder.SetGeneration(aGeneration).SetText(std::string(aText));
+  for (auto& service : aParts.services) {
+    builder.AddService(std::move(service));
+  }
+  for (auto& route : aParts.routes) {
+    builder.AddRoute(std::move(route));
+  }
+  for (auto& account : aParts.accounts) {
+    builder.AddAccount(std::move(account));
+  }
+  if (aParts.limits) {
+    builder.SetLimits(*aParts.limits);
+  }
+  if (aParts.requiresKeys) {
+    builder.RequireKeys();
+  }
+  return builder.Build().map_error([](const state::StateError& aError) {
+    return std::vector<ProtocolError>{
+      { ProtocolErrorCode::InvalidValue, 0, aError.message }
+    };
+  });
+}
+
 /// Compiles one document, collecting errors.
 class Compiler
 {
 public:
-  tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>> Compile(
-    const IniDocument& aDocument,
-    std::vector<ProtocolError> aSyntaxErrors,
-    std::string_view aText,
-    state::Generation aGeneration)
+  Compiled Compile(const IniDocument& aDocument,
+                   std::vector<ProtocolError> aSyntaxErrors,
+                   std::string_view aText,
+                   state::Generation aGeneration)
   {
     // A name or key in an unreadable line would be reported as missing.
     isWhole_ = aSyntaxErrors.empty();
@@ -86,7 +110,12 @@
       std::ranges::stable_sort(errors_, {}, &ProtocolError::line);
       return tl::make_unexpected(std::move(errors_));
     }
-    return Build(aText, aGeneration);
+    return BuildParts({ std::move(services_),
+                        std::move(routes_),
+                        std::move(accounts_),
+                        limits_ },
+                      aText,
+                      aGeneration);
   }
 
 private:
@@ -362,21 +391,24 @@
     if (entry == nullptr) {
       return;
     }
-    aAccount.keyDigests = SplitList(entry->value);
-    for (const auto& digest : aAccount.keyDigests) {
-      const auto known = keyAccounts_.emplace(digest, aAccount.name);
-      if (!IsDigest(digest)) {
+    for (const auto& text : SplitList(entry->value)) {
+      const auto digest = state::ParseDigest(text);
+      if (!digest) {
         // The value is not repeated: it may be a key by mistake.
         Fail(ProtocolErrorCode::InvalidValue,
              entry->line,
              "bad value for \"key_digests\"; expected SHA-256 digests of 64 "
              "lower-case hexadecimal digits");
-      } else if (!known.second) {
+        continue;
+      }
+      const auto known = keyAccounts_.emplace(*digest, aAccount.name);
+      if (!known.second) {
         Fail(ProtocolErrorCode::InvalidValue,
              entry->line,
              "account \"" + aAccount.name + "\" has a key of account \"" +
                known.first->second + "\"");
       }
+      aAccount.keyDigests.push_back(*digest);
     }
   }
 
@@ -607,31 +639,6 @@
     aFinished.insert(aName);
   }
 
-  tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>> Build(
-    std::string_view aText,
-    state::Generation aGeneration)
-  {
-    state::ConfigurationBuilder builder;
-    builder.SetGeneration(aGeneration).SetText(std::string(aText));
-    for (auto& service : services_) {
-      builder.AddService(std::move(service));
-    }
-    for (auto& route : routes_) {
-      builder.AddRoute(std::move(route));
-    }
-    for (auto& account : accounts_) {
-      builder.AddAccount(std::move(account));
-    }
-    if (limits_) {
-      builder.SetLimits(*limits_);
-    }
-    return builder.Build().map_error([](const state::StateError& aError) {
-      return std::vector<ProtocolError>{
-        { ProtocolErrorCode::InvalidValue, 0, aError.message }
-      };
-    });
-  }
-
   std::vector<ProtocolError> errors_;
   std::vector<state::ServiceSpec> services_;
   std::vector<state::RouteSpec> routes_;
@@ -641,20 +648,37 @@
   std::map<std::string, std::size_t> dependencyLines_;
   std::map<std::string, std::size_t> routeLines_;
   std::map<std::string, std::pair<std::string, std::size_t>> matches_;
-  /// The account of each key digest.
-  std::map<std::string, std::string> keyAccounts_;
+  /// The account of each key.
+  std::map<state::KeyDigest, std::string> keyAccounts_;
   bool cyclesAllowed_ = false;
   bool isWhole_ = true;
 };
 
+Compiled
+CompileText(std::string_view aText, state::Generation aGeneration)
+{
+  std::vector<ProtocolError> errors;
+  const auto document = IniDocument::ParseReadable(aText, errors);
+  return Compiler().Compile(document, std::move(errors), aText, aGeneration);
+}
+
+Compiled
+CompileEncoded(std::string_view aText, state::Generation aGeneration)
+{
+  auto parts = DecodeConfiguration(aText);
+  if (!parts) {
+    return tl::make_unexpected(std::vector<ProtocolError>{ parts.error() });
+  }
+  return BuildParts(std::move(*parts), aText, aGeneration);
+}
+
 } // namespace
 
 tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
 CompileConfiguration(std::string_view aText, state::Generation aGeneration)
 {
-  std::vector<ProtocolError> errors;
-  const auto document = IniDocument::ParseReadable(aText, errors);
-  return Compiler().Compile(document, std::move(errors), aText, aGeneration);
+  return IsEncodedConfiguration(aText) ? CompileEncoded(aText, aGeneration)
+                                       : CompileText(aText, aGeneration);
 }
 
 tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
@@ -667,7 +691,7 @@
         "the text has " + std::to_string(aText.size()) + " bytes; at most " +
           std::to_string(kMaxSubmissionBytes) + " are allowed" } });
   }
-  return CompileConfiguration(aText, aGeneration);
+  return CompileText(aText, aGeneration);
 }
 
 std::string
--- a/Libraries/Protocol/ConfigurationText.h
+++ b/Libraries/Protocol/ConfigurationText.h
@@ -14,12 +14,13 @@
 /// which some bytes are for the fields beside the text.
 inline constexpr std::size_t kMaxSubmissionBytes = 1024 * 1024 - 16 * 1024;
 
-/// Checks an operators' text and compiles it. Returns every error at once. What
-/// the store already holds is compiled whatever its size, as it was accepted.
+/// Compiles what the store already holds or another node sent, whatever its
+/// size, as it was accepted: an encoded configuration, or an operators' text,
+/// which is checked. Returns every error at once.
 tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
 CompileConfiguration(std::string_view aText, state::Generation aGeneration);
 
-/// As CompileConfiguration(), for a text that is yet to be written to the
+/// Checks and compiles an operators' text that is yet to be written to the
 /// store: one that the store could not hold is refused.
 tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
 CompileSubmission(std::string_view aText, state::Generation aGeneration);
--- a/Libraries/Protocol/IniDocument.h
+++ b/Libraries/Protocol/IniDocument.h
@@ -31,8 +31,7 @@
 class IniDocument
 {
 public:
-  /// Bounds the memory for a text. An operator's document of 1 MB can become
-  /// several times as long when it is translated.
+  /// Bounds the memory for a text.
   static constexpr std::size_t kMaxBytes = 8 * 1024 * 1024;
   static constexpr std::size_t kMaxLineBytes = 16 * 1024;
   /// Reading stops after this many errors, so that noise gives a short report.
--- a/Libraries/State/Configuration.cpp
+++ b/Libraries/State/Configuration.cpp
@@ -20,7 +20,7 @@
 std::string_view
 WithoutTrailingSlash(std::string_view aPath)
 {
-  while (aPath.size() > 1 && aPath.back() == '/') {
+  if (aPath.size() > 1 && aPath.back() == '/') {
     aPath.remove_suffix(1);
   }
   return aPath;
@@ -29,10 +29,10 @@
 std::vector<std::string>
 ServicesOf(const RouteSpec& aRoute)
 {
-  if (aRoute.targets.empty()) {
-    return { aRoute.service };
-  }
   std::vector<std::string> services;
+  if (!aRoute.service.empty()) {
+    services.push_back(aRoute.service);
+  }
   for (const auto& target : aRoute.targets) {
     services.push_back(target.service);
   }
@@ -48,6 +48,13 @@
 
 } // namespace
 
+std::string
+MatchKey(const RouteSpec& aRoute)
+{
+  return aRoute.host + " " +
+         RouteKey(aRoute.method, WithoutTrailingSlash(aRoute.pathPrefix));
+}
+
 const ServiceSpec*
 Configuration::FindService(std::string_view aName) const
 {
@@ -63,10 +70,12 @@
 }
 
 const AccountSpec*
-Configuration::FindAccountByKey(std::string_view aDigest) const
+Configuration::FindAccountByKey(const KeyDigest& aDigest) const
 {
-  const auto found = keyIndex_.find(aDigest);
-  return found == keyIndex_.end() ? nullptr : &accounts_[found->second];
+  const auto found = std::ranges::lower_bound(
+    keyIndex_, aDigest, {}, &std::pair<KeyDigest, std::size_t>::first);
+  const bool isFound = found != keyIndex_.end() && found->first == aDigest;
+  return isFound ? &accounts_[found->second] : nullptr;
 }
 
 const RouteSpec*
@@ -88,7 +97,10 @@
                          std::string_view aTarget,
                          std::string_view aHost) const
 {
-  auto index = routeIndex_.find(aHost.substr(0, aHost.find(':')));
+  auto index = routeIndex_.find(aHost);
+  if (index == routeIndex_.end()) {
+    index = routeIndex_.find(aHost.substr(0, aHost.find(':')));
+  }
   if (index == routeIndex_.end()) {
     index = routeIndex_.find("");
   }
@@ -176,6 +188,13 @@
   return *this;
 }
 
+ConfigurationBuilder&
+ConfigurationBuilder::RequireKeys()
+{
+  configuration_->requiresKeys_ = true;
+  return *this;
+}
+
 tl::expected<ConfigurationPointer, StateError>
 ConfigurationBuilder::Build()
 {
@@ -214,16 +233,22 @@
       return Invalid("account \"" + account.name + "\" is defined twice");
     }
     for (const auto& digest : account.keyDigests) {
-      if (!built->keyIndex_.emplace(digest, i).second) {
-        return Invalid("account \"" + account.name +
-                       "\" has a key that stands twice");
-      }
+      built->keyIndex_.emplace_back(digest, i);
     }
     // An account of which only max_in_flight is known names itself in a header
     // and holds no keys.
     built->requiresKeys_ = built->requiresKeys_ || account.maxInFlight == 0 ||
                            !account.keyDigests.empty();
   }
+  std::ranges::sort(built->keyIndex_);
+  const auto twice =
+    std::ranges::adjacent_find(built->keyIndex_,
+                               std::ranges::equal_to(),
+                               &std::pair<KeyDigest, std::size_t>::first);
+  if (twice != built->keyIndex_.end()) {
+    return Invalid("account \"" + built->accounts_[twice->second].name +
+                   "\" has a key that stands twice");
+  }
   return built;
 }
 
--- a/Libraries/State/Configuration.h
+++ b/Libraries/State/Configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "State/KeyDigest.h"
 #include "State/RequestClass.h"
 #include "State/StateError.h"
 
@@ -12,6 +13,7 @@
 #include <string_view>
 #include <tl/expected.hpp>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace teaselhold::state {
@@ -48,7 +50,7 @@
   std::string method;
   /// Without a trailing slash once it is built.
   std::string pathPrefix;
-  /// Empty if the route has targets.
+  /// Empty if the route has targets. A route with neither refuses its requests.
   std::string service;
   RequestClass requestClass = RequestClass::Lookup;
   bool isIdempotent = false;
@@ -74,6 +76,10 @@
   bool isPublic = false;
 };
 
+/// @return a text that two routes share if they match the same requests.
+std::string
+MatchKey(const RouteSpec& aRoute);
+
 /// What a client may send, and how long it may take or stay idle. Applies to
 /// the connections of callers.
 struct ClientLimits
@@ -92,9 +98,7 @@
   std::string name;
   /// Requests in flight beside one upstream; 0 for no limit.
   std::uint32_t maxInFlight = 0;
-  /// SHA-256 digests of the keys, as 64 hexadecimal digits. A key itself is in
-  /// no text, log line or message between nodes.
-  std::vector<std::string> keyDigests = {};
+  std::vector<KeyDigest> keyDigests = {};
   /// Replaces the priority of the route; empty leaves it to the route.
   std::optional<std::uint32_t> priority = std::nullopt;
   /// Requests that all nodes together let pass: per second, and at once on top.
@@ -132,14 +136,13 @@
   /// @return nullptr if there is no such account.
   const AccountSpec* FindAccount(std::string_view aName) const;
 
-  /// @param aDigest as in AccountSpec::keyDigests.
   /// @return nullptr if no account holds such a key.
-  const AccountSpec* FindAccountByKey(std::string_view aDigest) const;
+  const AccountSpec* FindAccountByKey(const KeyDigest& aDigest) const;
 
   /// Returns the route with the longest matching path prefix among the routes
   /// of the host, or among those without a host if the host has none. A prefix
-  /// matches whole path segments; the query and the port of the host are
-  /// ignored.
+  /// matches whole path segments; the query is ignored, and so is the port of
+  /// the host unless routes name it.
   /// @return nullptr if no route matches.
   const RouteSpec* FindRoute(std::string_view aMethod,
                              std::string_view aTarget,
@@ -161,7 +164,8 @@
   std::vector<AccountSpec> accounts_;
   std::map<std::string, std::size_t, std::less<>> serviceIndex_;
   std::map<std::string, std::size_t, std::less<>> accountIndex_;
-  std::map<std::string, std::size_t, std::less<>> keyIndex_;
+  /// Of each key, in their order, with the position of the account.
+  std::vector<std::pair<KeyDigest, std::size_t>> keyIndex_;
   bool requiresKeys_ = false;
   /// Routes of one host, keyed by "METHOD /prefix".
   using RouteIndex = std::unordered_map<std::string, std::size_t>;
@@ -186,6 +190,8 @@
   ConfigurationBuilder& AddRoute(RouteSpec aRoute);
   ConfigurationBuilder& AddAccount(AccountSpec aAccount);
   ConfigurationBuilder& SetLimits(ClientLimits aLimits);
+  /// Requests need keys even if no account holds one.
+  ConfigurationBuilder& RequireKeys();
 
   /// Fails if a name or a key stands twice or a route or dependency names a
   /// service that does not exist. Leaves the builder empty.
--- a/Tests/Coordination/Accounts/KeyCheckTest.cpp
+++ b/Tests/Coordination/Accounts/KeyCheckTest.cpp
@@ -83,7 +83,7 @@
   // Guards against a reader of the configuration text, which holds digests,
   // that sends one of them as a key.
   const auto configuration = MakeConfiguration();
-  const auto digest = state::DigestOfKey(kKey);
+  const auto digest = state::FormatDigest(state::DigestOfKey(kKey));
   const auto result =
     CheckKey(*configuration, Route(configuration, "/lodge/1"), { digest, 1 });
   REQUIRE_FALSE(result);
--- a/Tests/Coordination/Accounts/RevocationExplorationTest.cpp
+++ b/Tests/Coordination/Accounts/RevocationExplorationTest.cpp
@@ -41,7 +41,7 @@
   builder.SetGeneration(aGeneration);
   state::AccountSpec account;
   account.name = "one";
-  account.keyDigests = { std::string(64, 'a') };
+  account.keyDigests = { state::KeyDigest{} };
   builder.AddAccount(account);
   return builder.Build().value();
 }
--- a/Tests/Platform/OperatorConfigurationTest.cpp
+++ b/Tests/Platform/OperatorConfigurationTest.cpp
@@ -115,24 +115,64 @@
 TEST_CASE("an unreadable document gives a defect instead of a text")
 {
   const std::string good = kDocument;
-  for (const auto& bad :
-       { good.substr(0, good.size() / 2),
-         Replace(good, "\"r12\"", "12"),
-         Replace(good, "\"kind\":\"safe\"", "\"type\":\"safe\""),
-         Replace(good, "\"timeout\":\"1.2s\"", "\"timeout\":1200"),
-         Replace(good, "\"virtualHosts\"", "\"hosts\""),
-         Replace(good, "\"weight\":10", "\"weight\":\"ten\"") }) {
+  for (const auto& bad : { good.substr(0, good.size() / 2),
+                           Replace(good, "\"r12\"", "12"),
+                           Replace(good, "\"virtualHosts\"", "\"hosts\""),
+                           Replace(good, "\"services\"", "\"names\"") }) {
     const auto stored = Translate(bad);
     CHECK_FALSE(stored.defect().empty());
     CHECK(stored.text().empty());
   }
 }
 
-TEST_CASE("a route to a service that is not listed is refused as a whole")
+TEST_CASE("an unreadable member of one route harms no other route")
 {
+  // Guards against a version that is refused whole for one member of one route.
+  struct Case
+  {
+    const char* known;
+    const char* changed;
+    const char* note;
+  };
+  const auto item =
+    GENERATE(Case{ R"("kind":"safe")",
+                   R"("type":"safe")",
+                   "route r-1 has the unknown kind null" },
+             Case{ R"("timeout":"1.2s")",
+                   R"("timeout":1200)",
+                   "route r-1 has the unknown timeout 1200" },
+             Case{ R"("weight":10)",
+                   R"("weight":"ten")",
+                   "route r-1 has the unknown target "
+                   "{\"service\":\"kafi81c\",\"weight\":\"ten\"}" });
+  const auto stored = Translate(Replace(kDocument, item.known, item.changed));
+  CAPTURE(item.changed);
+  REQUIRE(stored.notes_size() == 1);
+  CHECK(stored.notes(0) == item.note);
+  const auto compiled = protocol::CompileConfiguration(stored.text(), 12);
+  REQUIRE(compiled);
+  const auto& configuration = **compiled;
+  CHECK(configuration.Routes().size() == 3);
+  const auto* harmed =
+    configuration.FindRoute("GET", "/lepu270/2f", "one.example");
+  REQUIRE(harmed != nullptr);
+  CHECK(harmed->targets.size() == 2);
+  CHECK(harmed->timeout >= std::chrono::milliseconds(1200));
+  CHECK(configuration.FindRoute("POST", "/lepu270/ny95/a", "one.example")
+          ->service == "kafi81c");
+}
+
+TEST_CASE("a route to a service that is not listed is served by it")
+{
+  // Guards against a version that is refused whole for one route.
   const auto stored = Translate(
     Replace(kDocument, "\"service\":\"kafi81c\"}", "\"service\":\"none\"}"));
-  CHECK_FALSE(protocol::CompileConfiguration(stored.text(), 12).has_value());
+  REQUIRE(stored.notes_size() == 1);
+  CHECK(stored.notes(0) == "route r-2 names service none, which is not listed");
+  const auto compiled = protocol::CompileConfiguration(stored.text(), 12);
+  REQUIRE(compiled);
+  CHECK((*compiled)->FindService("none") != nullptr);
+  CHECK((*compiled)->Routes().size() == 3);
 }
 
 TEST_CASE("download routes are idempotent")
