Coordination: Refuse the requests of a route that no service serves

What callers would see: a route whose weights are all 0 ran at its last service, and one without a service answered 404 though the route is there.

Change: such a route names no service, and its requests are refused as not run (503).

Evidence: "a route that no service has a share of refuses its requests" failed before (ServiceNotReachable, 404).

--- a/Libraries/Coordination/CallSession.cpp
+++ b/Libraries/Coordination/CallSession.cpp
@@ -68,6 +68,10 @@
   if (facts_.depth > RetryPolicy::kMaxDepth) {
     return NotRunReason::DepthExceeded;
   }
+  // No service has a share of the route's requests.
+  if (service_.empty()) {
+    return NotRunReason::NoUpstream;
+  }
   if (!IsReachable(service_)) {
     return NotRunReason::ServiceNotReachable;
   }
--- a/Libraries/Coordination/TargetPicker.cpp
+++ b/Libraries/Coordination/TargetPicker.cpp
@@ -68,6 +68,10 @@
        rotation.currentWeights[i] > rotation.currentWeights[best]);
     best = isBetter ? i : best;
   }
+  if (total == 0) {
+    static const std::string kNoService;
+    return kNoService;
+  }
   rotation.currentWeights[best] -= total;
   return aRoute.targets[best].service;
 }
--- a/Libraries/Coordination/TargetPicker.h
+++ b/Libraries/Coordination/TargetPicker.h
@@ -18,7 +18,8 @@
 public:
   explicit TargetPicker(std::uint64_t aSeed);
 
-  /// @return the service for the next request of the route.
+  /// @return the service for the next request of the route; an empty name if no
+  /// service has a share of them.
   const std::string& Pick(const state::RouteSpec& aRoute);
 
 private:
--- a/Tests/Coordination/CallSessionTest.cpp
+++ b/Tests/Coordination/CallSessionTest.cpp
@@ -62,6 +62,33 @@
   CHECK_FALSE(NodeOf(acceptedCall.Start(0s)).empty());
 }
 
+TEST_CASE("a route that no service has a share of refuses its requests")
+{
+  // Guards against a 404 for a route that is there, and against requests at a
+  // service that has no weight.
+  const auto lookup = state::RequestClass::Lookup;
+  state::RouteSpec without{ "without", "GET", "/without", "", lookup };
+  state::RouteSpec weightless{ "weightless", "GET", "/weightless", "", lookup };
+  weightless.targets = { { "visits", 0 }, { "lounges", 0 } };
+  state::ConfigurationBuilder builder;
+  builder.AddService({ "visits", {}, true });
+  builder.AddService({ "lounges", {}, true });
+  builder.AddRoute(without);
+  builder.AddRoute(weightless);
+  const auto configuration = builder.Build();
+  REQUIRE(configuration);
+  const auto snapshot =
+    MakeSnapshot(MakeTable({ MakeEndpoint("up1") }), *configuration);
+  auto environment = MakeEnvironment();
+  for (const std::string target : { "/without", "/weightless" }) {
+    auto facts = MakeFacts(true);
+    facts.method = "GET";
+    facts.target = target;
+    CHECK(ReasonOf(CallSession(facts, snapshot, environment).Start(1s)) ==
+          NotRunReason::NoUpstream);
+  }
+}
+
 TEST_CASE("a quarantined request is refused and others pass")
 {
   auto environment = MakeEnvironment();
