Accounts: Take keys of any length that a request can carry

What callers would see: 401 for a key of more than 1,024 bytes although the configuration holds it (CONFIG).

Evidence: "A long key opens the routes of its account's requests" failed before.

--- a/Libraries/Coordination/Accounts/KeyCheck.cpp
+++ b/Libraries/Coordination/Accounts/KeyCheck.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Longer values are no keys, and are not worth a digest.
-constexpr std::size_t kMaxKeyBytes = 1024;
-
 tl::unexpected<NotRunReason>
 Refuse(NotRunReason aReason)
 {
@@ -19,8 +16,8 @@
 const state::AccountSpec*
 FindAccount(const state::Configuration& aConfiguration, const KeyFacts& aFacts)
 {
-  const bool isReadable = aFacts.count == 1 && !aFacts.key.empty() &&
-                          aFacts.key.size() <= kMaxKeyBytes;
+  // The limit of a request's head bounds the length of the key.
+  const bool isReadable = aFacts.count == 1 && !aFacts.key.empty();
   return isReadable
            ? aConfiguration.FindAccountByKey(state::DigestOfKey(aFacts.key))
            : nullptr;
--- a/Tests/Coordination/Accounts/KeyCheckTest.cpp
+++ b/Tests/Coordination/Accounts/KeyCheckTest.cpp
@@ -61,6 +61,29 @@
   CHECK((*result)->name == "hule");
 }
 
+TEST_CASE("A long key opens the routes of its account's requests", "[accounts]")
+{
+  // Guards against 401 for a key that the configuration holds.
+  const std::string key(5000, 'k');
+  state::ConfigurationBuilder builder;
+  builder.AddService({ "desk", {}, true });
+  state::RouteSpec route;
+  route.method = state::kAnyMethod;
+  route.pathPrefix = "/lodge/";
+  route.service = "desk";
+  builder.AddRoute(route);
+  state::AccountSpec account;
+  account.name = "hule";
+  account.keyDigests = { state::DigestOfKey(key) };
+  builder.AddAccount(account);
+  const auto configuration = builder.Build();
+  REQUIRE(configuration);
+  const auto result =
+    CheckKey(**configuration, Route(*configuration, "/lodge/1"), { key, 1 });
+  REQUIRE(result);
+  CHECK((*result)->name == "hule");
+}
+
 TEST_CASE("Unknown and malformed keys are refused", "[accounts]")
 {
   // Guards against requests that run though no configuration held their key.
