--- a/Libraries/Protocol/Configurations/ConfigurationEncoding.cpp
+++ b/Libraries/Protocol/Configurations/ConfigurationEncoding.cpp
@@ -3,6 +3,7 @@
 #include "State/EnumNames.h"
 #include "State/KeyDigest.h"
 
+#include <absl/strings/escaping.h>
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -170,6 +171,28 @@
   aEncoder.EndLine();
 }
 
+/// @return 43 characters, of which none separates anything.
+std::string
+EncodeDigest(const state::KeyDigest& aDigest)
+{
+  return absl::WebSafeBase64Escape(absl::string_view(
+    reinterpret_cast<const char*>(aDigest.data()), aDigest.size()));
+}
+
+std::optional<state::KeyDigest>
+DecodeDigest(std::string_view aText)
+{
+  state::KeyDigest digest{};
+  std::string bytes;
+  if (!absl::WebSafeBase64Unescape(
+        absl::string_view(aText.data(), aText.size()), &bytes) ||
+      bytes.size() != digest.size()) {
+    return std::nullopt;
+  }
+  std::ranges::copy(bytes, digest.begin());
+  return digest;
+}
+
 /// The keys of an account, in sections by the first digits of their digests.
 void
 EncodeKeys(const state::AccountSpec& aAccount, Encoder& aEncoder)
@@ -184,14 +207,14 @@
   const auto name = Escape(aAccount.name);
   std::string section;
   for (const auto& digest : digests) {
-    const auto text = state::FormatDigest(digest);
-    // Without a prefix the section still needs a name of its own.
-    const auto next = name + " " + text.substr(0, digits);
+    // Without digits the section still needs a name of its own.
+    const auto next =
+      name + " " + state::FormatDigest(digest).substr(0, digits);
     if (section != next) {
       section = next;
       aEncoder.Section("keys", section);
     }
-    aEncoder.Line(text);
+    aEncoder.Line(EncodeDigest(digest));
   }
 }
 
@@ -312,7 +335,7 @@
 
   void ReadKey(std::string_view aLine)
   {
-    const auto digest = state::ParseDigest(aLine);
+    const auto digest = DecodeDigest(aLine);
     isValid_ = isValid_ && digest;
     if (digest) {
       parts_.accounts.back().keyDigests.push_back(*digest);
--- a/Libraries/Protocol/Configurations/ConsistentParts.cpp
+++ b/Libraries/Protocol/Configurations/ConsistentParts.cpp
@@ -110,24 +110,49 @@
   aParts.accounts = std::move(accounts);
 }
 
+void
+SortKeys(state::AccountSpec& aAccount)
+{
+  auto& digests = aAccount.keyDigests;
+  std::ranges::sort(digests);
+  const auto repeated = std::ranges::unique(digests);
+  digests.erase(repeated.begin(), repeated.end());
+}
+
+/// A key, and the position of an account that has it.
+using HeldKey = std::pair<state::KeyDigest, std::size_t>;
+
+/// @return all keys of all accounts, in their order.
+std::vector<HeldKey>
+ListKeys(const ConfigurationParts& aParts)
+{
+  std::vector<HeldKey> keys;
+  for (std::size_t i = 0; i < aParts.accounts.size(); ++i) {
+    for (const auto& digest : aParts.accounts[i].keyDigests) {
+      keys.emplace_back(digest, i);
+    }
+  }
+  std::ranges::sort(keys);
+  return keys;
+}
+
 void
 DropSharedKeys(ConfigurationParts& aParts, Notes& aNotes)
 {
-  std::set<state::KeyDigest> known;
-  for (auto& account : aParts.accounts) {
-    const std::set<state::KeyDigest> own(account.keyDigests.begin(),
-                                         account.keyDigests.end());
-    std::vector<state::KeyDigest> kept;
-    for (const auto& digest : own) {
-      if (known.insert(digest).second) {
-        kept.push_back(digest);
-      }
+  std::ranges::for_each(aParts.accounts, SortKeys);
+  const auto keys = ListKeys(aParts);
+  std::set<std::size_t> sharing;
+  for (std::size_t i = 1; i < keys.size(); ++i) {
+    const auto& [digest, account] = keys[i];
+    if (digest != keys[i - 1].first) {
+      continue;
     }
-    if (kept.size() < own.size()) {
-      aNotes.push_back("account " + account.name +
+    auto& own = aParts.accounts[account].keyDigests;
+    own.erase(std::ranges::lower_bound(own, digest));
+    if (sharing.insert(account).second) {
+      aNotes.push_back("account " + aParts.accounts[account].name +
                        " has keys of other accounts, to which they belong");
     }
-    account.keyDigests = std::move(kept);
   }
 }
 
--- a/Libraries/State/KeyDigest.cpp
+++ b/Libraries/State/KeyDigest.cpp
@@ -26,11 +26,10 @@
 std::string
 FormatDigest(const KeyDigest& aDigest)
 {
-  std::string text;
-  text.reserve(aDigest.size() * 2);
-  for (const auto byte : aDigest) {
-    text += kDigits[byte >> kBitsPerDigit];
-    text += kDigits[byte & kDigitMask];
+  std::string text(aDigest.size() * 2, '0');
+  for (std::size_t i = 0; i < aDigest.size(); ++i) {
+    text[2 * i] = kDigits[aDigest[i] >> kBitsPerDigit];
+    text[2 * i + 1] = kDigits[aDigest[i] & kDigitMask];
   }
   return text;
 }
