--- a/Libraries/Protocol/Configurations/ConsistentParts.cpp
+++ b/Libraries/Protocol/Configurations/ConsistentParts.cpp
@@ -115,8 +115,7 @@
 {
   auto& digests = aAccount.keyDigests;
   std::ranges::sort(digests);
-  const auto repeated = std::ranges::unique(digests);
-  digests.erase(repeated.begin(), repeated.end());
+  digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
 }
 
 /// A key, and the position of an account that has it.
--- a/Tests/Platform/FollowerEarlierCopyTest.cpp
+++ b/Tests/Platform/FollowerEarlierCopyTest.cpp
@@ -8,7 +8,6 @@
 using namespace teaselhold;
 using namespace teaselhold::coordination;
 using namespace std::chrono_literals;
-using protocol::kConfigurationKey;
 using tests::RunningStore;
 
 // Guards against a follower of a large configuration that drops a whole
--- a/Tests/Platform/ListedKeysEarlierCopyTest.cpp
+++ b/Tests/Platform/ListedKeysEarlierCopyTest.cpp
@@ -166,3 +166,28 @@
   REQUIRE(other.Find("one") != nullptr);
   CHECK(other.Find("one")->state == EndpointState::Gone);
 }
+
+TEST_CASE("a departure that no other node has listed outlives an earlier copy",
+          "[known-red]")
+{
+  // Guards against an acknowledged departure that only its writer knew, which
+  // was killed as the store came back without it.
+  EarlierCopyStore store;
+  ConnectedCore other(store.store, "other");
+  other.Announce(kSecondRun);
+  other.RunFor(1s);
+  stand_in::StoreState copy{ 0, 0 };
+  {
+    ConnectedCore one(store.store, "one");
+    one.Announce(kFirstRun);
+    one.RunFor(1s);
+    copy = store.store.Copy();
+    other.RunFor(1s);
+    one.Depart("one", kFirstRun);
+    one.RunFor(1s);
+  }
+  REQUIRE(store.HasDeparture("one", kFirstRun));
+  store.Return(copy);
+  other.RunFor(4s);
+  CHECK(store.HasDeparture("one", kFirstRun));
+}
