--- a/Libraries/Protocol/ConfigurationText.cpp
+++ b/Libraries/Protocol/ConfigurationText.cpp
@@ -1,5 +1,6 @@
 #include "Protocol/ConfigurationText.h"
 
+#include "Protocol/Configurations/BuiltConfiguration.h"
 #include "Protocol/Configurations/ConfigurationEncoding.h"
 #include "Protocol/IniDocument.h"
 #include "Protocol/Suggestion.h"
@@ -54,46 +55,14 @@
   return parts;
 }
 
-using Compiled =
-  tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>;
-
-Compiled
-BuildParts(ConfigurationParts aParts,
-           std::string_view aText,
-           state::Generation aGeneration)
-{
-  state::ConfigurationBuilder builder;
-  builder.SetGeneration(aGeneration).SetText(std::string(aText));
-  for (auto& service : aParts.services) {
-    builder.AddService(std::move(service));
-  }
-  for (auto& route : aParts.routes) {
-    builder.AddRoute(std::move(route));
-  }
-  for (auto& account : aParts.accounts) {
-    builder.AddAccount(std::move(account));
-  }
-  if (aParts.limits) {
-    builder.SetLimits(*aParts.limits);
-  }
-  if (aParts.requiresKeys) {
-    builder.RequireKeys();
-  }
-  return builder.Build().map_error([](const state::StateError& aError) {
-    return std::vector<ProtocolError>{
-      { ProtocolErrorCode::InvalidValue, 0, aError.message }
-    };
-  });
-}
-
 /// Compiles one document, collecting errors.
 class Compiler
 {
 public:
-  Compiled Compile(const IniDocument& aDocument,
-                   std::vector<ProtocolError> aSyntaxErrors,
-                   std::string_view aText,
-                   state::Generation aGeneration)
+  BuildResult Compile(const IniDocument& aDocument,
+                      std::vector<ProtocolError> aSyntaxErrors,
+                      std::string_view aText,
+                      state::Generation aGeneration)
   {
     // A name or key in an unreadable line would be reported as missing.
     isWhole_ = aSyntaxErrors.empty();
@@ -110,12 +79,12 @@
       std::ranges::stable_sort(errors_, {}, &ProtocolError::line);
       return tl::make_unexpected(std::move(errors_));
     }
-    return BuildParts({ std::move(services_),
-                        std::move(routes_),
-                        std::move(accounts_),
-                        limits_ },
-                      aText,
-                      aGeneration);
+    return BuildConfiguration({ std::move(services_),
+                                std::move(routes_),
+                                std::move(accounts_),
+                                limits_ },
+                              aText,
+                              aGeneration);
   }
 
 private:
@@ -654,7 +623,7 @@
   bool isWhole_ = true;
 };
 
-Compiled
+BuildResult
 CompileText(std::string_view aText, state::Generation aGeneration)
 {
   std::vector<ProtocolError> errors;
@@ -662,26 +631,16 @@
   return Compiler().Compile(document, std::move(errors), aText, aGeneration);
 }
 
-Compiled
-CompileEncoded(std::string_view aText, state::Generation aGeneration)
-{
-  auto parts = DecodeConfiguration(aText);
-  if (!parts) {
-    return tl::make_unexpected(std::vector<ProtocolError>{ parts.error() });
-  }
-  return BuildParts(std::move(*parts), aText, aGeneration);
-}
-
 } // namespace
 
-tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
+BuildResult
 CompileConfiguration(std::string_view aText, state::Generation aGeneration)
 {
-  return IsEncodedConfiguration(aText) ? CompileEncoded(aText, aGeneration)
+  return IsEncodedConfiguration(aText) ? BuildEncoded(aText, aGeneration)
                                        : CompileText(aText, aGeneration);
 }
 
-tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
+BuildResult
 CompileSubmission(std::string_view aText, state::Generation aGeneration)
 {
   if (aText.size() > kMaxSubmissionBytes) {
--- a/Libraries/Protocol/ConfigurationText.h
+++ b/Libraries/Protocol/ConfigurationText.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "Protocol/ProtocolError.h"
-#include "State/Configuration.h"
+#include "Protocol/Configurations/BuiltConfiguration.h"
 
 #include <string>
 #include <string_view>
@@ -17,12 +16,12 @@
 /// Compiles what the store already holds or another node sent, whatever its
 /// size, as it was accepted: an encoded configuration, or an operators' text,
 /// which is checked. Returns every error at once.
-tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
+BuildResult
 CompileConfiguration(std::string_view aText, state::Generation aGeneration);
 
 /// Checks and compiles an operators' text that is yet to be written to the
 /// store: one that the store could not hold is refused.
-tl::expected<state::ConfigurationPointer, std::vector<ProtocolError>>
+BuildResult
 CompileSubmission(std::string_view aText, state::Generation aGeneration);
 
 /// Formats errors as "FILE:LINE: message", one a line.
