--- a/Libraries/Coordination/Rollouts/RolloutBook.cpp
+++ b/Libraries/Coordination/Rollouts/RolloutBook.cpp
@@ -160,7 +160,7 @@
 void
 RolloutBook::MergeRepeated(const Rollout& aRollout, Rollout& aKnown)
 {
-  const auto [earlier, later] = std::minmax(aRollout.order, aKnown.order);
+  const auto [earlier, later] = std::minmax({ aRollout.order, aKnown.order });
   auto& positions = aKnown.earlierPositions;
   if (std::ranges::find(positions, earlier) == positions.end()) {
     positions.push_back(earlier);
