Coordination: Take an encoded configuration for large from the size that it had as a text

Cause: the encoding of 800 routes has 127,280 bytes, 147,287 as an operators' text. It fell below the 128 KiB from which only a few nodes read the whole configuration, so all nodes watched and read it: 826 versions by the watch and none by changes in 21 s, before 137 and 531.

Change: the bound for an encoded configuration is 110 KiB, the size that 128 KiB of text have there.

--- a/Libraries/Coordination/Versions/DirectCoreVersions.cpp
+++ b/Libraries/Coordination/Versions/DirectCoreVersions.cpp
@@ -1,6 +1,7 @@
 // The part of DirectCore that keeps the version in force the newest one.
 
 #include "Coordination/DirectCore.h"
+#include "Protocol/Configurations/ConfigurationEncoding.h"
 
 namespace teaselhold::coordination {
 
@@ -8,7 +9,9 @@
 
 /// From this size on, only the selected readers read the full text: 128 KiB of
 /// text in the platform's format take about 0.25 s on a link of 5 Mbit/s.
-constexpr std::size_t kLargeConfigurationBytes = std::size_t{ 128 } * 1024;
+constexpr std::size_t kLargeTextBytes = std::size_t{ 128 } * 1024;
+/// The same configuration is shorter when it is encoded.
+constexpr std::size_t kLargeEncodedBytes = std::size_t{ 110 } * 1024;
 /// Hosts that start together have written their records within this time.
 constexpr state::Duration kFleetStartTime = std::chrono::seconds(3);
 /// The interval of a node that does not know its turn to check for a newer
@@ -38,8 +41,13 @@
 bool
 IsLarge(const state::ConfigurationPointer& aConfiguration)
 {
-  return aConfiguration != nullptr &&
-         aConfiguration->Text().size() >= kLargeConfigurationBytes;
+  if (aConfiguration == nullptr) {
+    return false;
+  }
+  const auto& text = aConfiguration->Text();
+  return text.size() >= (protocol::IsEncodedConfiguration(text)
+                           ? kLargeEncodedBytes
+                           : kLargeTextBytes);
 }
 
 state::Duration
