--- a/Tests/Coordination/DirectFleetTest.cpp
+++ b/Tests/Coordination/DirectFleetTest.cpp
@@ -1,5 +1,6 @@
 #include "DirectFleet.h"
 #include "FleetTexts.h"
+#include "Protocol/Configurations/ConfigurationEncoding.h"
 
 #include <catch2/catch.hpp>
 
@@ -20,6 +21,31 @@
   aFleet.WriteVersion(aVersion, MakeText(aVersion));
 }
 
+/// An encoded configuration of 800 routes, as the smaller of the grown
+/// deployments have; one of them differs by version.
+std::string
+MakeEncodedText(unsigned aVersion)
+{
+  constexpr unsigned kRoutes = 800;
+  protocol::ConfigurationParts parts;
+  parts.services.push_back({ "visits", {}, true });
+  for (unsigned i = 0; i < kRoutes; ++i) {
+    state::RouteSpec route;
+    route.name = "r-" + std::to_string(1000000 + i);
+    route.method = state::kAnyMethod;
+    route.pathPrefix = "/pufi" + std::to_string(i) + "/";
+    route.service = "visits";
+    route.isIdempotent = true;
+    route.timeout = std::chrono::milliseconds(1500 + (i == 0 ? aVersion : 0));
+    route.host = "ficu95.example";
+    route.latencyObjective = 500ms;
+    route.maxAttempts = 2;
+    route.priority = 1;
+    parts.routes.push_back(route);
+  }
+  return protocol::EncodeConfiguration(parts);
+}
+
 } // namespace
 
 TEST_CASE("the first change after the start of a fleet is in force in time")
@@ -218,3 +244,19 @@
   CHECK(fleet.WorstLag() < 3s);
   CHECK(fleet.Counts().polls < kNodes / 5);
 }
+
+TEST_CASE("an encoded configuration of 800 routes is read by few nodes")
+{
+  // Guards against a fleet in which every node watches and reads the whole
+  // configuration because its encoding is shorter than its text.
+  constexpr std::size_t kSomeNodes = 60;
+  // A watch of the changes by each node, and the calls of the readers.
+  constexpr std::size_t kMostCalls = kSomeNodes + 20;
+  DirectFleet fleet(kSomeNodes, kBound, 1, 4, MakeEncodedText(4));
+  fleet.Run(12s);
+  fleet.ResetCounts();
+  fleet.WriteVersion(6, MakeEncodedText(6));
+  fleet.Run(3s);
+  CHECK(fleet.Counts().fullReads + fleet.Counts().watches < kMostCalls);
+  CHECK(fleet.WorstLag() < kBound);
+}
