Tests: Write the departure of a node that ends once

Two tests of an earlier copy held the same lines. In the one that passes the other node now lists the record of the node that ends, as in the one that is known red.

--- a/Tests/Platform/ListedKeysEarlierCopyTest.cpp
+++ b/Tests/Platform/ListedKeysEarlierCopyTest.cpp
@@ -68,6 +68,24 @@
   RunningStore store;
 };
 
+/// Lets a node write the departure of its upstream and end. The other node has
+/// listed its record, but not the departure.
+/// @return a copy of the store from before the departure.
+stand_in::StoreState
+DepartAndEnd(EarlierCopyStore& aStore, ConnectedCore& aOther)
+{
+  aOther.Announce(kSecondRun);
+  aOther.RunFor(1s);
+  ConnectedCore one(aStore.store, "one");
+  one.Announce(kFirstRun);
+  one.RunFor(1s);
+  auto copy = aStore.store.Copy();
+  aOther.RunFor(1s);
+  one.Depart("one", kFirstRun);
+  one.RunFor(1s);
+  return copy;
+}
+
 } // namespace
 
 TEST_CASE("a node that joins after an earlier copy is seen")
@@ -146,17 +164,7 @@
 {
   EarlierCopyStore store;
   ConnectedCore other(store.store, "other");
-  other.Announce(kSecondRun);
-  other.RunFor(1s);
-  stand_in::StoreState copy{ 0, 0 };
-  {
-    ConnectedCore one(store.store, "one");
-    one.Announce(kFirstRun);
-    one.RunFor(1s);
-    copy = store.store.Copy();
-    one.Depart("one", kFirstRun);
-    one.RunFor(1s);
-  }
+  const auto copy = DepartAndEnd(store, other);
   store.WriteMuch();
   other.RunFor(2s);
   REQUIRE(store.HasDeparture("one", kFirstRun));
@@ -174,18 +182,7 @@
   // was killed as the store came back without it.
   EarlierCopyStore store;
   ConnectedCore other(store.store, "other");
-  other.Announce(kSecondRun);
-  other.RunFor(1s);
-  stand_in::StoreState copy{ 0, 0 };
-  {
-    ConnectedCore one(store.store, "one");
-    one.Announce(kFirstRun);
-    one.RunFor(1s);
-    copy = store.store.Copy();
-    other.RunFor(1s);
-    one.Depart("one", kFirstRun);
-    one.RunFor(1s);
-  }
+  const auto copy = DepartAndEnd(store, other);
   REQUIRE(store.HasDeparture("one", kFirstRun));
   store.Return(copy);
   other.RunFor(4s);
